--- /dev/null
+++ b/src/libapricot/clock.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <chrono>
+
+namespace Apricot {
+
+using Milliseconds = std::chrono::milliseconds;
+using Microseconds = std::chrono::microseconds;
+
+// The clock that every decision and timer reads. It counts through suspension of the machine, so a
+// process that was paused sees how long it was away. Tests pause it and advance it by hand; it
+// satisfies the standard clock requirements, so asio timers can be built on it.
+class RuntimeClock {
+public:
+    using duration = std::chrono::nanoseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<RuntimeClock>;
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming)
+
+    static time_point now() noexcept;
+
+    // Stops the clock at its present reading until resume() is called.
+    static void pause() noexcept;
+    // Moves a paused clock forward. Has no effect on a running one.
+    static void advance(duration step) noexcept;
+    static void resume() noexcept;
+};
+
+using TimePoint = RuntimeClock::time_point;
+using Duration = RuntimeClock::duration;
+
+// Milliseconds from one instant to another, for messages and logs.
+inline long long millisecondsBetween(TimePoint from, TimePoint to)
+{
+    return std::chrono::duration_cast<Milliseconds>(to - from).count();
+}
+
+}
--- /dev/null
+++ b/src/libnet/httpclient.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "libapricot/clock.h"
+#include "libnet/httpserver.h"
+
+#include <optional>
+
+namespace Apricot {
+
+// One call of an HTTP/1.1 server.
+struct HttpCall {
+    std::string method = "GET";
+    // Path with query.
+    std::string target = "/";
+    std::vector<HttpField> fields;
+    std::string body;
+    // Longest wait for the answer's header, and for each read after it.
+    Milliseconds timeout { 5000 };
+};
+
+struct HttpResponse {
+    int status = 0;
+    std::vector<HttpField> fields;
+    std::string body;
+
+    std::string_view field(std::string_view name) const;
+};
+
+// An answer that is read as it arrives. Destroying it before the end closes the connection, which
+// tells the server to cancel.
+class HttpStream {
+public:
+    virtual ~HttpStream() = default;
+
+    virtual int status() const = 0;
+    virtual std::string_view field(std::string_view name) const = 0;
+    // Next piece of the body, or nothing at a clean end. Throws boost::system::system_error when the
+    // connection breaks before the end.
+    virtual boost::asio::awaitable<std::optional<std::string>> read() = 0;
+};
+
+struct HttpClientOptions {
+    std::string address = "127.0.0.1";
+    std::uint16_t port = 0;
+    // Idle connections kept for reuse.
+    std::size_t idleConnections = 16;
+    Milliseconds connectTimeout { 1000 };
+};
+
+// Outcome of the last step before the bytes of a call leave: a call may be withdrawn here.
+using HttpSendGate = std::function<bool()>;
+
+// A client of one server with a pool of connections. Never repeats a call by itself.
+class HttpClient {
+public:
+    HttpClient(boost::asio::io_context& context, HttpClientOptions options);
+    ~HttpClient();
+
+    HttpClient(const HttpClient&) = delete;
+    HttpClient& operator=(const HttpClient&) = delete;
+
+    // Sends a call and reads the whole answer.
+    boost::asio::awaitable<HttpResponse> send(HttpCall call);
+    // Sends a call and returns once the answer's header is there. The gate runs on an established
+    // connection just before the first byte is written; when it returns false nothing is sent and
+    // nullptr is returned. Errors before the gate ran mean that nothing was sent.
+    boost::asio::awaitable<std::unique_ptr<HttpStream>> open(HttpCall call, HttpSendGate gate = {});
+
+private:
+    class Impl;
+    std::shared_ptr<Impl> m_impl;
+};
+
+}
--- /dev/null
+++ b/src/libnet/httpserver.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Apricot {
+
+// A header field of a request or an answer.
+struct HttpField {
+    std::string name;
+    std::string value;
+};
+
+// A request as a handler sees it, with its body read whole.
+struct HttpRequest {
+    std::string method;
+    // Path without the query, such as /objects/catalogue/sheets.
+    std::string path;
+    // Text after the question mark, still percent-encoded; empty when there is none.
+    std::string query;
+    std::vector<HttpField> fields;
+    std::string body;
+
+    // Value of a header field, or an empty text. Names compare without case.
+    std::string_view field(std::string_view name) const;
+    // Decoded value of a query parameter, or an empty text.
+    std::string parameter(std::string_view name) const;
+};
+
+// One request and the way to answer it. A handler either calls respond() once, or beginStream(),
+// writeChunk() any number of times and endStream(). Each throws boost::system::system_error when the
+// caller has gone.
+class HttpExchange {
+public:
+    virtual ~HttpExchange() = default;
+
+    virtual const HttpRequest& request() const = 0;
+    virtual boost::asio::awaitable<void> respond(
+        int status, std::string contentType, std::string body, std::vector<HttpField> fields = {})
+        = 0;
+    virtual boost::asio::awaitable<void> beginStream(
+        int status, std::string contentType, std::vector<HttpField> fields = {})
+        = 0;
+    virtual boost::asio::awaitable<void> writeChunk(std::string_view data) = 0;
+    virtual boost::asio::awaitable<void> endStream() = 0;
+    // Whether an answer has been begun.
+    virtual bool isAnswered() const = 0;
+    // Whether the peer has closed its connection. Detected while the handler waits.
+    virtual bool isPeerGone() const = 0;
+    // Closes the connection at once without finishing the answer.
+    virtual void abort() = 0;
+};
+
+using HttpHandler = std::function<boost::asio::awaitable<void>(HttpExchange&)>;
+
+struct HttpServerOptions {
+    std::string address = "127.0.0.1";
+    // Zero lets the kernel choose.
+    std::uint16_t port = 0;
+    std::size_t bodyLimitBytes = 1024 * 1024;
+};
+
+// An HTTP/1.1 server on one io_context, on Boost.Beast. Must outlive the io_context's run().
+class HttpServer {
+public:
+    HttpServer(boost::asio::io_context& context, HttpServerOptions options, HttpHandler handler);
+    ~HttpServer();
+
+    HttpServer(const HttpServer&) = delete;
+    HttpServer& operator=(const HttpServer&) = delete;
+
+    std::uint16_t port() const;
+    // Number of requests whose handler has not returned.
+    std::size_t exchangesInFlight() const;
+    // Stops listening and closes idle connections; exchanges in flight go on.
+    void stopAccepting();
+
+private:
+    class Impl;
+    std::shared_ptr<Impl> m_impl;
+};
+
+}
--- /dev/null
+++ b/src/libnet/messages.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "libapricot/attempt.h"
+#include "libapricot/refusal.h"
+#include "libapricot/stagecall.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace Apricot {
+
+// Entry host to coordinator: run this request, or attach to it where it already runs.
+struct SubmitMessage {
+    RequestKey key;
+    // False when the entry host made the key, so that no earlier attempt can exist.
+    bool keyFromCaller = false;
+    PipelineId pipeline;
+    std::string input;
+    // What is left of the deadline when the message leaves.
+    Milliseconds budget { 0 };
+    // First token of the answer that the caller still needs.
+    std::uint64_t resumeFrom = 0;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(key, keyFromCaller, pipeline, input, budget, resumeFrom);
+    }
+};
+
+// A token of an answer, numbered from zero within its stage.
+struct TokenMessage {
+    std::uint64_t index = 0;
+    std::string text;
+
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(index, text); }
+};
+
+// The answer is whole: so many tokens were sent, with so much cost.
+struct CompletedMessage {
+    std::uint64_t tokens = 0;
+    std::vector<StageCost> costs;
+
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(tokens, costs); }
+};
+
+struct RefusedMessage {
+    Refusal refusal;
+
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(refusal); }
+};
+
+// Coordinator to the home of a replica: run one attempt of a stage.
+struct StageCallMessage {
+    StageCall call;
+
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(call); }
+};
+
+// Home to coordinator: the attempt's bytes are about to leave for the backend server.
+struct StageSentMessage {
+    AttemptId attempt;
+
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(attempt); }
+};
+
+// Home to coordinator: how the attempt ended.
+struct StageEndedMessage {
+    StageOutcome outcome;
+
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(outcome); }
+};
+
+// A JSON text with a name, for questions that need no type of their own, such as a state dump.
+struct TextMessage {
+    std::string topic;
+    std::string json;
+
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(topic, json); }
+};
+
+// Everything that processes of the system say to each other. New alternatives go to the end: a
+// position is the type's number on the wire.
+using Message = std::variant<SubmitMessage, TokenMessage, CompletedMessage, RefusedMessage,
+    StageCallMessage, StageSentMessage, StageEndedMessage, TextMessage>;
+
+// Version of the encoding; a frame of another version closes its connection.
+constexpr std::uint8_t messageVersion = 1;
+// Largest encoded message.
+constexpr std::size_t messageLimitBytes = 2'097'152;
+
+// Encodes a message without its length. The first byte is the version, the second the type.
+std::string encodeMessage(const Message& message);
+// Decodes what encodeMessage() wrote. Throws MessageError on anything else.
+Message decodeMessage(std::string_view bytes);
+
+// Thrown for bytes that are no message of this version.
+class MessageError : public std::runtime_error {
+public:
+    using std::runtime_error::runtime_error;
+};
+
+}
--- /dev/null
+++ b/src/libnet/peerstream.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "libapricot/clock.h"
+#include "libnet/messages.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace Apricot {
+
+// Where a process of the system listens for its peers.
+struct PeerEndpoint {
+    std::string address;
+    std::uint16_t port = 0;
+
+    auto operator<=>(const PeerEndpoint&) const = default;
+
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(address, port); }
+};
+
+// One two-way stream of messages between two processes: an HTTP/2 stream.
+class PeerStream {
+public:
+    virtual ~PeerStream() = default;
+
+    // Next message, or nothing once the peer has finished. Throws std::runtime_error when the stream
+    // or its connection breaks first.
+    virtual boost::asio::awaitable<std::optional<Message>> read() = 0;
+    // Queues a message; waits while too much is queued. Throws when the stream is broken.
+    virtual boost::asio::awaitable<void> write(Message message) = 0;
+    // Says that no more messages follow.
+    virtual void finish() = 0;
+    // Breaks the stream at once; the peer's read() throws.
+    virtual void cancel() = 0;
+};
+
+// Serves one stream that a peer has opened. The stream ends when the handler returns.
+using PeerHandler = std::function<boost::asio::awaitable<void>(std::shared_ptr<PeerStream>)>;
+
+struct PeerServerOptions {
+    std::string address = "127.0.0.1";
+    // Zero lets the kernel choose.
+    std::uint16_t port = 0;
+};
+
+// Accepts streams from peers. Must outlive the io_context's run().
+class PeerServer {
+public:
+    PeerServer(boost::asio::io_context& context, PeerServerOptions options, PeerHandler handler);
+    ~PeerServer();
+
+    PeerServer(const PeerServer&) = delete;
+    PeerServer& operator=(const PeerServer&) = delete;
+
+    std::uint16_t port() const;
+    std::size_t streamsInFlight() const;
+    void stopAccepting();
+
+private:
+    class Impl;
+    std::shared_ptr<Impl> m_impl;
+};
+
+// How a connection to a peer failed, as far as it tells whether the peer's process is alive.
+enum class PeerFailure {
+    // The peer's host answered that nothing listens: that process is gone.
+    Refused,
+    // No answer: the peer may be frozen, cut off or gone.
+    Unreachable,
+};
+
+// Thrown when a peer can't be reached.
+class PeerError : public std::runtime_error {
+public:
+    PeerError(PeerFailure failure, const std::string& what)
+        : std::runtime_error(what)
+        , m_failure(failure)
+    {
+    }
+
+    PeerFailure failure() const { return m_failure; }
+
+private:
+    PeerFailure m_failure;
+};
+
+// Opens streams to peers, over one kept connection for each endpoint.
+class PeerClient {
+public:
+    explicit PeerClient(boost::asio::io_context& context);
+    ~PeerClient();
+
+    PeerClient(const PeerClient&) = delete;
+    PeerClient& operator=(const PeerClient&) = delete;
+
+    // Opens a stream and sends its first message.
+    boost::asio::awaitable<std::shared_ptr<PeerStream>> open(
+        PeerEndpoint endpoint, Message first, Milliseconds timeout);
+    // Opens a stream, sends one message, reads one answer.
+    boost::asio::awaitable<Message> ask(
+        PeerEndpoint endpoint, Message question, Milliseconds timeout);
+
+private:
+    class Impl;
+    std::shared_ptr<Impl> m_impl;
+};
+
+}
