--- /dev/null
+++ b/src/libapricot/controlview.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "libapricot/cellstate.h"
+
+#include <memory>
+
+namespace Apricot {
+
+// What the control thread knows, published as one immutable snapshot for the traffic threads.
+struct ControlView {
+    HostId self;
+    std::string incarnation;
+    FailureDomainId failureDomain;
+    std::shared_ptr<const Catalogue> catalogue;
+    std::shared_ptr<const CellState> cell;
+    ObjectVersion epoch = 0;
+    // Until when this process may start new work on what it knows; see docs/DESIGN.md, evidence.
+    TimePoint permittedUntil {};
+    // Whether this process has begun its graceful shutdown.
+    bool stopping = false;
+
+    bool permits(TimePoint now) const { return now < permittedUntil; }
+};
+
+// Gives the newest snapshot; may be called on any thread.
+class ControlViewSource {
+public:
+    virtual ~ControlViewSource() = default;
+    virtual std::shared_ptr<const ControlView> view() const = 0;
+};
+
+}
