--- /dev/null
+++ b/src/dispatch/homeservice.cpp
@@ -0,0 +1,231 @@
+#include "homeservice.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace Apricot {
+
+namespace {
+
+    // Beyond every version that the platform gives.
+    constexpr ObjectVersion afterAllVersions = ~ObjectVersion(0);
+    constexpr Milliseconds unknownServerRetry { 1000 };
+
+    boost::json::object namedArray(const char* name, boost::json::array array)
+    {
+        return { { name, std::move(array) } };
+    }
+
+}
+
+HomeService::HomeService(boost::asio::io_context& context, const ControlViewSource& views,
+    HomeServiceOptions options)
+    : m_context(context)
+    , m_views(views)
+    , m_options(options)
+    , m_peers(context)
+{
+}
+
+HomeService::~HomeService()
+{
+    m_isRunning = false;
+}
+
+void HomeService::start()
+{
+    boost::asio::co_spawn(m_context, followViews(), boost::asio::detached);
+}
+
+boost::asio::awaitable<void> HomeService::serve(
+    std::shared_ptr<PeerStream> stream, StageCallMessage message)
+{
+    refresh();
+    const std::shared_ptr<ReplicaHome> home = findHome(message.call.server);
+    if (home && !m_isStopped)
+        co_return co_await home->serve(std::move(stream), std::move(message.call));
+    StageOutcome outcome { .attempt = message.call.attempt,
+        .end = StageEnd::Rejected,
+        .retryAfter = unknownServerRetry };
+    co_await stream->write(StageEndedMessage { std::move(outcome) });
+    stream->finish();
+}
+
+boost::asio::awaitable<void> HomeService::serveRelease(
+    std::shared_ptr<PeerStream> stream, ReleaseHomeMessage message)
+{
+    HomeReleasedMessage answer { .incarnation = m_views.view()->incarnation };
+    if (const std::shared_ptr<ReplicaHome> home = findHome(message.server))
+        answer = home->release(message.since);
+    else
+        m_released[message.server] = std::max(m_released[message.server], message.since);
+    co_await stream->write(std::move(answer));
+    stream->finish();
+}
+
+boost::asio::awaitable<OrderResult> HomeService::order(BackendServerId server, std::string text)
+{
+    const std::shared_ptr<ReplicaHome> home = findHome(server);
+    if (!home)
+        co_return OrderResult::NotPermitted;
+    co_return co_await home->order(std::move(text));
+}
+
+boost::asio::awaitable<void> HomeService::drain()
+{
+    const TimePoint latestHandOver = RuntimeClock::now() + m_options.handOverWait;
+    while (isHomeOfAny() && RuntimeClock::now() < latestHandOver)
+        co_await pause(m_options.refreshInterval);
+    stopAll();
+    while (inFlight() > 0)
+        co_await pause(m_options.refreshInterval);
+}
+
+boost::json::value HomeService::dump() const
+{
+    boost::json::array replicas;
+    for (const auto& [server, home] : m_homes)
+        replicas.push_back(home->dump());
+    return namedArray("replicas", std::move(replicas));
+}
+
+boost::asio::awaitable<void> HomeService::followViews()
+{
+    while (m_isRunning) {
+        refresh();
+        co_await pause(m_options.refreshInterval);
+    }
+}
+
+boost::asio::awaitable<void> HomeService::pollHealth(std::shared_ptr<ReplicaHome> home)
+{
+    while (m_isRunning) {
+        if (home->ledger().since() > 0 || home->ledger().inFlight() > 0)
+            co_await home->pollHealth();
+        co_await pause(m_options.healthInterval);
+    }
+}
+
+boost::asio::awaitable<void> HomeService::takeOver(std::shared_ptr<ReplicaHome> home)
+{
+    while (m_isRunning) {
+        std::vector<Predecessor> predecessors;
+        if (home->ledger().tenure())
+            predecessors = home->ledger().tenure()->unconfirmed();
+        for (const Predecessor& predecessor : predecessors)
+            co_await askPredecessor(*home, predecessor);
+        co_await pause(m_options.releaseInterval);
+    }
+}
+
+boost::asio::awaitable<void> HomeService::askPredecessor(
+    ReplicaHome& home, Predecessor predecessor)
+{
+    const std::shared_ptr<const ControlView> view = m_views.view();
+    const Member* member = view->cell ? view->cell->findMember(predecessor.host) : nullptr;
+    if (member && member->incarnation != predecessor.incarnation)
+        co_return home.onPredecessorGone(predecessor);
+    const auto found = m_endpoints.find(predecessor);
+    const ObjectVersion since = home.ledger().since();
+    if (found == m_endpoints.end() || since == 0)
+        co_return;
+    try {
+        const Message answer = co_await m_peers.ask(found->second,
+            ReleaseHomeMessage { .server = home.server().id, .since = since },
+            m_options.releaseTimeout);
+        const auto* released = std::get_if<HomeReleasedMessage>(&answer);
+        if (released && home.ledger().since() == since)
+            home.onPredecessorReleased(predecessor, *released);
+    } catch (const PeerError& error) {
+        if (error.failure() == PeerFailure::Refused)
+            home.onPredecessorGone(predecessor);
+    } catch (const std::exception&) {
+        // No answer says nothing about the predecessor; it is asked again.
+        co_return;
+    }
+}
+
+boost::asio::awaitable<void> HomeService::pause(Milliseconds time)
+{
+    Timer timer(co_await boost::asio::this_coro::executor, time);
+    co_await timer.async_wait(boost::asio::use_awaitable);
+}
+
+void HomeService::refresh()
+{
+    const std::shared_ptr<const ControlView> view = m_views.view();
+    if (!view || !view->cell || !view->catalogue)
+        return;
+    if (view->epoch != m_epochSeen)
+        rememberEndpoints(*view->cell);
+    m_epochSeen = view->epoch;
+    for (const auto& [server, assignment] : view->cell->homes) {
+        if (ownAssignment(*view, server))
+            findHome(server);
+    }
+    for (const auto& [server, home] : m_homes)
+        home->refresh();
+}
+
+void HomeService::rememberEndpoints(const CellState& cell)
+{
+    for (const Member& member : cell.members) {
+        m_endpoints[{ .host = member.host, .incarnation = member.incarnation }]
+            = { .address = member.address, .port = member.port };
+    }
+}
+
+std::shared_ptr<ReplicaHome> HomeService::findHome(const BackendServerId& server)
+{
+    const auto found = m_homes.find(server);
+    if (found != m_homes.end())
+        return found->second;
+    const std::shared_ptr<const ControlView> view = m_views.view();
+    if (!view->catalogue)
+        return nullptr;
+    const auto declared = view->catalogue->servers.find(server);
+    if (declared == view->catalogue->servers.end())
+        return nullptr;
+    auto home = std::make_shared<ReplicaHome>(m_context, m_views,
+        ReplicaHomeOptions { .server = declared->second,
+            .queueLimit = m_options.queueLimit,
+            .tenure = m_options.tenure,
+            .healthTimeout = m_options.healthTimeout });
+    const auto released = m_released.find(server);
+    if (released != m_released.end())
+        home->release(released->second);
+    m_homes.emplace(server, home);
+    boost::asio::co_spawn(m_context, pollHealth(home), boost::asio::detached);
+    boost::asio::co_spawn(m_context, takeOver(home), boost::asio::detached);
+    return home;
+}
+
+void HomeService::stopAll()
+{
+    m_isStopped = true;
+    for (const auto& [server, home] : m_homes)
+        home->release(afterAllVersions);
+}
+
+bool HomeService::isHomeOfAny() const
+{
+    return std::any_of(m_homes.begin(), m_homes.end(),
+        [](const auto& entry) { return entry.second->ledger().since() > 0; });
+}
+
+int HomeService::inFlight() const
+{
+    int sum = 0;
+    for (const auto& [server, home] : m_homes)
+        sum += home->ledger().inFlight();
+    return sum;
+}
+
+}
--- /dev/null
+++ b/src/dispatch/replicahome.cpp
@@ -0,0 +1,384 @@
+#include "replicahome.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value_to.hpp>
+#include <boost/system/system_error.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace Apricot {
+
+using namespace boost::asio::experimental::awaitable_operators;
+
+namespace {
+
+    constexpr int statusOk = 200;
+    constexpr int statusConflict = 409;
+    constexpr int statusUnavailable = 503;
+    // Attempts of one crash that the dump shows.
+    constexpr std::size_t shownCrashed = 16;
+
+    ServerCapacityOptions capacityOptionsOf(const BackendServer& server)
+    {
+        return { .coldCap = server.coldCap, .warmCap = server.warmCap };
+    }
+
+    const char* stageKindName(StageKind kind)
+    {
+        switch (kind) {
+        case StageKind::Encode:
+            return "encode";
+        case StageKind::Retrieve:
+            return "retrieve";
+        case StageKind::Rerank:
+            return "rerank";
+        case StageKind::Generate:
+            return "generate";
+        case StageKind::Call:
+            return "call";
+        }
+        return "unknown";
+    }
+
+    int priorityOf(ServiceClass serviceClass)
+    {
+        return static_cast<int>(serviceClass);
+    }
+
+    ServerReport parseReport(const std::string& body)
+    {
+        const boost::json::value parsed = boost::json::parse(body);
+        const boost::json::object& object = parsed.as_object();
+        return { .incarnation = boost::json::value_to<std::string>(object.at("incarnation")),
+            .inFlight = object.at("in_flight").to_number<int>(),
+            .completed = object.at("completed").to_number<std::uint64_t>() };
+    }
+
+    std::string orderBody(const std::string& text, ObjectVersion fence)
+    {
+        return boost::json::serialize(boost::json::object { { "order", text }, { "fence", fence } });
+    }
+
+    // Reads what is left of a whole answer, so that its connection can be used again.
+    boost::asio::awaitable<void> readToEnd(std::unique_ptr<HttpStream> stream)
+    {
+        try {
+            while (co_await stream->read()) { }
+        } catch (const std::exception&) {
+            // The answer was whole already; the connection is not used again.
+            co_return;
+        }
+    }
+
+    bool isRefused(const boost::system::system_error& error)
+    {
+        return error.code() == boost::asio::error::connection_refused;
+    }
+
+}
+
+ReplicaHome::ReplicaHome(boost::asio::io_context& context, const ControlViewSource& views,
+    ReplicaHomeOptions options)
+    : m_views(views)
+    , m_executor(context.get_executor())
+    , m_options(std::move(options))
+    , m_client(context, { .address = m_options.server.address, .port = m_options.server.port })
+    , m_ledger({ .capacity = capacityOptionsOf(m_options.server),
+          .queueLimit = m_options.queueLimit,
+          .tenure = m_options.tenure })
+{
+}
+
+boost::asio::awaitable<void> ReplicaHome::serve(std::shared_ptr<PeerStream> peer, StageCall call)
+{
+    const auto run
+        = std::make_shared<StageRun>(m_executor, std::move(peer), std::move(call), m_nextNumber++);
+    m_runs.emplace(run->number(), run);
+    boost::asio::co_spawn(m_executor, StageRun::watchPeer(run), boost::asio::detached);
+    StageOutcome outcome = co_await runCall(*run);
+    m_runs.erase(run->number());
+    outcome.attempt = run->call().attempt;
+    outcome.load = m_ledger.inFlight() + static_cast<int>(m_ledger.queued());
+    outcome.cap = m_ledger.cap();
+    co_await run->end(std::move(outcome));
+}
+
+boost::asio::awaitable<StageOutcome> ReplicaHome::runCall(StageRun& run)
+{
+    const StageCall& call = run.call();
+    refresh();
+    apply(m_ledger.submit(run.number(),
+        { .serviceClass = call.serviceClass, .budget = call.budget, .alone = call.alone },
+        RuntimeClock::now()));
+    const std::optional<LedgerAction> decision = co_await run.awaitPlace();
+    if (!decision || run.interruption())
+        co_return interrupted(run);
+    if (const auto* rejection = std::get_if<RejectAction>(&*decision))
+        co_return rejected(run, rejection->retryAfter);
+    auto first = co_await (runOnServer(run) || run.awaitInterruption());
+    if (auto* outcome = std::get_if<StageOutcome>(&first))
+        co_return std::move(*outcome);
+    co_return interrupted(run);
+}
+
+boost::asio::awaitable<StageOutcome> ReplicaHome::runOnServer(StageRun& run)
+{
+    StageOutcome outcome { .end = StageEnd::Failed };
+    const std::string incarnation = m_ledger.serverIncarnation();
+    bool isRefusedConnection = false;
+    try {
+        co_await streamFromServer(run, outcome);
+        co_return outcome;
+    } catch (const boost::system::system_error& error) {
+        isRefusedConnection = isRefused(error);
+    } catch (const std::exception&) {
+        // The stream broke off or held no valid events.
+        outcome.end = StageEnd::Failed;
+    }
+    outcome.sent = run.isSent();
+    if (run.interruption())
+        co_return interrupted(run);
+    apply(m_ledger.onConnectionLost(run.number(), RuntimeClock::now()));
+    if (!outcome.sent) {
+        if (isRefusedConnection)
+            apply(m_ledger.onServerGone(RuntimeClock::now()));
+        co_return rejected(run, m_ledger.retryAfter(RuntimeClock::now()));
+    }
+    if (co_await probe(incarnation) == ServerFate::Gone) {
+        outcome.end = StageEnd::Crashed;
+        m_lastCrashed.push_back(run.call().attempt);
+        if (m_lastCrashed.size() > shownCrashed)
+            m_lastCrashed.erase(m_lastCrashed.begin());
+    }
+    co_return outcome;
+}
+
+boost::asio::awaitable<void> ReplicaHome::streamFromServer(StageRun& run, StageOutcome& outcome)
+{
+    // The coordinator learns of the send before it happens: a send that it doesn't know of would make
+    // its "not run" untrue.
+    co_await run.relay(StageSentMessage { run.call().attempt });
+    std::unique_ptr<HttpStream> stream = co_await m_client.open(
+        runCallOf(run.call()), [this, &run] { return confirmStart(run); });
+    outcome.sent = run.isSent();
+    if (!stream) {
+        apply(m_ledger.advance(RuntimeClock::now()));
+        outcome = rejected(run, m_ledger.retryAfter(RuntimeClock::now()));
+        co_return;
+    }
+    if (stream->status() != statusOk)
+        co_return endRefused(run, stream->status(), outcome);
+    co_await relayEvents(run, std::move(stream), outcome);
+}
+
+bool ReplicaHome::confirmStart(StageRun& run)
+{
+    const bool isConfirmed = !run.interruption()
+        && m_ledger.confirmStart(
+            run.number(), *m_views.view(), m_options.server.id, RuntimeClock::now());
+    if (isConfirmed)
+        run.markSent();
+    return isConfirmed;
+}
+
+boost::asio::awaitable<void> ReplicaHome::relayEvents(
+    StageRun& run, std::unique_ptr<HttpStream> stream, StageOutcome& outcome)
+{
+    const bool isStreamed = run.call().kind == StageKind::Generate;
+    BackendEventParser parser(run.call().resumeFrom);
+    TimePoint last = RuntimeClock::now();
+    bool isFirst = true;
+    while (const std::optional<std::string> piece = co_await stream->read()) {
+        for (BackendEvent& event : parser.feed(*piece)) {
+            if (const auto* done = std::get_if<BackendDone>(&event)) {
+                outcome.end = StageEnd::Finished;
+                outcome.tokens = done->tokens;
+                outcome.busy = done->busy;
+                apply(m_ledger.onFinished(run.number(), RuntimeClock::now()));
+                boost::asio::co_spawn(
+                    m_executor, readToEnd(std::move(stream)), boost::asio::detached);
+                co_return;
+            }
+            auto& token = std::get<BackendToken>(event);
+            const TimePoint now = RuntimeClock::now();
+            if (!isFirst || !isStreamed)
+                m_ledger.onStep(run.number(), now - last);
+            last = now;
+            isFirst = false;
+            co_await run.relay(TokenMessage { token.index, std::move(token.text) });
+        }
+    }
+    throw BackendEventError("answer without an end");
+}
+
+boost::asio::awaitable<ReplicaHome::ServerFate> ReplicaHome::probe(std::string incarnationBefore)
+{
+    ServerFate fate = ServerFate::Unknown;
+    const TimePoint askedAt = RuntimeClock::now();
+    try {
+        const HttpResponse response = co_await m_client.send(
+            { .target = "/health", .timeout = m_options.healthTimeout });
+        const ServerReport report = parseReport(response.body);
+        m_isReachable = true;
+        const bool isOther = !incarnationBefore.empty() && report.incarnation != incarnationBefore;
+        fate = isOther ? ServerFate::Gone : ServerFate::SameProcess;
+        apply(m_ledger.onReport(report, askedAt, RuntimeClock::now()));
+    } catch (const boost::system::system_error& error) {
+        m_isReachable = false;
+        if (isRefused(error)) {
+            fate = ServerFate::Gone;
+            apply(m_ledger.onServerGone(RuntimeClock::now()));
+        }
+    } catch (const std::exception&) {
+        fate = ServerFate::Unknown;
+    }
+    co_return fate;
+}
+
+boost::asio::awaitable<void> ReplicaHome::pollHealth()
+{
+    co_await probe({});
+}
+
+boost::asio::awaitable<OrderResult> ReplicaHome::order(std::string text)
+{
+    HttpCall call { .method = "POST",
+        .target = "/orders",
+        .body = orderBody(text, m_ledger.since()),
+        .timeout = m_options.healthTimeout };
+    const auto gate = [this, since = m_ledger.since()] {
+        return m_ledger.since() == since && mayOrder(*m_views.view());
+    };
+    try {
+        const std::unique_ptr<HttpStream> stream
+            = co_await m_client.open(std::move(call), gate);
+        if (!stream)
+            co_return OrderResult::NotPermitted;
+        if (stream->status() == statusConflict)
+            co_return OrderResult::RefusedByServer;
+        co_return stream->status() == statusOk ? OrderResult::Obeyed : OrderResult::Failed;
+    } catch (const std::exception&) {
+        co_return OrderResult::Failed;
+    }
+}
+
+bool ReplicaHome::mayOrder(const ControlView& view) const
+{
+    const HomeAssignment* assignment = ownAssignment(view, m_options.server.id);
+    const bool isHome = view.permits(RuntimeClock::now()) && assignment
+        && assignment->since == m_ledger.since() && m_ledger.tenure();
+    if (!isHome)
+        return false;
+    return m_options.server.checksOrders || m_ledger.tenure()->arePredecessorsStopped();
+}
+
+void ReplicaHome::endRefused(const StageRun& run, int status, StageOutcome& outcome)
+{
+    const TimePoint now = RuntimeClock::now();
+    apply(status == statusUnavailable ? m_ledger.onRefused(run.number(), now)
+                                      : m_ledger.onFailed(run.number(), now));
+    outcome.end = StageEnd::Failed;
+    outcome.retryAfter = m_ledger.retryAfter(now);
+}
+
+void ReplicaHome::refresh()
+{
+    apply(m_ledger.onView(*m_views.view(), m_options.server.id, RuntimeClock::now()));
+}
+
+HomeReleasedMessage ReplicaHome::release(ObjectVersion since)
+{
+    std::vector<Predecessor> unresolved;
+    if (m_ledger.tenure())
+        unresolved = m_ledger.tenure()->unresolved();
+    const int inFlight = m_ledger.release(since);
+    const std::shared_ptr<const ControlView> view = m_views.view();
+    apply(m_ledger.advance(RuntimeClock::now()));
+    return { .incarnation = view->incarnation,
+        .inFlight = inFlight,
+        .cap = m_ledger.cap(),
+        .serverIncarnation = m_ledger.serverIncarnation(),
+        .unresolved = std::move(unresolved) };
+}
+
+void ReplicaHome::onPredecessorGone(const Predecessor& predecessor)
+{
+    if (m_ledger.tenure())
+        m_ledger.tenure()->onPredecessorGone(predecessor, RuntimeClock::now());
+}
+
+void ReplicaHome::onPredecessorReleased(
+    const Predecessor& predecessor, const HomeReleasedMessage& answer)
+{
+    if (answer.incarnation != predecessor.incarnation)
+        return onPredecessorGone(predecessor);
+    if (!m_ledger.tenure())
+        return;
+    m_ledger.tenure()->onPredecessorStopped(predecessor, answer.inFlight, answer.unresolved);
+    m_ledger.adoptCapacity(answer.cap, answer.serverIncarnation);
+    apply(m_ledger.advance(RuntimeClock::now()));
+}
+
+StageOutcome ReplicaHome::interrupted(const StageRun& run)
+{
+    apply(m_ledger.onCancelled(run.number(), RuntimeClock::now()));
+    const bool isLate = run.interruption() != RunInterruption::PeerGone;
+    return { .end = isLate ? StageEnd::TimedOut : StageEnd::Cancelled, .sent = run.isSent() };
+}
+
+StageOutcome ReplicaHome::rejected(const StageRun& run, Milliseconds retryAfter) const
+{
+    return { .attempt = run.call().attempt, .end = StageEnd::Rejected, .retryAfter = retryAfter };
+}
+
+void ReplicaHome::apply(const LedgerActions& actions)
+{
+    for (const LedgerAction& action : actions) {
+        const CallNumber number
+            = std::visit([](const auto& alternative) { return alternative.number; }, action);
+        const auto found = m_runs.find(number);
+        if (found != m_runs.end())
+            found->second->give(action);
+    }
+}
+
+HttpCall ReplicaHome::runCallOf(const StageCall& call) const
+{
+    const boost::json::object body { { "stage", stageKindName(call.kind) },
+        { "input", call.input }, { "max_tokens", call.maxTokens },
+        { "resume_from", call.resumeFrom }, { "priority", priorityOf(call.serviceClass) } };
+    return { .method = "POST",
+        .target = "/run",
+        .fields = { { "Content-Type", "application/json" },
+            { "X-Attempt", attemptText(call.attempt) } },
+        .body = boost::json::serialize(body),
+        .timeout = std::max(call.budget, Milliseconds(1)) };
+}
+
+boost::json::value ReplicaHome::dump() const
+{
+    boost::json::array crashed;
+    for (const AttemptId& attempt : m_lastCrashed)
+        crashed.emplace_back(attemptText(attempt));
+    boost::json::array unresolved;
+    if (m_ledger.tenure()) {
+        for (const Predecessor& predecessor : m_ledger.tenure()->unresolved())
+            unresolved.emplace_back(predecessor.host.value() + "/" + predecessor.incarnation);
+    }
+    return boost::json::object { { "server", m_options.server.id.value() },
+        { "since", m_ledger.since() }, { "condition", startConditionName(m_ledger.condition()) },
+        { "in_flight", m_ledger.inFlight() }, { "queued", m_ledger.queued() },
+        { "cap", m_ledger.cap() }, { "cold", m_ledger.isCold() },
+        { "server_incarnation", m_ledger.serverIncarnation() }, { "reachable", m_isReachable },
+        { "unresolved_predecessors", unresolved }, { "last_crashed_attempts", crashed } };
+}
+
+}
--- /dev/null
+++ b/src/dispatch/replicahome.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "libapricot/backendevents.h"
+#include "libapricot/replicaledger.h"
+#include "libnet/httpclient.h"
+#include "stagerun.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/json/value.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace Apricot {
+
+struct ReplicaHomeOptions {
+    BackendServer server;
+    std::size_t queueLimit = 64;
+    TenureOptions tenure;
+    Milliseconds healthTimeout { 500 };
+};
+
+// How an order to a backend server went.
+enum class OrderResult {
+    Obeyed,
+    // The server has seen a newer fencing number.
+    RefusedByServer,
+    // This process may not give the server an order now; nothing was sent.
+    NotPermitted,
+    Failed,
+};
+
+// All calls of one backend server that this process is or was home of: the ledger's decisions,
+// carried out. Runs on one thread.
+class ReplicaHome {
+public:
+    ReplicaHome(boost::asio::io_context& context, const ControlViewSource& views,
+        ReplicaHomeOptions options);
+
+    // Runs one attempt and streams it to its coordinator.
+    boost::asio::awaitable<void> serve(std::shared_ptr<PeerStream> peer, StageCall call);
+    // Applies the newest control snapshot and lets waiting times pass.
+    void refresh();
+    // Asks the server for its health once, and tells the ledger what follows from the answer.
+    boost::asio::awaitable<void> pollHealth();
+    // Gives the server an order under this home's fencing number.
+    boost::asio::awaitable<OrderResult> order(std::string text);
+    // Stops starting work under any older assignment, for good.
+    HomeReleasedMessage release(ObjectVersion since);
+
+    void onPredecessorGone(const Predecessor& predecessor);
+    void onPredecessorReleased(const Predecessor& predecessor, const HomeReleasedMessage& answer);
+
+    const BackendServer& server() const { return m_options.server; }
+    ReplicaLedger& ledger() { return m_ledger; }
+    const ReplicaLedger& ledger() const { return m_ledger; }
+    boost::json::value dump() const;
+
+private:
+    enum class ServerFate {
+        SameProcess,
+        Gone,
+        Unknown,
+    };
+
+    boost::asio::awaitable<StageOutcome> runCall(StageRun& run);
+    boost::asio::awaitable<StageOutcome> runOnServer(StageRun& run);
+    boost::asio::awaitable<void> streamFromServer(StageRun& run, StageOutcome& outcome);
+    boost::asio::awaitable<void> relayEvents(
+        StageRun& run, std::unique_ptr<HttpStream> stream, StageOutcome& outcome);
+    bool confirmStart(StageRun& run);
+    boost::asio::awaitable<ServerFate> probe(std::string incarnationBefore);
+    void endRefused(const StageRun& run, int status, StageOutcome& outcome);
+    bool mayOrder(const ControlView& view) const;
+    StageOutcome interrupted(const StageRun& run);
+    StageOutcome rejected(const StageRun& run, Milliseconds retryAfter) const;
+    void apply(const LedgerActions& actions);
+    HttpCall runCallOf(const StageCall& call) const;
+
+    const ControlViewSource& m_views;
+    boost::asio::any_io_executor m_executor;
+    ReplicaHomeOptions m_options;
+    HttpClient m_client;
+    ReplicaLedger m_ledger;
+    std::map<CallNumber, std::shared_ptr<StageRun>> m_runs;
+    CallNumber m_nextNumber = 1;
+    bool m_isReachable = true;
+    std::vector<AttemptId> m_lastCrashed;
+};
+
+}
--- /dev/null
+++ b/src/emulator/backend/engine.cpp
@@ -0,0 +1,145 @@
+#include "engine.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Apricot {
+
+namespace {
+
+    constexpr double coldSlowdown = 2.5;
+    constexpr double degradedSlowdown = 10;
+    // Share of a step that each further run of the batch adds.
+    constexpr double batchSlowdown = 0.08;
+
+    Duration scaled(Duration time, double factor)
+    {
+        return Duration(static_cast<Duration::rep>(static_cast<double>(time.count()) * factor));
+    }
+
+}
+
+Engine::Engine(EngineOptions options)
+    : m_options(std::move(options))
+    , m_prefixCache(m_options.prefixCacheTokens)
+{
+}
+
+EngineAdmission Engine::start(std::uint64_t run)
+{
+    if (isFullCold()) {
+        countColdViolation();
+        if (m_options.coldOverload == ColdOverload::Refuse)
+            return refuse();
+        if (m_options.coldOverload == ColdOverload::Crash)
+            return EngineAdmission::Crashed;
+        m_degraded = m_options.coldOverload == ColdOverload::Degrade;
+    }
+    if (static_cast<int>(m_running.size()) >= m_options.warmCap)
+        return refuse();
+    m_running.insert(run);
+    ++m_counts.runs;
+    const int inFlight = static_cast<int>(m_running.size());
+    m_counts.peakInFlight = std::max(m_counts.peakInFlight, inFlight);
+    if (m_cold)
+        m_counts.peakInFlightCold = std::max(m_counts.peakInFlightCold, inFlight);
+    return EngineAdmission::Started;
+}
+
+void Engine::finish(std::uint64_t run, Duration busy)
+{
+    if (m_running.erase(run) == 0)
+        return;
+    ++m_counts.completed;
+    m_degraded = m_degraded && !m_running.empty();
+    if (!m_cold)
+        return;
+    ++m_finishedCold;
+    m_busyCold += busy;
+    m_cold = m_finishedCold < m_options.coldRequests || m_busyCold < m_options.coldBusy;
+}
+
+void Engine::cancel(std::uint64_t run)
+{
+    if (m_running.erase(run) == 0)
+        return;
+    ++m_counts.cancelled;
+    m_degraded = m_degraded && !m_running.empty();
+}
+
+Duration Engine::prefillTime(const std::string& input)
+{
+    const std::size_t tokens = splitTokens(input).size();
+    const std::size_t held = m_prefixCache.lookUpAndStore(input);
+    const double factor = (m_cold ? coldSlowdown : 1) * m_straggleFactor;
+    return scaled(m_options.prefillTimePerToken * static_cast<long>(tokens - held), factor);
+}
+
+Duration Engine::stepTime() const
+{
+    const auto others = static_cast<double>(m_running.empty() ? 0 : m_running.size() - 1);
+    double factor = (1 + batchSlowdown * others) * m_straggleFactor;
+    if (m_cold)
+        factor *= coldSlowdown;
+    if (m_degraded)
+        factor *= degradedSlowdown;
+    return scaled(m_options.tokenTime, factor);
+}
+
+void Engine::goCold()
+{
+    m_cold = true;
+    m_coldStartShown = false;
+    m_finishedCold = 0;
+    m_busyCold = Duration::zero();
+    m_prefixCache.clear();
+}
+
+void Engine::restart(std::string incarnation)
+{
+    goCold();
+    m_coldStartShown = true;
+    m_degraded = false;
+    m_running.clear();
+    ++m_counts.crashes;
+    m_options.incarnation = std::move(incarnation);
+    m_publishedAt.reset();
+}
+
+EngineHealth Engine::health(TimePoint now)
+{
+    if (!m_publishedAt || now - *m_publishedAt >= m_options.loadLag) {
+        m_published = { .incarnation = m_options.incarnation,
+            .inFlight = static_cast<int>(m_running.size()),
+            .completed = m_counts.completed };
+        m_publishedAt = now;
+    }
+    return m_published;
+}
+
+EngineCounts Engine::counts() const
+{
+    EngineCounts counts = m_counts;
+    counts.inFlight = static_cast<int>(m_running.size());
+    return counts;
+}
+
+bool Engine::isFullCold() const
+{
+    return m_cold && static_cast<int>(m_running.size()) >= m_options.coldCap;
+}
+
+EngineAdmission Engine::refuse()
+{
+    ++m_counts.refused;
+    return EngineAdmission::Refused;
+}
+
+void Engine::countColdViolation()
+{
+    ++m_counts.coldViolations;
+    if (!m_coldStartShown)
+        ++m_counts.coldViolationsUnnoticed;
+}
+
+}
--- /dev/null
+++ b/src/emulator/backend/runlog.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "libapricot/clock.h"
+
+#include <boost/json/value.hpp>
+
+#include <cstdint>
+#include <fstream>
+#include <string>
+#include <vector>
+
+namespace Apricot {
+
+enum class RunEnd {
+    Running,
+    Finished,
+    Cancelled,
+    Refused,
+    Crashed,
+};
+
+// One run that the engine began, for checks of "at most once" and "not run".
+struct RunRecord {
+    std::uint64_t run = 0;
+    std::string attempt;
+    std::string stage;
+    std::uint64_t inputHash = 0;
+    long long startedMs = 0;
+    long long endedMs = 0;
+    RunEnd end = RunEnd::Running;
+
+    auto operator<=>(const RunRecord&) const = default;
+};
+
+// Every run since the start of the process. Each change is also appended to a file as a JSON line
+// before the run goes on, so that the record outlives a crash.
+class RunLog {
+public:
+    // An empty file name keeps the log in memory only.
+    explicit RunLog(const std::string& fileName);
+
+    // Notes that a run began, and gives its number.
+    std::uint64_t begin(std::string attempt, std::string stage, const std::string& input);
+    void end(std::uint64_t run, RunEnd end);
+    // Notes that everything that still ran was lost.
+    void endAll(RunEnd end);
+    // Appends an event that belongs to no run, such as a fault.
+    void note(boost::json::object event);
+    boost::json::value toJson() const;
+
+private:
+    void append(const boost::json::value& line);
+
+    std::vector<RunRecord> m_records;
+    std::ofstream m_file;
+};
+
+}
--- a/src/libapricot/controlview.h
+++ b/src/libapricot/controlview.h
@@ -18,6 +18,8 @@
     TimePoint permittedUntil {};
     // Whether this process has begun its graceful shutdown.
     bool stopping = false;
+    // Newest epoch that more than half of the members are known to have acknowledged.
+    ObjectVersion acknowledgedEpoch = 0;
 
     bool permits(TimePoint now) const { return now < permittedUntil; }
 };
--- /dev/null
+++ b/src/libapricot/hometenure.cpp
@@ -0,0 +1,205 @@
+#include "libapricot/hometenure.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Apricot {
+
+namespace {
+
+    template <typename... Handlers>
+    struct Overloaded : Handlers... {
+        using Handlers::operator()...;
+    };
+
+    template <typename... Handlers>
+    Overloaded(Handlers...) -> Overloaded<Handlers...>;
+
+    std::optional<int> withheldIn(const PredecessorState& state)
+    {
+        return std::visit(
+            Overloaded {
+                [](const OneWithheld&) { return std::optional<int>(1); },
+                [](const HandedOver& handedOver) { return std::optional<int>(handedOver.inFlight); },
+                [](const AwaitingDrain& drain) { return drain.inFlight; },
+                [](const Released&) { return std::optional<int>(0); },
+                [](const auto&) { return std::optional<int>(); },
+            },
+            state);
+    }
+
+    bool isReleased(const PredecessorState& state)
+    {
+        return std::holds_alternative<Released>(state);
+    }
+
+    bool isStopped(const PredecessorState& state)
+    {
+        return isReleased(state) || std::holds_alternative<HandedOver>(state)
+            || std::holds_alternative<AwaitingDrain>(state);
+    }
+
+    PredecessorState advanced(
+        const PredecessorState& state, const TenureOptions& options, TimePoint now)
+    {
+        return std::visit(
+            Overloaded {
+                [&](const AwaitingLapse& lapse) -> PredecessorState {
+                    if (now < lapse.until)
+                        return lapse;
+                    return AwaitingLongestAttempt { .until = now + options.longestAttempt };
+                },
+                [&](const AwaitingLongestAttempt& attempt) -> PredecessorState {
+                    if (now < attempt.until)
+                        return attempt;
+                    return OneWithheld {};
+                },
+                [](const auto& other) -> PredecessorState { return other; },
+            },
+            state);
+    }
+
+    std::optional<TimePoint> startIn(const PredecessorState& state, const TenureOptions& options)
+    {
+        if (const auto* lapse = std::get_if<AwaitingLapse>(&state))
+            return lapse->until + options.longestAttempt;
+        if (const auto* attempt = std::get_if<AwaitingLongestAttempt>(&state))
+            return attempt->until;
+        if (const auto* drain = std::get_if<AwaitingDrain>(&state))
+            return drain->goneAt + options.drainTime;
+        return std::nullopt;
+    }
+
+}
+
+std::vector<Predecessor> predecessorsOf(const HomeAssignment& assignment)
+{
+    std::vector<Predecessor> predecessors;
+    if (!assignment.unconfirmedHome.empty())
+        predecessors.push_back({ .host = assignment.unconfirmedHome,
+            .incarnation = assignment.unconfirmedIncarnation });
+    return predecessors;
+}
+
+HomeTenure::HomeTenure(TenureOptions options, const std::vector<Predecessor>& predecessors)
+    : m_options(options)
+{
+    for (const Predecessor& predecessor : predecessors)
+        add(predecessor);
+}
+
+void HomeTenure::onEpochAcknowledged(TimePoint now)
+{
+    for (Entry& entry : m_entries) {
+        if (std::holds_alternative<AwaitingMajority>(entry.state))
+            entry.state = AwaitingLapse { .until = now + m_options.evidenceTime };
+    }
+}
+
+void HomeTenure::onPredecessorGone(const Predecessor& predecessor, TimePoint now)
+{
+    Entry* entry = find(predecessor);
+    if (!entry || isReleased(entry->state) || std::holds_alternative<AwaitingDrain>(entry->state))
+        return;
+    entry->state = AwaitingDrain { .goneAt = now, .inFlight = withheldIn(entry->state) };
+}
+
+void HomeTenure::onPredecessorStopped(
+    const Predecessor& predecessor, int inFlight, const std::vector<Predecessor>& unresolved)
+{
+    Entry* entry = find(predecessor);
+    if (!entry || isReleased(entry->state) || std::holds_alternative<AwaitingDrain>(entry->state))
+        return;
+    if (inFlight == 0)
+        entry->state = Released {};
+    else
+        entry->state = HandedOver { .inFlight = inFlight };
+    for (const Predecessor& earlier : unresolved) {
+        if (!find(earlier))
+            add(earlier);
+    }
+}
+
+void HomeTenure::onServerAnswered(TimePoint askedAt)
+{
+    for (Entry& entry : m_entries) {
+        const auto* drain = std::get_if<AwaitingDrain>(&entry.state);
+        if (drain && askedAt >= drain->goneAt + m_options.drainTime)
+            entry.state = Released {};
+    }
+}
+
+void HomeTenure::advance(TimePoint now)
+{
+    for (Entry& entry : m_entries) {
+        // Both waits may have ended while this process was paused, but the second begins only when
+        // the first was seen to end: a wait that is too long is safe.
+        entry.state = advanced(entry.state, m_options, now);
+    }
+}
+
+std::optional<int> HomeTenure::withheld() const
+{
+    int sum = 0;
+    for (const Entry& entry : m_entries) {
+        const std::optional<int> part = withheldIn(entry.state);
+        if (!part)
+            return std::nullopt;
+        sum += *part;
+    }
+    return sum;
+}
+
+bool HomeTenure::arePredecessorsStopped() const
+{
+    return std::all_of(m_entries.begin(), m_entries.end(),
+        [](const Entry& entry) { return isStopped(entry.state); });
+}
+
+std::vector<Predecessor> HomeTenure::unresolved() const
+{
+    std::vector<Predecessor> predecessors;
+    for (const Entry& entry : m_entries) {
+        if (!isReleased(entry.state))
+            predecessors.push_back(entry.predecessor);
+    }
+    return predecessors;
+}
+
+std::vector<Predecessor> HomeTenure::unconfirmed() const
+{
+    std::vector<Predecessor> predecessors;
+    for (const Entry& entry : m_entries) {
+        if (!isReleased(entry.state) && !std::holds_alternative<AwaitingDrain>(entry.state))
+            predecessors.push_back(entry.predecessor);
+    }
+    return predecessors;
+}
+
+std::optional<TimePoint> HomeTenure::earliestStart() const
+{
+    std::optional<TimePoint> latest;
+    for (const Entry& entry : m_entries) {
+        if (withheldIn(entry.state))
+            continue;
+        const std::optional<TimePoint> start = startIn(entry.state, m_options);
+        if (!start)
+            return std::nullopt;
+        latest = std::max(latest.value_or(*start), *start);
+    }
+    return latest;
+}
+
+HomeTenure::Entry* HomeTenure::find(const Predecessor& predecessor)
+{
+    const auto found = std::find_if(m_entries.begin(), m_entries.end(),
+        [&predecessor](const Entry& entry) { return entry.predecessor == predecessor; });
+    return found == m_entries.end() ? nullptr : &*found;
+}
+
+void HomeTenure::add(const Predecessor& predecessor)
+{
+    m_entries.push_back({ predecessor, AwaitingMajority {} });
+}
+
+}
--- /dev/null
+++ b/src/libapricot/latencybaseline.cpp
@@ -0,0 +1,47 @@
+#include "libapricot/latencybaseline.h"
+
+#include <algorithm>
+
+namespace Apricot {
+
+namespace {
+
+    constexpr std::size_t stepsBeforeJudging = 12;
+    constexpr double jumpFactor = 2;
+    // Differences below this are scheduling noise.
+    constexpr Duration jumpFloor = Milliseconds(5);
+    constexpr double meanWeight = 0.05;
+
+}
+
+bool LatencyBaseline::observe(Duration step)
+{
+    m_recent.at(m_observed % recentSteps) = step;
+    ++m_observed;
+    const auto sample = static_cast<double>(step.count());
+    if (m_observed <= stepsBeforeJudging) {
+        m_mean += (sample - m_mean) / static_cast<double>(m_observed);
+        return false;
+    }
+    std::array<Duration, recentSteps> sorted = m_recent;
+    std::sort(sorted.begin(), sorted.end());
+    const Duration median = sorted.at(recentSteps / 2);
+    const auto bound = Duration(static_cast<Duration::rep>(m_mean * jumpFactor));
+    const bool isJump = median > bound && median > normal() + jumpFloor;
+    m_mean += (sample - m_mean) * meanWeight;
+    return isJump;
+}
+
+void LatencyBaseline::reset()
+{
+    *this = LatencyBaseline();
+}
+
+Duration LatencyBaseline::normal() const
+{
+    if (m_observed < stepsBeforeJudging)
+        return Duration::zero();
+    return Duration(static_cast<Duration::rep>(m_mean));
+}
+
+}
--- /dev/null
+++ b/src/libapricot/latencybaseline.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "libapricot/clock.h"
+
+#include <array>
+#include <cstddef>
+
+namespace Apricot {
+
+// Notices that a server's steps have become much slower than they were, which is the earliest sign
+// of a cold start that nobody announced. Single slow steps are passed over.
+class LatencyBaseline {
+public:
+    // Takes the time of one step; returns whether the recent steps are a jump.
+    bool observe(Duration step);
+    // Forgets what was normal.
+    void reset();
+    // Normal time of a step; zero before enough steps were seen.
+    Duration normal() const;
+
+private:
+    static constexpr std::size_t recentSteps = 3;
+
+    std::array<Duration, recentSteps> m_recent {};
+    std::size_t m_observed = 0;
+    double m_mean = 0;
+};
+
+}
--- /dev/null
+++ b/src/libapricot/replicaledger.cpp
@@ -0,0 +1,317 @@
+#include "libapricot/replicaledger.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Apricot {
+
+namespace {
+
+    constexpr Milliseconds shortestRetry { 50 };
+    constexpr Milliseconds defaultRetry { 1000 };
+    constexpr double serviceWeight = 0.1;
+
+    Milliseconds roundedUp(Duration duration)
+    {
+        return std::max(shortestRetry, std::chrono::ceil<Milliseconds>(duration));
+    }
+
+}
+
+ReplicaLedger::ReplicaLedger(ReplicaLedgerOptions options)
+    : m_options(options)
+    , m_capacity(options.capacity)
+    , m_queue(options.queueLimit)
+{
+}
+
+LedgerActions ReplicaLedger::onView(
+    const ControlView& view, const BackendServerId& server, TimePoint now)
+{
+    const HomeAssignment* assignment = ownAssignment(view, server);
+    const bool isHome = assignment && assignment->since > m_releasedBefore;
+    if (isHome && assignment->since != m_since)
+        beginTenure(*assignment);
+    if (!isHome) {
+        m_tenure.reset();
+        m_since = 0;
+    }
+    if (m_tenure && view.acknowledgedEpoch >= m_since)
+        m_tenure->onEpochAcknowledged(now);
+    m_condition = isHome ? startCondition(view, server, now) : StartCondition::NotHome;
+    return advance(now);
+}
+
+LedgerActions ReplicaLedger::submit(
+    CallNumber number, const PlaceRequest& request, TimePoint now)
+{
+    LedgerActions actions;
+    const WaitingCall call { .serviceClass = request.serviceClass,
+        .startBy = now + request.budget - m_meanService,
+        .number = number,
+        .alone = request.alone };
+    const std::optional<Duration> tenureWait = waitForTenure(now);
+    const bool isHopeless = m_condition != StartCondition::Allowed || !tenureWait
+        || now + *tenureWait + estimateWait(call) >= call.startBy;
+    if (isHopeless) {
+        actions.emplace_back(RejectAction { number, retryAfter(now) });
+        return actions;
+    }
+    if (const std::optional<WaitingCall> dropped = m_queue.push(call))
+        actions.emplace_back(RejectAction { dropped->number, retryAfter(now) });
+    pump(actions);
+    return actions;
+}
+
+bool ReplicaLedger::confirmStart(CallNumber number, const ControlView& view,
+    const BackendServerId& server, TimePoint now)
+{
+    const auto found = m_places.find(number);
+    if (found == m_places.end() || !std::holds_alternative<Reserved>(found->second.state))
+        return false;
+    const HomeAssignment* assignment = ownAssignment(view, server);
+    const std::optional<int> withheld = m_tenure ? m_tenure->withheld() : std::nullopt;
+    const bool isAllowed = startCondition(view, server, now) == StartCondition::Allowed
+        && assignment->since == m_since && m_since > m_releasedBefore && withheld
+        && countSent() + *withheld < m_capacity.cap();
+    if (!isAllowed) {
+        m_places.erase(found);
+        return false;
+    }
+    found->second.state = Sent { .at = now, .coldStart = m_capacity.coldStarts() };
+    return true;
+}
+
+LedgerActions ReplicaLedger::onFinished(CallNumber number, TimePoint now)
+{
+    const auto found = m_places.find(number);
+    if (found == m_places.end())
+        return {};
+    if (const auto* sent = std::get_if<Sent>(&found->second.state)) {
+        const Duration service = now - sent->at;
+        m_meanService += m_meanService == Duration::zero()
+            ? service
+            : Duration(static_cast<Duration::rep>(
+                static_cast<double>((service - m_meanService).count()) * serviceWeight));
+        if (sent->coldStart == m_capacity.coldStarts())
+            m_capacity.onFinished();
+    }
+    m_places.erase(found);
+    return pumped(now);
+}
+
+LedgerActions ReplicaLedger::onRefused(CallNumber number, TimePoint now)
+{
+    m_places.erase(number);
+    m_capacity.onRefused(countSent());
+    return pumped(now);
+}
+
+LedgerActions ReplicaLedger::onFailed(CallNumber number, TimePoint now)
+{
+    m_places.erase(number);
+    return pumped(now);
+}
+
+LedgerActions ReplicaLedger::onCancelled(CallNumber number, TimePoint now)
+{
+    m_queue.erase(number);
+    close(number, now);
+    return pumped(now);
+}
+
+LedgerActions ReplicaLedger::onConnectionLost(CallNumber number, TimePoint now)
+{
+    close(number, now);
+    fallBack();
+    return pumped(now);
+}
+
+LedgerActions ReplicaLedger::onServerGone(TimePoint now)
+{
+    std::erase_if(m_places, [](const auto& entry) {
+        return std::holds_alternative<Closing>(entry.second.state);
+    });
+    fallBack();
+    return pumped(now);
+}
+
+void ReplicaLedger::onStep(CallNumber number, Duration step)
+{
+    const auto found = m_places.find(number);
+    if (found == m_places.end() || m_capacity.isCold())
+        return;
+    const auto* sent = std::get_if<Sent>(&found->second.state);
+    if (sent && sent->coldStart == m_capacity.coldStarts() && m_steps.observe(step))
+        fallBack();
+}
+
+LedgerActions ReplicaLedger::onReport(
+    const ServerReport& report, TimePoint askedAt, TimePoint now)
+{
+    if (report.incarnation != m_serverIncarnation) {
+        if (!m_serverIncarnation.empty())
+            fallBack();
+        m_serverIncarnation = report.incarnation;
+    }
+    const TimePoint noticed = askedAt - m_options.tenure.drainTime;
+    std::erase_if(m_places, [noticed](const auto& entry) {
+        const auto* closing = std::get_if<Closing>(&entry.second.state);
+        return closing && closing->closedAt <= noticed;
+    });
+    if (m_tenure)
+        m_tenure->onServerAnswered(askedAt);
+    return advance(now);
+}
+
+LedgerActions ReplicaLedger::advance(TimePoint now)
+{
+    if (m_tenure)
+        m_tenure->advance(now);
+    return pumped(now);
+}
+
+int ReplicaLedger::release(ObjectVersion since)
+{
+    if (since > 0)
+        m_releasedBefore = std::max(m_releasedBefore, since - 1);
+    if (m_since <= m_releasedBefore) {
+        m_tenure.reset();
+        m_since = 0;
+        m_condition = StartCondition::NotHome;
+    }
+    return countSent();
+}
+
+void ReplicaLedger::adoptCapacity(int cap, const std::string& serverIncarnation)
+{
+    if (serverIncarnation.empty() || serverIncarnation != m_serverIncarnation)
+        return;
+    if (m_capacity.isCold())
+        m_capacity.adopt(cap);
+}
+
+void ReplicaLedger::setCapacityOptions(ServerCapacityOptions options)
+{
+    if (options == m_options.capacity)
+        return;
+    m_options.capacity = options;
+    m_capacity.setOptions(options);
+}
+
+int ReplicaLedger::inFlight() const
+{
+    return static_cast<int>(m_places.size());
+}
+
+Milliseconds ReplicaLedger::retryAfter(TimePoint now) const
+{
+    if (m_condition != StartCondition::Allowed)
+        return defaultRetry;
+    const std::optional<Duration> tenureWait = waitForTenure(now);
+    if (!tenureWait)
+        return defaultRetry;
+    const auto waiting = static_cast<double>(m_queue.size() + 1) / m_capacity.cap();
+    return roundedUp(*tenureWait
+        + Duration(static_cast<Duration::rep>(
+            static_cast<double>(m_meanService.count()) * waiting)));
+}
+
+bool ReplicaLedger::hasRoom(bool alone) const
+{
+    if (m_condition != StartCondition::Allowed || !m_tenure)
+        return false;
+    const std::optional<int> withheld = m_tenure->withheld();
+    if (!withheld)
+        return false;
+    const int taken = inFlight() + *withheld;
+    if (alone)
+        return taken == 0;
+    const bool isSuspectRunning = std::any_of(m_places.begin(), m_places.end(),
+        [](const auto& entry) { return entry.second.alone; });
+    return !isSuspectRunning && taken < m_capacity.cap();
+}
+
+int ReplicaLedger::countSent() const
+{
+    return static_cast<int>(std::count_if(m_places.begin(), m_places.end(), [](const auto& entry) {
+        return !std::holds_alternative<Reserved>(entry.second.state);
+    }));
+}
+
+void ReplicaLedger::pump(LedgerActions& actions)
+{
+    while (const WaitingCall* next = m_queue.front()) {
+        if (!hasRoom(next->alone))
+            return;
+        m_places.emplace(next->number, Place { .state = Reserved {}, .alone = next->alone });
+        actions.emplace_back(StartAction { next->number });
+        m_queue.popFront();
+    }
+}
+
+void ReplicaLedger::rejectAll(LedgerActions& actions, TimePoint now)
+{
+    for (const WaitingCall& call : m_queue.removeAll())
+        actions.emplace_back(RejectAction { call.number, retryAfter(now) });
+}
+
+void ReplicaLedger::rejectExpired(LedgerActions& actions, TimePoint now)
+{
+    for (const WaitingCall& call : m_queue.removeExpired(now))
+        actions.emplace_back(RejectAction { call.number, retryAfter(now) });
+}
+
+void ReplicaLedger::beginTenure(const HomeAssignment& assignment)
+{
+    m_since = assignment.since;
+    m_tenure.emplace(m_options.tenure, predecessorsOf(assignment));
+}
+
+void ReplicaLedger::fallBack()
+{
+    m_capacity.fallBack();
+    m_steps.reset();
+}
+
+void ReplicaLedger::close(CallNumber number, TimePoint now)
+{
+    const auto found = m_places.find(number);
+    if (found == m_places.end())
+        return;
+    if (std::holds_alternative<Reserved>(found->second.state))
+        m_places.erase(found);
+    else if (std::holds_alternative<Sent>(found->second.state))
+        found->second.state = Closing { .closedAt = now };
+}
+
+Duration ReplicaLedger::estimateWait(const WaitingCall& call) const
+{
+    const auto before = static_cast<long>(m_queue.countBefore(call)) + inFlight() + 1;
+    const long beyond = std::max<long>(0, before - m_capacity.cap());
+    return m_meanService * beyond / m_capacity.cap();
+}
+
+std::optional<Duration> ReplicaLedger::waitForTenure(TimePoint now) const
+{
+    if (!m_tenure)
+        return std::nullopt;
+    if (m_tenure->withheld())
+        return Duration::zero();
+    const std::optional<TimePoint> start = m_tenure->earliestStart();
+    if (!start)
+        return std::nullopt;
+    return std::max(Duration::zero(), *start - now);
+}
+
+LedgerActions ReplicaLedger::pumped(TimePoint now)
+{
+    LedgerActions actions;
+    if (m_condition != StartCondition::Allowed)
+        rejectAll(actions, now);
+    rejectExpired(actions, now);
+    pump(actions);
+    return actions;
+}
+
+}
--- /dev/null
+++ b/src/libapricot/replicaledger.h
@@ -0,0 +1,158 @@
+#pragma once
+
+#include "libapricot/hometenure.h"
+#include "libapricot/latencybaseline.h"
+#include "libapricot/servercapacity.h"
+#include "libapricot/startcondition.h"
+#include "libapricot/startqueue.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace Apricot {
+
+struct ReplicaLedgerOptions {
+    ServerCapacityOptions capacity;
+    std::size_t queueLimit = 64;
+    TenureOptions tenure;
+
+    auto operator<=>(const ReplicaLedgerOptions&) const = default;
+};
+
+// A call that asks for a place, as far as the decision needs it.
+struct PlaceRequest {
+    ServiceClass serviceClass = ServiceClass::Standard;
+    Duration budget {};
+    bool alone = false;
+};
+
+// The call has a place and should be sent, through confirmStart().
+struct StartAction {
+    CallNumber number = 0;
+    auto operator<=>(const StartAction&) const = default;
+};
+
+// The call gets no place; nothing of it was sent.
+struct RejectAction {
+    CallNumber number = 0;
+    Milliseconds retryAfter { 0 };
+    auto operator<=>(const RejectAction&) const = default;
+};
+
+using LedgerAction = std::variant<StartAction, RejectAction>;
+using LedgerActions = std::vector<LedgerAction>;
+
+// What /health of a server said. The figures may be old; only a change of incarnation decides.
+struct ServerReport {
+    std::string incarnation;
+    int inFlight = 0;
+    std::uint64_t completed = 0;
+
+    auto operator<=>(const ServerReport&) const = default;
+};
+
+// What the home of one replica knows about its server, and every decision about sending to it: who
+// starts next, who is rejected, and how many requests may be on the server at once. Every change is
+// a method that takes the time and returns the actions that follow.
+class ReplicaLedger {
+public:
+    explicit ReplicaLedger(ReplicaLedgerOptions options);
+
+    // Applies the newest control snapshot: begins or ends this process's tenure, and rejects
+    // waiting calls that can't start here any more.
+    LedgerActions onView(const ControlView& view, const BackendServerId& server, TimePoint now);
+    // A call asks for a place under this number. It starts, waits or is rejected.
+    LedgerActions submit(CallNumber number, const PlaceRequest& request, TimePoint now);
+    // The last check before the bytes of a call leave. Counts it as sent when it returns true;
+    // otherwise gives its place back.
+    bool confirmStart(CallNumber number, const ControlView& view, const BackendServerId& server,
+        TimePoint now);
+
+    // The server finished the call.
+    LedgerActions onFinished(CallNumber number, TimePoint now);
+    // The server answered that it takes no more.
+    LedgerActions onRefused(CallNumber number, TimePoint now);
+    // The server ended the call without a result.
+    LedgerActions onFailed(CallNumber number, TimePoint now);
+    // The home closed the call's connection. The server may work on until it notices.
+    LedgerActions onCancelled(CallNumber number, TimePoint now);
+    // The call's connection broke, which may be the sign of a crash: the server counts as cold.
+    LedgerActions onConnectionLost(CallNumber number, TimePoint now);
+    // The server's process is known to have gone away with everything that it ran.
+    LedgerActions onServerGone(TimePoint now);
+    // One step of the server took so long. A jump makes the server cold at once.
+    void onStep(CallNumber number, Duration step);
+    // The server answered /health, which was asked at a certain time.
+    LedgerActions onReport(const ServerReport& report, TimePoint askedAt, TimePoint now);
+    // Lets waiting times pass.
+    LedgerActions advance(TimePoint now);
+
+    // Ends this process's right to start under any assignment that is older. Returns the number of
+    // requests that may still be on the server.
+    int release(ObjectVersion since);
+    HomeTenure* tenure() { return m_tenure ? &*m_tenure : nullptr; }
+    const HomeTenure* tenure() const { return m_tenure ? &*m_tenure : nullptr; }
+    // Epoch of the assignment under which this process is home; zero when it isn't.
+    ObjectVersion since() const { return m_since; }
+    // Continues from the cap that the predecessor reached with the server's same process.
+    void adoptCapacity(int cap, const std::string& serverIncarnation);
+    void setCapacityOptions(ServerCapacityOptions options);
+
+    // Requests that are or may be on the server, and places given to calls that are about to leave.
+    int inFlight() const;
+    int cap() const { return m_capacity.cap(); }
+    bool isCold() const { return m_capacity.isCold(); }
+    std::size_t queued() const { return m_queue.size(); }
+    const std::string& serverIncarnation() const { return m_serverIncarnation; }
+    StartCondition condition() const { return m_condition; }
+    // When a rejected call may come back.
+    Milliseconds retryAfter(TimePoint now) const;
+    Duration meanService() const { return m_meanService; }
+
+private:
+    // A place that is taken but whose call has not passed its last check.
+    struct Reserved { };
+    // Sent and not ended.
+    struct Sent {
+        TimePoint at;
+        std::uint64_t coldStart = 0;
+    };
+    // The connection is closed, and the server has not shown that it noticed.
+    struct Closing {
+        TimePoint closedAt;
+    };
+
+    struct Place {
+        std::variant<Reserved, Sent, Closing> state;
+        bool alone = false;
+    };
+
+    bool hasRoom(bool alone) const;
+    int countSent() const;
+    void pump(LedgerActions& actions);
+    void rejectAll(LedgerActions& actions, TimePoint now);
+    void rejectExpired(LedgerActions& actions, TimePoint now);
+    void beginTenure(const HomeAssignment& assignment);
+    void fallBack();
+    void close(CallNumber number, TimePoint now);
+    Duration estimateWait(const WaitingCall& call) const;
+    std::optional<Duration> waitForTenure(TimePoint now) const;
+    LedgerActions pumped(TimePoint now);
+
+    ReplicaLedgerOptions m_options;
+    ServerCapacity m_capacity;
+    LatencyBaseline m_steps;
+    StartQueue m_queue;
+    std::map<CallNumber, Place> m_places;
+    std::optional<HomeTenure> m_tenure;
+    ObjectVersion m_since = 0;
+    ObjectVersion m_releasedBefore = 0;
+    StartCondition m_condition = StartCondition::NotHome;
+    std::string m_serverIncarnation;
+    Duration m_meanService {};
+};
+
+}
--- a/src/libnet/messages.h
+++ b/src/libnet/messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libapricot/attempt.h"
+#include "libapricot/hometenure.h"
 #include "libapricot/refusal.h"
 #include "libapricot/stagecall.h"
 
@@ -89,10 +90,38 @@
     void serialize(Archive& archive) { archive(topic, json); }
 };
 
+// New home of a replica to an earlier one: start nothing more under an assignment older than this.
+struct ReleaseHomeMessage {
+    BackendServerId server;
+    ObjectVersion since = 0;
+
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(server, since); }
+};
+
+// Earlier home to the new one: it has stopped, and so much of its work may still be on the server.
+struct HomeReleasedMessage {
+    // Process that answers. Another incarnation than the one that was asked tells that that is gone.
+    std::string incarnation;
+    int inFlight = 0;
+    // Cap that the earlier home had reached with this process of the server.
+    int cap = 0;
+    std::string serverIncarnation;
+    // Predecessors of the earlier home that had not confirmed to it that they stopped.
+    std::vector<Predecessor> unresolved;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(incarnation, inFlight, cap, serverIncarnation, unresolved);
+    }
+};
+
 // Everything that processes of the system say to each other. New alternatives go to the end: a
 // position is the type's number on the wire.
 using Message = std::variant<SubmitMessage, TokenMessage, CompletedMessage, RefusedMessage,
-    StageCallMessage, StageSentMessage, StageEndedMessage, TextMessage>;
+    StageCallMessage, StageSentMessage, StageEndedMessage, TextMessage, ReleaseHomeMessage,
+    HomeReleasedMessage>;
 
 // Version of the encoding; a frame of another version closes its connection.
 constexpr std::uint8_t messageVersion = 1;
