Serve and call HTTP/1.1 and typed HTTP/2 streams

Cause: every part needs the transport: HTTP towards callers, backend servers and the platform, nghttp2 streams between our processes. Found on the way: g++ 12 destroys a braced aggregate temporary twice when it stands in a co_await expression (valgrind: invalid free in a coroutine frame); such values are named first. A server's stream handle cancelled its stream when dropped although its answer was still queued; it no longer does once finished.

--- /dev/null
+++ b/src/libnet/http2connection.cpp
@@ -0,0 +1,347 @@
+#include "libnet/http2connection.h"
+
+#include "libnet/http2peerstream.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace Apricot {
+
+namespace Asio = boost::asio;
+
+namespace {
+
+    constexpr std::size_t lengthBytes = 4;
+    constexpr unsigned byteBits = 8;
+    constexpr unsigned byteMask = 0xff;
+    constexpr std::uint32_t streamWindowBytes = 1U << 20U;
+    constexpr std::int32_t connectionWindowBytes = 1 << 24;
+    constexpr std::uint32_t streamsPerConnection = 10000;
+    constexpr std::size_t readBytes = 65536;
+
+    nghttp2_nv makeField(std::string_view name, std::string_view value)
+    {
+        // nghttp2 copies both texts and changes neither.
+        return {
+            reinterpret_cast<std::uint8_t*>(const_cast<char*>(name.data())), // NOLINT
+            reinterpret_cast<std::uint8_t*>(const_cast<char*>(value.data())), // NOLINT
+            name.size(), value.size(), NGHTTP2_NV_FLAG_NONE
+        };
+    }
+
+    std::string frameMessage(const Message& message)
+    {
+        const std::string payload = encodeMessage(message);
+        std::string framed;
+        framed.reserve(payload.size() + lengthBytes);
+        for (std::size_t index = 0; index < lengthBytes; ++index) {
+            const std::size_t shift = byteBits * (lengthBytes - 1 - index);
+            framed.push_back(static_cast<char>((payload.size() >> shift) & byteMask));
+        }
+        return framed + payload;
+    }
+
+    std::size_t readLength(std::string_view bytes)
+    {
+        std::size_t length = 0;
+        for (std::size_t index = 0; index < lengthBytes; ++index)
+            length = (length << byteBits) | static_cast<std::uint8_t>(bytes[index]);
+        return length;
+    }
+
+}
+
+// Static functions that nghttp2 calls, with the connection as user data.
+struct Http2Connection::Callbacks {
+    static Http2Connection& self(void* user) { return *static_cast<Http2Connection*>(user); }
+
+    static ssize_t provideData(nghttp2_session* /*session*/, std::int32_t id, std::uint8_t* buffer,
+        std::size_t length, std::uint32_t* flags, nghttp2_data_source* /*source*/, void* user)
+    {
+        Http2Stream* stream = self(user).findStream(id);
+        if (!stream)
+            return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
+        if (stream->outgoing.empty() && !stream->localFinished) {
+            stream->deferred = true;
+            return NGHTTP2_ERR_DEFERRED;
+        }
+        const std::size_t count = std::min(length, stream->outgoing.size());
+        std::copy_n(stream->outgoing.begin(), count, buffer);
+        stream->outgoing.erase(0, count);
+        if (stream->outgoing.empty() && stream->localFinished)
+            *flags |= NGHTTP2_DATA_FLAG_EOF;
+        stream->changed.notifyAll();
+        return static_cast<ssize_t>(count);
+    }
+
+    static int frameReceived(nghttp2_session* /*session*/, const nghttp2_frame* frame, void* user)
+    {
+        Http2Connection& connection = self(user);
+        const bool isRequest = frame->hd.type == NGHTTP2_HEADERS
+            && frame->headers.cat == NGHTTP2_HCAT_REQUEST;
+        if (isRequest)
+            connection.acceptStream(frame->hd.stream_id);
+        const bool ends = (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0
+            && (frame->hd.type == NGHTTP2_DATA || frame->hd.type == NGHTTP2_HEADERS);
+        Http2Stream* stream = ends ? connection.findStream(frame->hd.stream_id) : nullptr;
+        if (stream) {
+            stream->remoteFinished = true;
+            stream->changed.notifyAll();
+        }
+        return 0;
+    }
+
+    static int dataReceived(nghttp2_session* /*session*/, std::uint8_t /*flags*/, std::int32_t id,
+        const std::uint8_t* data, std::size_t length, void* user)
+    {
+        Http2Stream* stream = self(user).findStream(id);
+        if (!stream)
+            return 0;
+        try {
+            self(user).receiveData(
+                *stream, { reinterpret_cast<const char*>(data), length }); // NOLINT
+        } catch (const MessageError&) {
+            return NGHTTP2_ERR_CALLBACK_FAILURE;
+        }
+        return 0;
+    }
+
+    static int streamClosed(
+        nghttp2_session* /*session*/, std::int32_t id, std::uint32_t error, void* user)
+    {
+        self(user).closeStream(id, error != NGHTTP2_NO_ERROR);
+        return 0;
+    }
+};
+
+Http2Connection::Http2Connection(Asio::ip::tcp::socket socket, Side side, PeerHandler handler)
+    : m_socket(std::move(socket))
+    , m_side(side)
+    , m_handler(std::move(handler))
+    , m_writable(m_socket.get_executor())
+{
+    nghttp2_session_callbacks* callbacks = nullptr;
+    nghttp2_session_callbacks_new(&callbacks);
+    nghttp2_session_callbacks_set_on_frame_recv_callback(callbacks, &Callbacks::frameReceived);
+    nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks, &Callbacks::dataReceived);
+    nghttp2_session_callbacks_set_on_stream_close_callback(callbacks, &Callbacks::streamClosed);
+    if (m_side == Side::Client)
+        nghttp2_session_client_new(&m_session, callbacks, this);
+    else
+        nghttp2_session_server_new(&m_session, callbacks, this);
+    nghttp2_session_callbacks_del(callbacks);
+}
+
+Http2Connection::~Http2Connection()
+{
+    nghttp2_session_del(m_session);
+}
+
+void Http2Connection::start()
+{
+    const std::array<nghttp2_settings_entry, 2> settings { {
+        { NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, streamsPerConnection },
+        { NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, streamWindowBytes },
+    } };
+    nghttp2_submit_settings(m_session, NGHTTP2_FLAG_NONE, settings.data(), settings.size());
+    nghttp2_session_set_local_window_size(m_session, NGHTTP2_FLAG_NONE, 0, connectionWindowBytes);
+    Asio::co_spawn(
+        m_socket.get_executor(), [self = shared_from_this()] { return self->readLoop(); },
+        Asio::detached);
+    Asio::co_spawn(
+        m_socket.get_executor(), [self = shared_from_this()] { return self->writeLoop(); },
+        Asio::detached);
+}
+
+std::shared_ptr<PeerStream> Http2Connection::openStream()
+{
+    const std::array<nghttp2_nv, 4> fields {
+        makeField(":method", "POST"),
+        makeField(":scheme", "http"),
+        makeField(":path", "/peer"),
+        makeField(":authority", "peer"),
+    };
+    nghttp2_data_provider provider {};
+    provider.read_callback = &Callbacks::provideData;
+    const std::int32_t id = m_open
+        ? nghttp2_submit_request(
+            m_session, nullptr, fields.data(), fields.size(), &provider, nullptr)
+        : -1;
+    if (id < 0)
+        throw PeerError(PeerFailure::Unreachable, "the connection to the peer has ended");
+    auto stream = std::make_shared<Http2Stream>(m_socket.get_executor());
+    m_streams.emplace(id, stream);
+    m_writable.notifyAll();
+    return std::make_shared<Http2PeerStream>(shared_from_this(), id, std::move(stream));
+}
+
+void Http2Connection::acceptStream(std::int32_t id)
+{
+    auto stream = std::make_shared<Http2Stream>(m_socket.get_executor());
+    m_streams.emplace(id, stream);
+    const std::array<nghttp2_nv, 1> fields { makeField(":status", "200") };
+    nghttp2_data_provider provider {};
+    provider.read_callback = &Callbacks::provideData;
+    nghttp2_submit_response(m_session, id, fields.data(), fields.size(), &provider);
+    Asio::co_spawn(
+        m_socket.get_executor(),
+        [self = shared_from_this(), id, stream = std::move(stream)]() mutable {
+            return self->runHandler(id, std::move(stream));
+        },
+        Asio::detached);
+}
+
+Asio::awaitable<void> Http2Connection::runHandler(
+    std::int32_t id, std::shared_ptr<Http2Stream> stream)
+{
+    auto handle = std::make_shared<Http2PeerStream>(shared_from_this(), id, std::move(stream));
+    try {
+        co_await m_handler(handle);
+        handle->finish();
+    } catch (const std::exception&) {
+        handle->cancel();
+    }
+}
+
+void Http2Connection::announceShutdown()
+{
+    if (!m_open)
+        return;
+    nghttp2_submit_goaway(m_session, NGHTTP2_FLAG_NONE,
+        nghttp2_session_get_last_proc_stream_id(m_session), NGHTTP2_NO_ERROR, nullptr, 0);
+    m_writable.notifyAll();
+}
+
+void Http2Connection::close()
+{
+    if (!m_open)
+        return;
+    m_open = false;
+    boost::system::error_code ignored;
+    m_socket.close(ignored); // NOLINT(bugprone-unused-return-value)
+    m_writable.notifyAll();
+    const auto streams = std::move(m_streams);
+    m_streams.clear();
+    for (const auto& [id, stream] : streams) {
+        stream->closed = true;
+        stream->broken = true;
+        stream->changed.notifyAll();
+    }
+}
+
+void Http2Connection::sendMessage(std::int32_t id, Http2Stream& stream, const Message& message)
+{
+    stream.outgoing += frameMessage(message);
+    resumeData(id, stream);
+}
+
+void Http2Connection::finishStream(std::int32_t id, Http2Stream& stream)
+{
+    stream.localFinished = true;
+    resumeData(id, stream);
+}
+
+void Http2Connection::cancelStream(std::int32_t id, Http2Stream& stream)
+{
+    if (stream.closed || !m_open)
+        return;
+    nghttp2_submit_rst_stream(m_session, NGHTTP2_FLAG_NONE, id, NGHTTP2_CANCEL);
+    m_writable.notifyAll();
+    // Readers must not depend on a peer that may accept no more bytes.
+    closeStream(id, true);
+}
+
+void Http2Connection::resumeData(std::int32_t id, Http2Stream& stream)
+{
+    if (!m_open || stream.closed)
+        return;
+    if (stream.deferred) {
+        stream.deferred = false;
+        nghttp2_session_resume_data(m_session, id);
+    }
+    m_writable.notifyAll();
+}
+
+void Http2Connection::receiveData(Http2Stream& stream, std::string_view data)
+{
+    stream.received.append(data);
+    std::size_t offset = 0;
+    while (stream.received.size() - offset >= lengthBytes) {
+        const std::string_view rest = std::string_view(stream.received).substr(offset);
+        const std::size_t length = readLength(rest);
+        if (length > messageLimitBytes)
+            throw MessageError("message over the size limit");
+        if (rest.size() - lengthBytes < length)
+            break;
+        stream.inbox.push_back(decodeMessage(rest.substr(lengthBytes, length)));
+        offset += lengthBytes + length;
+    }
+    stream.received.erase(0, offset);
+    stream.changed.notifyAll();
+}
+
+void Http2Connection::closeStream(std::int32_t id, bool broken)
+{
+    const auto found = m_streams.find(id);
+    if (found == m_streams.end())
+        return;
+    const std::shared_ptr<Http2Stream> stream = found->second;
+    m_streams.erase(found);
+    stream->closed = true;
+    stream->broken = broken;
+    stream->changed.notifyAll();
+}
+
+Http2Stream* Http2Connection::findStream(std::int32_t id)
+{
+    const auto found = m_streams.find(id);
+    return found == m_streams.end() ? nullptr : found->second.get();
+}
+
+Asio::awaitable<void> Http2Connection::readLoop()
+{
+    std::array<std::uint8_t, readBytes> buffer {};
+    while (m_open) {
+        boost::system::error_code error;
+        const std::size_t count = co_await m_socket.async_read_some(
+            Asio::buffer(buffer), Asio::redirect_error(Asio::use_awaitable, error));
+        if (error || !m_open)
+            break;
+        if (nghttp2_session_mem_recv(m_session, buffer.data(), count) < 0)
+            break;
+        m_writable.notifyAll();
+        if (!nghttp2_session_want_read(m_session) && !nghttp2_session_want_write(m_session))
+            break;
+    }
+    close();
+}
+
+Asio::awaitable<void> Http2Connection::writeLoop()
+{
+    while (m_open) {
+        std::string batch;
+        while (batch.size() < readBytes) {
+            const std::uint8_t* data = nullptr;
+            const ssize_t count = nghttp2_session_mem_send(m_session, &data);
+            if (count <= 0)
+                break;
+            batch.append(reinterpret_cast<const char*>(data), count); // NOLINT
+        }
+        if (batch.empty()) {
+            co_await m_writable.wait();
+            continue;
+        }
+        boost::system::error_code error;
+        co_await Asio::async_write(m_socket, Asio::buffer(batch),
+            Asio::redirect_error(Asio::use_awaitable, error));
+        if (error)
+            break;
+    }
+    close();
+}
+
+}
--- /dev/null
+++ b/src/libnet/http2peerstream.cpp
@@ -0,0 +1,66 @@
+#include "libnet/http2peerstream.h"
+
+namespace Apricot {
+
+namespace Asio = boost::asio;
+
+namespace {
+
+    constexpr std::size_t queueLimitBytes = 262144;
+
+}
+
+Http2PeerStream::Http2PeerStream(std::shared_ptr<Http2Connection> connection, std::int32_t id,
+    std::shared_ptr<Http2Stream> stream)
+    : m_connection(std::move(connection))
+    , m_id(id)
+    , m_stream(std::move(stream))
+{
+}
+
+Http2PeerStream::~Http2PeerStream()
+{
+    // A server has done its part once it has finished; what it queued still goes out.
+    const bool complete = m_stream->localFinished
+        && (m_stream->remoteFinished || m_connection->side() == Http2Connection::Side::Server);
+    if (!complete)
+        m_connection->cancelStream(m_id, *m_stream);
+}
+
+Asio::awaitable<std::optional<Message>> Http2PeerStream::read()
+{
+    while (m_stream->inbox.empty()) {
+        if (m_stream->remoteFinished) {
+            finish();
+            co_return std::nullopt;
+        }
+        if (m_stream->closed)
+            throw PeerError(PeerFailure::Unreachable, "the stream broke");
+        co_await m_stream->changed.wait();
+    }
+    Message message = std::move(m_stream->inbox.front());
+    m_stream->inbox.pop_front();
+    co_return message;
+}
+
+Asio::awaitable<void> Http2PeerStream::write(Message message)
+{
+    while (!m_stream->closed && m_stream->outgoing.size() > queueLimitBytes)
+        co_await m_stream->changed.wait();
+    if (m_stream->closed || m_stream->localFinished)
+        throw PeerError(PeerFailure::Unreachable, "the stream broke");
+    m_connection->sendMessage(m_id, *m_stream, message);
+}
+
+void Http2PeerStream::finish()
+{
+    if (!m_stream->localFinished)
+        m_connection->finishStream(m_id, *m_stream);
+}
+
+void Http2PeerStream::cancel()
+{
+    m_connection->cancelStream(m_id, *m_stream);
+}
+
+}
--- a/src/libnet/httpclient.h
+++ b/src/libnet/httpclient.h
@@ -8,6 +8,8 @@
 namespace Apricot {
 
 // One call of an HTTP/1.1 server.
+// Name an aggregate before it is passed in a co_await expression: g++ 12 destroys a braced temporary
+// there twice.
 struct HttpCall {
     std::string method = "GET";
     // Path with query.
--- /dev/null
+++ b/src/libnet/httpexchangeimpl.cpp
@@ -0,0 +1,145 @@
+#include "libnet/httpexchangeimpl.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+
+namespace Apricot {
+
+namespace Asio = boost::asio;
+namespace Http = boost::beast::http;
+
+namespace {
+
+    constexpr unsigned httpVersion11 = 11;
+
+    // Whether a readable socket turns out to be closed by its peer.
+    bool isClosedByPeer(Asio::ip::tcp::socket& socket)
+    {
+        boost::system::error_code error;
+        socket.non_blocking(true, error); // NOLINT(bugprone-unused-return-value)
+        char byte = 0;
+        const std::size_t received = socket.receive(
+            Asio::buffer(&byte, 1), Asio::ip::tcp::socket::message_peek, error);
+        if (error == Asio::error::would_block)
+            return false;
+        return error || received == 0;
+    }
+
+}
+
+HttpRequest toRequest(const Http::request<Http::string_body>& message)
+{
+    HttpRequest request;
+    request.method = std::string(message.method_string());
+    const std::string target(message.target());
+    const std::size_t mark = std::min(target.find('?'), target.size());
+    request.path = target.substr(0, mark);
+    request.query = target.substr(std::min(mark + 1, target.size()));
+    for (const auto& field : message)
+        request.fields.push_back({ std::string(field.name_string()), std::string(field.value()) });
+    request.body = message.body();
+    return request;
+}
+
+HttpExchangeImpl::HttpExchangeImpl(
+    Asio::ip::tcp::socket& socket, HttpRequest request, bool keepAlive)
+    : m_socket(socket)
+    , m_request(std::move(request))
+    , m_watchEnded(socket.get_executor())
+    , m_keepAlive(keepAlive)
+{
+}
+
+template <typename Body>
+void HttpExchangeImpl::fillHeader(Http::response<Body>& response, int status,
+    std::string contentType, const std::vector<HttpField>& fields) const
+{
+    response.version(httpVersion11);
+    response.result(static_cast<unsigned>(status));
+    response.keep_alive(m_keepAlive);
+    response.set(Http::field::content_type, contentType);
+    for (const HttpField& field : fields)
+        response.set(field.name, field.value);
+}
+
+Asio::awaitable<void> HttpExchangeImpl::respond(
+    int status, std::string contentType, std::string body, std::vector<HttpField> fields)
+{
+    m_answered = true;
+    Http::response<Http::string_body> response;
+    fillHeader(response, status, std::move(contentType), fields);
+    response.body() = std::move(body);
+    response.prepare_payload();
+    co_await Http::async_write(m_socket, response, Asio::use_awaitable);
+    m_finished = true;
+}
+
+Asio::awaitable<void> HttpExchangeImpl::beginStream(
+    int status, std::string contentType, std::vector<HttpField> fields)
+{
+    m_answered = true;
+    Http::response<Http::empty_body> response;
+    fillHeader(response, status, std::move(contentType), fields);
+    response.chunked(true);
+    Http::response_serializer<Http::empty_body> serializer(response);
+    co_await Http::async_write_header(m_socket, serializer, Asio::use_awaitable);
+}
+
+Asio::awaitable<void> HttpExchangeImpl::writeChunk(std::string_view data)
+{
+    if (data.empty())
+        co_return;
+    co_await Asio::async_write(m_socket,
+        Http::make_chunk(Asio::const_buffer(data.data(), data.size())), Asio::use_awaitable);
+}
+
+Asio::awaitable<void> HttpExchangeImpl::endStream()
+{
+    co_await Asio::async_write(m_socket, Http::make_chunk_last(), Asio::use_awaitable);
+    m_finished = true;
+}
+
+void HttpExchangeImpl::setPeerGoneHandler(std::function<void()> handler)
+{
+    m_peerGoneHandler = std::move(handler);
+}
+
+void HttpExchangeImpl::abort()
+{
+    boost::system::error_code ignored;
+    m_socket.close(ignored); // NOLINT(bugprone-unused-return-value)
+    m_keepAlive = false;
+}
+
+void HttpExchangeImpl::watchPeer()
+{
+    m_watching = true;
+    Asio::co_spawn(m_socket.get_executor(), watch(), Asio::detached);
+}
+
+Asio::awaitable<void> HttpExchangeImpl::unwatchPeer()
+{
+    m_unwatching = true;
+    m_peerGoneHandler = nullptr;
+    boost::system::error_code ignored;
+    m_socket.cancel(ignored); // NOLINT(bugprone-unused-return-value)
+    while (m_watching)
+        co_await m_watchEnded.wait();
+}
+
+Asio::awaitable<void> HttpExchangeImpl::watch()
+{
+    boost::system::error_code error;
+    co_await m_socket.async_wait(Asio::ip::tcp::socket::wait_read,
+        Asio::redirect_error(Asio::use_awaitable, error));
+    if (!m_unwatching && !error && isClosedByPeer(m_socket)) {
+        m_peerGone = true;
+        if (m_peerGoneHandler)
+            m_peerGoneHandler();
+    }
+    m_watching = false;
+    m_watchEnded.notifyAll();
+}
+
+}
--- /dev/null
+++ b/src/libnet/httpexchangeimpl.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "libnet/asyncevent.h"
+#include "libnet/httpserver.h"
+
+#include <boost/beast/http.hpp>
+
+namespace Apricot {
+
+// Translates a parsed request into the handlers' type.
+HttpRequest toRequest(
+    const boost::beast::http::request<boost::beast::http::string_body>& message);
+
+// An exchange over one connection of HttpServer.
+class HttpExchangeImpl : public HttpExchange {
+public:
+    HttpExchangeImpl(boost::asio::ip::tcp::socket& socket, HttpRequest request, bool keepAlive);
+
+    const HttpRequest& request() const override { return m_request; }
+    boost::asio::awaitable<void> respond(int status, std::string contentType, std::string body,
+        std::vector<HttpField> fields) override;
+    boost::asio::awaitable<void> beginStream(
+        int status, std::string contentType, std::vector<HttpField> fields) override;
+    boost::asio::awaitable<void> writeChunk(std::string_view data) override;
+    boost::asio::awaitable<void> endStream() override;
+    bool isAnswered() const override { return m_answered; }
+    bool isPeerGone() const override { return m_peerGone; }
+    void setPeerGoneHandler(std::function<void()> handler) override;
+    void abort() override;
+
+    // Begins to watch for the peer closing its connection.
+    void watchPeer();
+    // Ends the watch; afterwards the connection may be read again.
+    boost::asio::awaitable<void> unwatchPeer();
+    bool isFinished() const { return m_finished; }
+    bool mayContinue() const { return m_finished && m_keepAlive && !m_peerGone; }
+
+private:
+    boost::asio::awaitable<void> watch();
+    template <typename Body>
+    void fillHeader(boost::beast::http::response<Body>& response, int status,
+        std::string contentType, const std::vector<HttpField>& fields) const;
+
+    boost::asio::ip::tcp::socket& m_socket;
+    HttpRequest m_request;
+    AsyncEvent m_watchEnded;
+    std::function<void()> m_peerGoneHandler;
+    bool m_keepAlive;
+    bool m_answered = false;
+    bool m_finished = false;
+    bool m_peerGone = false;
+    bool m_watching = false;
+    bool m_unwatching = false;
+};
+
+}
--- a/src/libnet/httpserver.h
+++ b/src/libnet/httpserver.h
@@ -56,6 +56,8 @@
     virtual bool isAnswered() const = 0;
     // Whether the peer has closed its connection. Detected while the handler waits.
     virtual bool isPeerGone() const = 0;
+    // Called once, on the server's thread, when the peer closes its connection before the answer ends.
+    virtual void setPeerGoneHandler(std::function<void()> handler) = 0;
     // Closes the connection at once without finishing the answer.
     virtual void abort() = 0;
 };
@@ -66,7 +68,7 @@
     std::string address = "127.0.0.1";
     // Zero lets the kernel choose.
     std::uint16_t port = 0;
-    std::size_t bodyLimitBytes = 1024 * 1024;
+    std::size_t bodyLimitBytes = 1'048'576;
 };
 
 // An HTTP/1.1 server on one io_context, on Boost.Beast. Must outlive the io_context's run().
--- /dev/null
+++ b/src/libnet/peerclient.cpp
@@ -0,0 +1,140 @@
+#include "libnet/http2connection.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+namespace Apricot {
+
+namespace Asio = boost::asio;
+using Tcp = boost::asio::ip::tcp;
+
+namespace {
+
+    // Bytes that the peer's host has not acknowledged for so long end the connection.
+    constexpr int unacknowledgedLimitMs = 5000;
+
+    // Runs an action unless it is destroyed before a time has passed.
+    class Watchdog {
+    public:
+        Watchdog(Asio::io_context& context, Milliseconds timeout, std::function<void()> action)
+            : m_timer(context, timeout)
+        {
+            m_timer.async_wait(
+                [expired = m_expired, run = std::move(action)](boost::system::error_code error) {
+                    if (error)
+                        return;
+                    *expired = true;
+                    run();
+                });
+        }
+
+        bool hasExpired() const { return *m_expired; }
+
+    private:
+        std::shared_ptr<bool> m_expired = std::make_shared<bool>(false);
+        RuntimeTimer m_timer;
+    };
+
+}
+
+class PeerClient::Impl : public std::enable_shared_from_this<PeerClient::Impl> {
+public:
+    explicit Impl(Asio::io_context& context)
+        : m_context(context)
+    {
+    }
+
+    ~Impl()
+    {
+        for (const auto& [endpoint, connection] : m_connections)
+            connection->close();
+    }
+
+    Impl(const Impl&) = delete;
+    Impl& operator=(const Impl&) = delete;
+
+    Asio::io_context& context() { return m_context; }
+
+    Asio::awaitable<std::shared_ptr<Http2Connection>> connect(
+        PeerEndpoint endpoint, Milliseconds timeout)
+    {
+        if (auto connection = findOpen(endpoint))
+            co_return connection;
+        auto socket = std::make_shared<Tcp::socket>(m_context);
+        const Watchdog watchdog(m_context, timeout, [socket] { socket->close(); });
+        boost::system::error_code error;
+        const Tcp::endpoint target(Asio::ip::make_address(endpoint.address), endpoint.port);
+        co_await socket->async_connect(target,
+            Asio::redirect_error(Asio::use_awaitable, error));
+        if (error == Asio::error::connection_refused)
+            throw PeerError(PeerFailure::Refused, "the peer refuses connections");
+        if (error || watchdog.hasExpired())
+            throw PeerError(PeerFailure::Unreachable, "the peer can't be reached");
+        // Another coroutine may have connected meanwhile.
+        if (auto connection = findOpen(endpoint))
+            co_return connection;
+        co_return addConnection(endpoint, std::move(*socket));
+    }
+
+private:
+    std::shared_ptr<Http2Connection> findOpen(const PeerEndpoint& endpoint)
+    {
+        const auto found = m_connections.find(endpoint);
+        if (found == m_connections.end())
+            return nullptr;
+        if (found->second->isOpen())
+            return found->second;
+        m_connections.erase(found);
+        return nullptr;
+    }
+
+    std::shared_ptr<Http2Connection> addConnection(const PeerEndpoint& endpoint, Tcp::socket socket)
+    {
+        boost::system::error_code ignored;
+        socket.set_option(Tcp::no_delay(true), ignored); // NOLINT(bugprone-unused-return-value)
+        socket.set_option( // NOLINT(bugprone-unused-return-value)
+            Asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(
+                unacknowledgedLimitMs),
+            ignored);
+        auto connection = std::make_shared<Http2Connection>(
+            std::move(socket), Http2Connection::Side::Client);
+        m_connections[endpoint] = connection;
+        connection->start();
+        return connection;
+    }
+
+    Asio::io_context& m_context;
+    std::map<PeerEndpoint, std::shared_ptr<Http2Connection>> m_connections;
+};
+
+PeerClient::PeerClient(Asio::io_context& context)
+    : m_impl(std::make_shared<Impl>(context))
+{
+}
+
+PeerClient::~PeerClient() = default;
+
+Asio::awaitable<std::shared_ptr<PeerStream>> PeerClient::open(
+    PeerEndpoint endpoint, Message first, Milliseconds timeout)
+{
+    const std::shared_ptr<Impl> impl = m_impl;
+    const auto connection = co_await impl->connect(std::move(endpoint), timeout);
+    std::shared_ptr<PeerStream> stream = connection->openStream();
+    co_await stream->write(std::move(first));
+    co_return stream;
+}
+
+Asio::awaitable<Message> PeerClient::ask(
+    PeerEndpoint endpoint, Message question, Milliseconds timeout)
+{
+    const std::shared_ptr<Impl> impl = m_impl;
+    const std::shared_ptr<PeerStream> stream
+        = co_await open(std::move(endpoint), std::move(question), timeout);
+    const Watchdog watchdog(impl->context(), timeout, [stream] { stream->cancel(); });
+    std::optional<Message> answer = co_await stream->read();
+    if (!answer)
+        throw PeerError(PeerFailure::Unreachable, "the peer gave no answer");
+    co_return std::move(*answer);
+}
+
+}
--- a/src/libnet/peerstream.h
+++ b/src/libnet/peerstream.h
@@ -15,6 +15,8 @@
 namespace Apricot {
 
 // Where a process of the system listens for its peers.
+// Name an aggregate before it is passed in a co_await expression: g++ 12 destroys a braced temporary
+// there twice.
 struct PeerEndpoint {
     std::string address;
     std::uint16_t port = 0;
