Decide routing, admission, retries and cost under load

Cause: the coordinator needs to pick a server for each attempt and to refuse at once what can't finish in time; so far nothing decided either.

LoadRouter compares two servers drawn by their caps on the expected time of the attempt, from the load and cap that each answer carries back, a hop cost for another failure domain and the prefill that a cached prefix saves. Round robin and least reported load stand beside it as baselines. Admission adds medians and squared spreads of the remaining stages; summed high quantiles were ruled out, since they refuse work that finishes in time when stages are independent. A probe is let through at intervals, as a model that refuses all gets no new samples.

Conclusion: ready for the coordinator; behaviour under real load not yet measured.

--- /dev/null
+++ b/src/libapricot/admission.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "libapricot/latencymodel.h"
+#include "libapricot/refusal.h"
+
+#include <map>
+#include <optional>
+
+namespace Apricot {
+
+// What admission looks at for one request.
+struct AdmissionQuery {
+    const CatalogueEntry& entry;
+    // First stage that has not finished; a resumed request has finished some.
+    std::size_t nextStage = 0;
+    TimePoint deadline;
+    // Highest share in use among the pools of the remaining stages; one means that all caps are full.
+    double utilisation = 0;
+    // Whether any stage of the request's key has been sent before.
+    RanState ran = RanState::NotRun;
+};
+
+struct AdmissionOptions {
+    // Off only for the baseline that admits everything.
+    bool enabled = true;
+    // Use of the tightest pool above which bulk, standard and urgent work is turned away. The steps
+    // keep room for the more urgent classes.
+    double bulkUtilisation = 1.0;
+    double standardUtilisation = 1.5;
+    double urgentUtilisation = 2.0;
+    // Shortest time that a caller is asked to stay away.
+    Milliseconds leastRetryAfter { 50 };
+    Milliseconds mostRetryAfter { 5000 };
+    // A request that looks hopeless is let through this often for each pipeline, since a prediction
+    // that refuses everything would never be corrected.
+    Milliseconds probeInterval { 500 };
+};
+
+// Decides at once whether a request can finish in time, from recent service and queueing times.
+class Admission {
+public:
+    explicit Admission(const LatencyModel& model, AdmissionOptions options = {});
+
+    // Nothing when the request is admitted, otherwise the refusal to answer with.
+    std::optional<Refusal> refuse(const AdmissionQuery& query, TimePoint now);
+    // Longest time that the next stage may take so that the later ones still fit before the deadline,
+    // within the stage's own timeout. Zero when nothing is left.
+    Milliseconds stageBudget(const CatalogueEntry& entry, std::size_t nextStage,
+        TimePoint deadline, TimePoint now) const;
+    // Latest instant at which the next stage can begin and the request still be in time. Waiting
+    // work is ordered by it, and given up once it has passed.
+    TimePoint latestStart(const CatalogueEntry& entry, std::size_t nextStage,
+        TimePoint deadline, TimePoint now) const;
+
+private:
+    std::optional<Refusal> refuseByPrediction(
+        const AdmissionQuery& query, const PathPrediction& path, Duration left) const;
+    std::optional<Refusal> refuseByUtilisation(
+        const AdmissionQuery& query, const PathPrediction& path) const;
+    bool takeProbe(const PipelineId& pipeline, TimePoint now);
+    double utilisationLimit(ServiceClass serviceClass) const;
+    Milliseconds retryAfter(Duration wait) const;
+
+    const LatencyModel& m_model;
+    AdmissionOptions m_options;
+    std::map<PipelineId, TimePoint> m_lastProbe;
+};
+
+}
--- /dev/null
+++ b/src/libapricot/latencyhistogram.cpp
@@ -0,0 +1,112 @@
+#include "libapricot/latencyhistogram.h"
+
+#include "libapricot/decay.h"
+
+#include <boost/histogram.hpp>
+
+#include <algorithm>
+#include <tuple>
+
+namespace Apricot {
+
+namespace {
+
+    namespace bh = boost::histogram;
+
+    constexpr int bins = 64;
+    constexpr double leastMilliseconds = 0.05;
+    constexpr double mostMilliseconds = 120'000;
+    // Less than this weight of samples says nothing about the present.
+    constexpr double leastWeight = 0.5;
+    // Samples beyond this weight push older ones out, so that the estimate forgets at the same pace
+    // whatever the rate was.
+    constexpr double mostWeight = 64;
+
+    using Axis = bh::axis::regular<double, bh::axis::transform::log>;
+    using Counts = bh::histogram<std::tuple<Axis>, bh::dense_storage<double>>;
+
+    Duration fromMilliseconds(double value)
+    {
+        return std::chrono::duration_cast<Duration>(
+            std::chrono::duration<double, std::milli>(value));
+    }
+
+}
+
+class LatencyHistogram::Impl {
+public:
+    explicit Impl(Duration halfLife)
+        : m_halfLife(halfLife)
+        , m_counts(bh::make_histogram_with(bh::dense_storage<double>(),
+              Axis(bins, leastMilliseconds, mostMilliseconds)))
+    {
+    }
+
+    void record(Duration sample, TimePoint now)
+    {
+        const double decayed = m_weight * decayFactor(now - m_updatedAt, m_halfLife);
+        const double target = std::min(decayed, mostWeight - 1);
+        if (target < m_weight) {
+            m_counts *= target / m_weight;
+            m_weight = target;
+        }
+        m_updatedAt = now;
+        m_counts(std::chrono::duration<double, std::milli>(sample).count());
+        m_weight += 1;
+    }
+
+    Duration quantile(double share, TimePoint now) const
+    {
+        if (weight(now) < leastWeight)
+            return Duration::zero();
+        double left = share * m_weight;
+        const Axis& axis = m_counts.axis();
+        for (int bin = -1; bin <= axis.size(); ++bin) {
+            const double count = m_counts.at(bin);
+            if (count >= left && count > 0)
+                return fromMilliseconds(valueInBin(axis, bin, left / count));
+            left -= count;
+        }
+        return fromMilliseconds(mostMilliseconds);
+    }
+
+    double weight(TimePoint now) const
+    {
+        return m_weight * decayFactor(now - m_updatedAt, m_halfLife);
+    }
+
+private:
+    static double valueInBin(const Axis& axis, int bin, double part)
+    {
+        if (bin < 0)
+            return 0;
+        if (bin >= axis.size())
+            return mostMilliseconds;
+        return axis.value(bin + part);
+    }
+
+    Duration m_halfLife;
+    Counts m_counts;
+    double m_weight = 0;
+    TimePoint m_updatedAt {};
+};
+
+LatencyHistogram::LatencyHistogram(Duration halfLife)
+    : m_impl(std::make_unique<Impl>(halfLife))
+{
+}
+
+LatencyHistogram::~LatencyHistogram() = default;
+LatencyHistogram::LatencyHistogram(LatencyHistogram&&) noexcept = default;
+LatencyHistogram& LatencyHistogram::operator=(LatencyHistogram&&) noexcept = default;
+
+void LatencyHistogram::record(Duration sample, TimePoint now) { m_impl->record(sample, now); }
+
+Duration LatencyHistogram::quantile(double share, TimePoint now) const
+{
+    return m_impl->quantile(share, now);
+}
+
+double LatencyHistogram::weight(TimePoint now) const { return m_impl->weight(now); }
+
+}
--- /dev/null
+++ b/tests/unit/admissiontest.cpp
@@ -0,0 +1,186 @@
+#include "property.h"
+
+#include "libapricot/admission.h"
+#include "libapricot/costaccount.h"
+#include "libapricot/retrybudget.h"
+#include "libapricot/slackqueue.h"
+
+using namespace Apricot;
+
+namespace {
+
+CatalogueEntry makeEntry(ServiceClass serviceClass = ServiceClass::Standard)
+{
+    return { .name = PipelineId("sheets"),
+        .owner = OwnerId("meals"),
+        .serviceClass = serviceClass,
+        .stages = { { .name = "encode", .pool = PoolId("encoders") },
+            { .name = "generate", .pool = PoolId("generators") } } };
+}
+
+void recordMany(LatencyModel& model, const CatalogueEntry& entry, Duration service, Duration queue,
+    TimePoint now)
+{
+    for (const StageSpec& stage : entry.stages) {
+        for (int sample = 0; sample < 40; ++sample) {
+            model.recordService(stage, service, now);
+            model.recordQueue(stage, queue, now);
+        }
+    }
+}
+
+}
+
+TEST_GROUP(Admission)
+{
+    TimePoint m_now { std::chrono::seconds(1000) };
+    CatalogueEntry m_entry = makeEntry();
+    LatencyModel m_model;
+    Admission m_admission { m_model };
+
+    std::optional<Refusal> refuse(Milliseconds deadline, double utilisation = 0)
+    {
+        return m_admission.refuse(
+            { .entry = m_entry, .deadline = m_now + deadline, .utilisation = utilisation }, m_now);
+    }
+};
+
+TEST(Admission, quantileLiesNearTheSamples)
+{
+    checkProperty("within a bin of the sample", [this](std::uint16_t sample) {
+        const Milliseconds value(1 + sample);
+        LatencyHistogram histogram { Duration(Milliseconds(1000)) };
+        for (int count = 0; count < 10; ++count)
+            histogram.record(value, m_now);
+        const double ratio = std::chrono::duration<double>(histogram.quantile(0.95, m_now))
+            / std::chrono::duration<double>(value);
+        RC_ASSERT(ratio > 0.75 && ratio < 1.3);
+    });
+}
+
+TEST(Admission, admitsWhatNothingIsKnownOf) { CHECK_FALSE(refuse(Milliseconds(100)).has_value()); }
+
+TEST(Admission, refusesAnUnreachableDeadlineForGood)
+{
+    recordMany(m_model, m_entry, Milliseconds(200), {}, m_now);
+    const auto refusal = refuse(Milliseconds(300));
+    CHECK_TRUE(refusal && refusal->reason == RefusalReason::DeadlineUnreachable);
+    CHECK_TRUE(refusal && refusal->retryAfter == Milliseconds(0));
+    CHECK_FALSE(refuse(Milliseconds(700)).has_value());
+}
+
+TEST(Admission, refusesLongQueuesWithATimeToComeBack)
+{
+    recordMany(m_model, m_entry, Milliseconds(50), Milliseconds(400), m_now);
+    const auto refusal = refuse(Milliseconds(500));
+    CHECK_TRUE(refusal && refusal->reason == RefusalReason::Overloaded);
+    CHECK_TRUE(refusal && refusal->retryAfter > Milliseconds(0));
+    CHECK_TRUE(refusal && refusal->ran == RanState::NotRun);
+    m_now += std::chrono::seconds(5);
+    CHECK_FALSE(refuse(Milliseconds(500)).has_value());
+}
+
+TEST(Admission, letsAProbeThroughWhenAllLooksHopeless)
+{
+    recordMany(m_model, m_entry, Milliseconds(200), {}, m_now);
+    CHECK_TRUE(refuse(Milliseconds(300)).has_value());
+    m_now += Milliseconds(600);
+    CHECK_FALSE(refuse(Milliseconds(300)).has_value());
+    CHECK_TRUE(refuse(Milliseconds(300)).has_value());
+}
+
+TEST(Admission, turnsAwayTheLessUrgentClassFirst)
+{
+    m_entry = makeEntry(ServiceClass::Bulk);
+    CHECK_TRUE(refuse(Milliseconds(9000), 1.2).has_value());
+    m_entry = makeEntry(ServiceClass::Standard);
+    CHECK_FALSE(refuse(Milliseconds(9000), 1.2).has_value());
+    CHECK_TRUE(refuse(Milliseconds(9000), 1.7).has_value());
+    m_entry = makeEntry(ServiceClass::Urgent);
+    CHECK_FALSE(refuse(Milliseconds(9000), 1.7).has_value());
+}
+
+TEST(Admission, keepsTimeForLaterStages)
+{
+    recordMany(m_model, m_entry, Milliseconds(200), {}, m_now);
+    const TimePoint deadline = m_now + Milliseconds(1000);
+    const Milliseconds budget = m_admission.stageBudget(m_entry, 0, deadline, m_now);
+    CHECK_TRUE(budget > Milliseconds(700) && budget < Milliseconds(900));
+    CHECK_TRUE(m_admission.stageBudget(m_entry, 1, deadline, m_now) == Milliseconds(1000));
+    CHECK_TRUE(m_admission.latestStart(m_entry, 0, deadline, m_now) < deadline - Milliseconds(300));
+}
+
+TEST(Admission, servesByClassAndSlackAndGivesUpTheHopeless)
+{
+    checkProperty("queue order", [this](const std::vector<std::pair<bool, std::uint8_t>>& waiting) {
+        SlackQueue queue;
+        int number = 0;
+        for (const auto& [urgent, slack] : waiting)
+            queue.push({ .serviceClass = urgent ? ServiceClass::Urgent : ServiceClass::Bulk,
+                .latestStart = m_now + Milliseconds(slack),
+                .key = RequestKey(std::to_string(number++)) });
+        const TimePoint later = m_now + Milliseconds(100);
+        std::size_t seen = 0;
+        for (const WaitingRequest& hopeless : queue.takeHopeless(later)) {
+            RC_ASSERT(hopeless.latestStart < later);
+            ++seen;
+        }
+        std::optional<WaitingRequest> last;
+        while (const auto next = queue.pop()) {
+            RC_ASSERT(next->latestStart >= later);
+            RC_ASSERT(!last || *last < *next);
+            last = next;
+            ++seen;
+        }
+        RC_ASSERT(seen == waiting.size());
+    });
+}
+
+TEST(Admission, extraAttemptsStayAShareOfFirstOnes)
+{
+    checkProperty("retries can't amplify", [](const std::vector<bool>& events) {
+        const RetryBudgetOptions options { .ratio = 0.1, .mostSaved = 3 };
+        RetryBudget budget(options);
+        const StageSpec stage;
+        int first = 0;
+        int extra = 0;
+        for (const bool isFirst : events) {
+            if (isFirst) {
+                budget.firstAttempt();
+                ++first;
+            } else {
+                extra += budget.takeRetry(stage, true) ? 1 : 0;
+            }
+        }
+        RC_ASSERT(extra <= options.mostSaved + options.ratio * first);
+    });
+}
+
+TEST(Admission, neverRepeatsAStageThatIsNotIdempotent)
+{
+    RetryBudget budget;
+    const StageSpec charge { .name = "charge", .idempotent = false };
+    CHECK_FALSE(budget.takeRetry(charge, true));
+    CHECK_TRUE(budget.takeRetry(charge, false));
+    CHECK_FALSE(budget.takeHedge(charge, Milliseconds(500), Milliseconds(100), 0));
+    const StageSpec encode;
+    CHECK_TRUE(budget.takeHedge(encode, Milliseconds(500), Milliseconds(100), 0.1));
+    CHECK_FALSE(budget.takeHedge(encode, Milliseconds(50), Milliseconds(100), 0.1));
+    CHECK_FALSE(budget.takeHedge(encode, Milliseconds(500), Milliseconds(100), 0.9));
+}
+
+TEST(Admission, accountsUsedAndWastedWorkApart)
+{
+    CostAccount account;
+    StageOutcome outcome { .sent = true, .tokens = 5, .busy = Milliseconds(30) };
+    outcome.attempt.stage = 1;
+    account.record(m_entry, outcome, true);
+    account.record(m_entry, outcome, false);
+    const CostTotal expected {
+        .busy = Milliseconds(30), .wasted = Milliseconds(30), .tokens = 10, .attempts = 2
+    };
+    CHECK_TRUE(account.byStage().at({ m_entry.name, "generate" }) == expected);
+    CHECK_TRUE(account.byOwner().at(m_entry.owner) == expected);
+    account.discard(m_entry, { { .stage = "generate", .busy = Milliseconds(30) } });
+    CHECK_TRUE(account.byOwner().at(m_entry.owner).wasted == Milliseconds(60));
+}
--- /dev/null
+++ b/tests/unit/loadroutertest.cpp
@@ -0,0 +1,225 @@
+#include "property.h"
+
+#include "libapricot/loadrouter.h"
+
+#include <algorithm>
+#include <set>
+
+using namespace Apricot;
+
+namespace {
+
+const PoolId generators("generators");
+
+StageSpec generateStage()
+{
+    return { .name = "generate", .pool = generators };
+}
+
+BackendServer makeServer(int index, const std::string& domain, int coldCap, int warmCap)
+{
+    const std::string name = "server-" + std::to_string(index);
+    return { .id = BackendServerId(name),
+        .pool = generators,
+        .host = HostId("rack-" + std::to_string(index)),
+        .failureDomain = FailureDomainId(domain),
+        .coldCap = coldCap,
+        .warmCap = warmCap };
+}
+
+ControlView makeView(const Catalogue& catalogue)
+{
+    return { .self = HostId("host-0"),
+        .failureDomain = FailureDomainId("a"),
+        .catalogue = std::make_shared<const Catalogue>(catalogue) };
+}
+
+Catalogue makeCatalogue(int servers)
+{
+    Catalogue catalogue { .version = 1 };
+    for (int index = 0; index < servers; ++index) {
+        const BackendServer server = makeServer(index, index % 2 == 0 ? "a" : "b", 1, 8);
+        catalogue.servers.emplace(server.id, server);
+    }
+    return catalogue;
+}
+
+StageOutcome finished(int busy, int load, int cap)
+{
+    return { .end = StageEnd::Finished,
+        .sent = true,
+        .tokens = 1,
+        .busy = Milliseconds(busy),
+        .load = load,
+        .cap = cap };
+}
+
+// Counts how often each server is chosen, each attempt ending at once without a changed load.
+std::map<BackendServerId, int> chooseMany(
+    LoadRouter& router, const ControlView& view, int count, TimePoint now)
+{
+    std::map<BackendServerId, int> counts;
+    for (int turn = 0; turn < count; ++turn) {
+        const auto server = router.choose(view, generateStage(), RequestKey("k"), {}, now);
+        CHECK_TRUE(server.has_value());
+        ++counts[*server];
+        router.report({ .end = StageEnd::Cancelled }, *server, now);
+    }
+    return counts;
+}
+
+}
+
+TEST_GROUP(LoadRouter)
+{
+    TimePoint m_now { std::chrono::seconds(1000) };
+    BackendServerId m_first { "server-0" };
+    BackendServerId m_second { "server-1" };
+};
+
+TEST(LoadRouter, choosesNoExcludedOrOutOfServiceServer)
+{
+    checkProperty("only eligible servers", [this](const std::vector<bool>& outHosts, const std::vector<bool>& tried, bool domainOut) {
+        const int size = static_cast<int>(std::min<std::size_t>(outHosts.size(), 12));
+        Catalogue catalogue = makeCatalogue(size);
+        std::vector<BackendServerId> excluded;
+        std::set<BackendServerId> eligible;
+        if (domainOut)
+            catalogue.domains[FailureDomainId("b")] = ServiceState::Out;
+        for (int index = 0; index < size; ++index) {
+            const BackendServerId id("server-" + std::to_string(index));
+            const BackendServer& server = catalogue.servers.at(id);
+            if (outHosts[index])
+                (index % 3 == 0 ? catalogue.hosts : catalogue.leaving)[server.host]
+                    = ServiceState::Out;
+            const bool isTried = index < static_cast<int>(tried.size()) && tried[index];
+            if (isTried)
+                excluded.push_back(id);
+            if (!isTried && catalogue.isInService(server))
+                eligible.insert(id);
+        }
+        const ControlView view = makeView(catalogue);
+        LoadRouter router;
+        for (int turn = 0; turn < 20; ++turn) {
+            const auto chosen
+                = router.choose(view, generateStage(), RequestKey("k"), excluded, m_now);
+            RC_ASSERT(chosen.has_value() == !eligible.empty());
+            if (chosen)
+                RC_ASSERT(eligible.contains(*chosen));
+        }
+    });
+}
+
+TEST(LoadRouter, prefersTheServerWithLessLoadForItsCap)
+{
+    const ControlView view = makeView(makeCatalogue(2));
+    LoadRouter router;
+    router.report(finished(100, 8, 8), m_first, m_now);
+    router.report(finished(100, 1, 8), m_second, m_now);
+    const auto counts = chooseMany(router, view, 50, m_now);
+    LONGS_EQUAL(50, counts.at(m_second));
+}
+
+TEST(LoadRouter, prefersTheSameFailureDomainAtEqualLoad)
+{
+    const ControlView view = makeView(makeCatalogue(2));
+    LoadRouter router;
+    router.report(finished(100, 2, 8), m_first, m_now);
+    router.report(finished(100, 2, 8), m_second, m_now);
+    LONGS_EQUAL(50, chooseMany(router, view, 50, m_now).at(m_first));
+}
+
+TEST(LoadRouter, givesColdServersLittle)
+{
+    const ControlView view = makeView(makeCatalogue(8));
+    LoadRouter router;
+    for (int index = 0; index < 8; ++index)
+        router.report(finished(100, 0, index == 0 ? 1 : 8),
+            BackendServerId("server-" + std::to_string(index)), m_now);
+    const auto counts = chooseMany(router, view, 800, m_now);
+    const auto cold = counts.find(m_first);
+    CHECK_TRUE(cold == counts.end() || cold->second < 50);
+}
+
+TEST(LoadRouter, usesThePrefixHolderUntilItsQueueCostsMore)
+{
+    const ControlView view = makeView(makeCatalogue(6));
+    LoadRouter router;
+    const std::string input = "the same long instructions";
+    const auto holder = router.chooseForInput(
+        view, generateStage(), RequestKey("k"), input, {}, m_now);
+    for (int turn = 0; turn < 30; ++turn) {
+        router.report({ .end = StageEnd::Cancelled }, *holder, m_now);
+        CHECK_TRUE(holder
+            == router.chooseForInput(view, generateStage(), RequestKey("k"), input, {}, m_now));
+    }
+    for (const auto& [id, server] : view.catalogue->servers)
+        router.report(finished(100, id == *holder ? 8 : 0, 8), id, m_now);
+    CHECK_FALSE(holder
+        == router.chooseForInput(view, generateStage(), RequestKey("k"), input, {}, m_now));
+}
+
+TEST(LoadRouter, leavesARejectingServerForTheTimeItAskedFor)
+{
+    const ControlView view = makeView(makeCatalogue(1));
+    LoadRouter router;
+    const StageOutcome rejected { .end = StageEnd::Rejected, .retryAfter = Milliseconds(100) };
+    router.report(rejected, m_first, m_now);
+    CHECK_FALSE(router.choose(view, generateStage(), RequestKey("k"), {}, m_now).has_value());
+    CHECK_TRUE(router
+                   .choose(view, generateStage(), RequestKey("k"), {}, m_now + Milliseconds(101))
+                   .has_value());
+}
+
+TEST(LoadRouter, rampsAReturningDomainFromItsColdCaps)
+{
+    Catalogue catalogue = makeCatalogue(2);
+    LoadRouter router;
+    catalogue.domains[FailureDomainId("b")] = ServiceState::Out;
+    LONGS_EQUAL(10, chooseMany(router, makeView(catalogue), 10, m_now).at(m_first));
+    catalogue.domains.clear();
+    catalogue.version = 2;
+    const BackendServer& second = catalogue.servers.at(m_second);
+    DomainRamp ramp;
+    Catalogue out = catalogue;
+    out.domains[FailureDomainId("b")] = ServiceState::Out;
+    out.version = 1;
+    ramp.observe(out, m_now);
+    ramp.observe(catalogue, m_now);
+    DOUBLES_EQUAL(1, ramp.capOf(second, m_now), 0.01);
+    DOUBLES_EQUAL(4.5, ramp.capOf(second, m_now + DomainRamp::rampTime / 2), 0.01);
+    DOUBLES_EQUAL(8, ramp.capOf(second, m_now + 2 * DomainRamp::rampTime), 0.01);
+}
+
+TEST(LoadRouter, ejectsStragglersButKeepsTheFloor)
+{
+    checkProperty("at least half of a pool stays in", [this](const std::vector<std::uint8_t>& paces) {
+        OutlierDetector detector;
+        std::vector<BackendServerId> pool;
+        for (std::size_t index = 0; index < paces.size(); ++index) {
+            pool.emplace_back("server-" + std::to_string(index));
+            for (int sample = 0; sample < 8; ++sample)
+                detector.report(finished(paces[index], 0, 8), pool.back(), m_now);
+        }
+        RC_ASSERT(detector.keep(pool, m_now).size() * 2 >= pool.size());
+        RC_ASSERT(detector.keep(pool, m_now).size() * 2 >= pool.size());
+    });
+    OutlierDetector detector;
+    const std::vector<BackendServerId> pool { m_first, m_second, BackendServerId("server-2") };
+    for (int sample = 0; sample < 8; ++sample) {
+        for (const BackendServerId& server : pool)
+            detector.report(finished(server == m_first ? 500 : 100, 0, 8), server, m_now);
+    }
+    LONGS_EQUAL(2, detector.keep(pool, m_now).size());
+    CHECK_TRUE(detector.isEjected(m_first, m_now));
+    LONGS_EQUAL(3, detector.keep(pool, m_now + std::chrono::minutes(1)).size());
+}
+
+TEST(LoadRouter, roundRobinTakesServersInTurn)
+{
+    const ControlView view = makeView(makeCatalogue(4));
+    LoadRouter router({ .policy = routingPolicyNamed("round_robin") });
+    router.report(finished(100, 8, 8), m_first, m_now);
+    for (const auto& [id, count] : chooseMany(router, view, 40, m_now))
+        LONGS_EQUAL(10, count);
+}
