Decide the course of a request by its record

Cause: a coordinator has to run a pipeline's stages once each, over retries, lost answers and the loss of hosts.

A stage is sent only after the record stands on a second host, which was preferred to copying after the send, since then a refusal by the next coordinator could be untrue.

--- /dev/null
+++ b/src/libapricot/partitionknowledge.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "libapricot/cellstate.h"
+#include "libapricot/clock.h"
+#include "libapricot/identifier.h"
+
+#include <compare>
+#include <deque>
+#include <string>
+#include <vector>
+
+namespace Apricot {
+
+// A process that may hold records.
+struct RecordHolder {
+    HostId host;
+    std::string incarnation;
+
+    auto operator<=>(const RecordHolder&) const = default;
+};
+
+// Decides whether this process knows all that was ever sent for a key. A stage is sent only after
+// the record stands on the key's first host and on its second or third, so the records of an epoch
+// are known where the first answers, or both others do.
+class PartitionKnowledge {
+public:
+    explicit PartitionKnowledge(Milliseconds retention)
+        : m_retention(retention)
+    {
+    }
+
+    // Takes in the members of the newest epoch.
+    void observe(const std::vector<Member>& members, TimePoint now);
+    // Whether this process, with those that it asked about the key, holds all records of the key
+    // that were kept within the retention time.
+    bool isComplete(
+        const RequestKey& key, const std::vector<RecordHolder>& answered, TimePoint now) const;
+    // Notes that records were dropped before their time.
+    void lose(TimePoint now) { m_lostUntil = now + m_retention; }
+
+private:
+    struct Epoch {
+        TimePoint since {};
+        std::vector<RecordHolder> members;
+    };
+
+    Milliseconds m_retention;
+    std::deque<Epoch> m_epochs;
+    TimePoint m_lostUntil {};
+};
+
+}
--- /dev/null
+++ b/src/libapricot/recordcopy.cpp
@@ -0,0 +1,41 @@
+#include "libapricot/recordcopy.h"
+
+#include "libapricot/rendezvous.h"
+
+#include <algorithm>
+
+namespace Apricot {
+
+bool RecordCopy::hasSameBody(const RecordCopy& other) const
+{
+    return pipeline == other.pipeline && input == other.input;
+}
+
+void RecordCopy::absorb(const RecordCopy& other)
+{
+    maybeSent = maybeSent || other.maybeSent;
+    nonIdempotentStarted = std::max(nonIdempotentStarted, other.nonIdempotentStarted);
+    if (other.results.size() <= results.size() && !(other.finished && !finished))
+        return;
+    results = other.results;
+    tokens = other.tokens;
+    costs = other.costs;
+    finished = other.finished;
+}
+
+std::size_t RecordCopy::sizeBytes() const
+{
+    std::size_t size = sizeof(RecordCopy) + key.value().size() + input.size();
+    for (const StageResult& result : results)
+        size += sizeof(StageResult) + result.text.size();
+    for (const std::string& token : tokens)
+        size += sizeof(std::string) + token.size();
+    return size;
+}
+
+Fingerprint fingerprintOf(const PipelineId& pipeline, const std::string& input)
+{
+    return stableHash(input, stableHash(pipeline.value()));
+}
+
+}
--- /dev/null
+++ b/src/libapricot/recordtable.cpp
@@ -0,0 +1,184 @@
+#include "libapricot/recordtable.h"
+
+#include <algorithm>
+
+namespace Apricot {
+
+namespace {
+
+    std::optional<Refusal> refusalForKey(
+        const RequestKey& key, const CatalogueEntry& entry, WallTime wallNow)
+    {
+        const bool isIdempotent = std::all_of(entry.stages.begin(), entry.stages.end(),
+            [](const StageSpec& stage) { return stage.idempotent; });
+        const KeyAge age = ageOfKey(key, wallNow);
+        if (isIdempotent || age == KeyAge::Usable)
+            return std::nullopt;
+        if (age == KeyAge::Expired)
+            return Refusal { .reason = RefusalReason::KeyExpired,
+                .ran = RanState::Unknown,
+                .detail = "the key is older than keys of this pipeline are kept" };
+        return Refusal { .reason = RefusalReason::MalformedRequest,
+            .ran = RanState::NotRun,
+            .detail = "this pipeline needs a UUID of version 7 as its key" };
+    }
+
+    Refusal tableFull(Milliseconds retryAfter)
+    {
+        return Refusal { .reason = RefusalReason::Overloaded,
+            .ran = RanState::Unknown,
+            .retryAfter = retryAfter,
+            .detail = "too many requests are in flight" };
+    }
+
+}
+
+RecordTable::RecordTable(RecordTableOptions options)
+    : m_options(std::move(options))
+    , m_knowledge(m_options.retention)
+{
+}
+
+std::variant<std::shared_ptr<RequestRecord>, Refusal> RecordTable::open(
+    const RequestOpening& opening, const CatalogueEntry& entry, TimePoint now, WallTime wallNow)
+{
+    if (std::shared_ptr<RequestRecord> known = find(opening.key)) {
+        const RecordCopy& copy = known->copy();
+        if (copy.pipeline == entry.name && copy.input == opening.input)
+            return known;
+        return Refusal { .reason = RefusalReason::KeyReused,
+            .ran = RanState::Unknown,
+            .detail = "the key has another request" };
+    }
+    if (std::optional<Refusal> refusal = refusalForKey(opening.key, entry, wallNow))
+        return *refusal;
+    if (isFull())
+        evict(now);
+    if (isFull())
+        return tableFull(m_options.record.failureRetryAfter);
+    RequestRecordOptions options = m_options.record;
+    options.key = opening.key;
+    options.entry = entry;
+    options.input = opening.input;
+    options.coordinator = m_options.incarnation;
+    options.claimToken = m_options.incarnation + "/" + std::to_string(++m_recordsMade);
+    auto record = std::make_shared<RequestRecord>(std::move(options));
+    const auto kept = m_copies.find(opening.key);
+    if (kept != m_copies.end()) {
+        if (!record->copy().hasSameBody(kept->second.copy))
+            return Refusal { .reason = RefusalReason::KeyReused,
+                .ran = RanState::Unknown,
+                .detail = "the key has another request" };
+        record->inherit(kept->second.copy);
+        m_copies.erase(kept);
+    }
+    m_records[opening.key] = record;
+    m_bytes += record->copy().sizeBytes();
+    return record;
+}
+
+std::shared_ptr<RequestRecord> RecordTable::find(const RequestKey& key) const
+{
+    const auto found = m_records.find(key);
+    return found == m_records.end() ? nullptr : found->second;
+}
+
+CopyAnswer RecordTable::store(const RecordCopy& copy, bool opening, TimePoint now)
+{
+    CopyAnswer answer { .host = m_options.host, .incarnation = m_options.incarnation };
+    const std::vector<RecordHolder> self {
+        { .host = m_options.host, .incarnation = m_options.incarnation }
+    };
+    answer.complete = m_knowledge.isComplete(copy.key, self, now);
+    if (const std::shared_ptr<RequestRecord> record = find(copy.key)) {
+        answer.running = record->isRunning();
+        if (answer.running)
+            return answer;
+        // The other coordinator goes on from here, so what this process knows becomes a copy.
+        m_copies[copy.key] = KeptCopy { .copy = record->copy(), .storedAt = now };
+        m_records.erase(copy.key);
+    }
+    m_bytes += copy.sizeBytes();
+    const auto kept = m_copies.find(copy.key);
+    if (kept == m_copies.end()) {
+        m_copies[copy.key] = KeptCopy { .copy = copy, .storedAt = now };
+        return answer;
+    }
+    RecordCopy& known = kept->second.copy;
+    kept->second.storedAt = now;
+    if (known.coordinator == copy.coordinator) {
+        if (copy.revision >= known.revision)
+            known = copy;
+        return answer;
+    }
+    answer.superseded = !opening || copy.epoch < known.epoch;
+    if (answer.superseded || !known.hasSameBody(copy)) {
+        answer.found = !answer.superseded;
+        answer.copy = known;
+        return answer;
+    }
+    answer.found = true;
+    answer.copy = known;
+    RecordCopy merged = copy;
+    merged.absorb(known);
+    known = merged;
+    return answer;
+}
+
+bool RecordTable::isKnowledgeComplete(const RequestKey& key, bool keyFromCaller,
+    const std::vector<CopyAnswer>& answers, TimePoint now) const
+{
+    if (!keyFromCaller)
+        return true;
+    std::vector<RecordHolder> holders {
+        { .host = m_options.host, .incarnation = m_options.incarnation }
+    };
+    for (const CopyAnswer& answer : answers) {
+        if (answer.complete)
+            return true;
+        holders.push_back({ .host = answer.host, .incarnation = answer.incarnation });
+    }
+    return m_knowledge.isComplete(key, holders, now);
+}
+
+void RecordTable::evict(TimePoint now)
+{
+    dropExpired(now - m_options.retention);
+    m_bytes = sizeBytes();
+    Duration kept = m_options.retention;
+    while (isFull() && kept > Milliseconds(1)) {
+        kept /= 2;
+        if (dropExpired(now - kept) > 0)
+            m_knowledge.lose(now);
+        m_bytes = sizeBytes();
+    }
+}
+
+std::size_t RecordTable::dropExpired(TimePoint oldestKept)
+{
+    const std::size_t records = std::erase_if(m_records, [&](const auto& entry) {
+        const RequestRecord& record = *entry.second;
+        return !record.isRunning() && record.callerCount() == 0 && record.lastUsed() <= oldestKept;
+    });
+    const std::size_t copies = std::erase_if(
+        m_copies, [&](const auto& entry) { return entry.second.storedAt <= oldestKept; });
+    return records + copies;
+}
+
+bool RecordTable::isFull() const
+{
+    return m_records.size() + m_copies.size() >= m_options.recordLimit
+        || m_bytes >= m_options.bytesLimit;
+}
+
+std::size_t RecordTable::sizeBytes() const
+{
+    std::size_t size = 0;
+    for (const auto& [key, record] : m_records)
+        size += record->copy().sizeBytes();
+    for (const auto& [key, kept] : m_copies)
+        size += kept.copy.sizeBytes();
+    return size;
+}
+
+}
--- /dev/null
+++ b/src/libapricot/recordtable.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "libapricot/keyage.h"
+#include "libapricot/partitionknowledge.h"
+#include "libapricot/requestrecord.h"
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <variant>
+
+namespace Apricot {
+
+struct RecordTableOptions {
+    HostId host;
+    std::string incarnation;
+    // How long a record is kept after its last use.
+    Milliseconds retention { 600'000 };
+    std::size_t recordLimit = 50'000;
+    std::size_t bytesLimit = 268'435'456;
+    RequestRecordOptions record;
+};
+
+// A request as a caller asks for it.
+struct RequestOpening {
+    RequestKey key;
+    bool keyFromCaller = false;
+    std::string input;
+};
+
+// All records of a process: those that it runs as coordinator, and the copies that it keeps as
+// follower. Memory is bounded; a record that runs is never dropped.
+class RecordTable {
+public:
+    explicit RecordTable(RecordTableOptions options);
+
+    // The record for a request of this key, made from a copy or new; or the refusal of a key that
+    // can't be used for it.
+    std::variant<std::shared_ptr<RequestRecord>, Refusal> open(const RequestOpening& opening,
+        const CatalogueEntry& entry, TimePoint now, WallTime wallNow);
+    // The record of a key, if this process has run it.
+    std::shared_ptr<RequestRecord> find(const RequestKey& key) const;
+    // Keeps another coordinator's copy and answers what this process knows of the key.
+    CopyAnswer store(const RecordCopy& copy, bool opening, TimePoint now);
+
+    PartitionKnowledge& knowledge() { return m_knowledge; }
+    // Whether all that was ever sent for the key is known, given who answered about it.
+    bool isKnowledgeComplete(const RequestKey& key, bool keyFromCaller,
+        const std::vector<CopyAnswer>& answers, TimePoint now) const;
+
+    // Drops what has been kept for the retention time, and more where memory is short.
+    void evict(TimePoint now);
+    std::size_t recordCount() const { return m_records.size(); }
+    std::size_t copyCount() const { return m_copies.size(); }
+    const auto& records() const { return m_records; }
+
+private:
+    struct KeptCopy {
+        RecordCopy copy;
+        TimePoint storedAt {};
+    };
+
+    std::size_t sizeBytes() const;
+    std::size_t dropExpired(TimePoint oldestKept);
+    bool isFull() const;
+
+    RecordTableOptions m_options;
+    std::unordered_map<RequestKey, std::shared_ptr<RequestRecord>> m_records;
+    std::unordered_map<RequestKey, KeptCopy> m_copies;
+    PartitionKnowledge m_knowledge;
+    std::uint64_t m_recordsMade = 0;
+    // Size when evict() last ran, and what has been added since.
+    std::size_t m_bytes = 0;
+};
+
+}
--- /dev/null
+++ b/src/libapricot/requestrecord.cpp
@@ -0,0 +1,505 @@
+#include "libapricot/requestrecord.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace Apricot {
+
+RequestRecord::RequestRecord(RequestRecordOptions options)
+    : m_options(std::move(options))
+{
+    m_copy.key = m_options.key;
+    m_copy.pipeline = m_options.entry.name;
+    m_copy.input = m_options.input;
+    m_copy.coordinator = m_options.coordinator;
+}
+
+void RequestRecord::inherit(const RecordCopy& copy)
+{
+    const std::size_t known = m_copy.results.size();
+    m_copy.absorb(copy);
+    // Results of a pipeline that has changed since are no input for its stages.
+    if (!m_copy.finished && !hasResultsOfEntry())
+        m_copy.results.clear();
+    m_everSent = m_everSent || copy.maybeSent;
+    m_nonIdempotentSent = std::max(m_nonIdempotentSent, copy.nonIdempotentStarted);
+    if (m_copy.results.size() != known)
+        resetStage();
+    if (!m_copy.finished)
+        return;
+    m_tokens = m_copy.tokens;
+    m_phase = Phase::Ended;
+}
+
+CallerId RequestRecord::attach(std::uint64_t resumeFrom, TimePoint deadline,
+    const RequestContext& context, TimePoint now, RequestActions& actions)
+{
+    const CallerId caller = m_nextCaller++;
+    m_callers[caller] = Caller { .position = resumeFrom, .deadline = deadline };
+    m_lastUsed = now;
+    if (!isRunning() && !isFinished())
+        begin(context, now, actions);
+    return caller;
+}
+
+void RequestRecord::detach(CallerId caller, TimePoint now, RequestActions& actions)
+{
+    m_callers.erase(caller);
+    m_lastUsed = now;
+    if (!m_callers.empty() || !isRunning() || m_phase == Phase::Completing)
+        return;
+    if (m_attempt && m_attempt->routed) {
+        if (!stage().idempotent)
+            return;
+        m_everSent = true;
+    }
+    if (m_attempt)
+        actions.emplace_back(CancelAttemptAction { .attempt = m_attempt->id });
+    m_attempt.reset();
+    m_retryAt.reset();
+    unmarkStarted();
+    m_phase = Phase::Idle;
+}
+
+bool RequestRecord::hasResultsOfEntry() const
+{
+    const std::vector<StageSpec>& stages = m_options.entry.stages;
+    return m_copy.results.size() <= stages.size()
+        && std::equal(m_copy.results.begin(), m_copy.results.end(), stages.begin(),
+            [](const StageResult& result, const StageSpec& stage) {
+                return result.stage == stage.name;
+            });
+}
+
+std::optional<CallerStep> RequestRecord::next(
+    CallerId caller, const RequestContext& context, TimePoint now)
+{
+    Caller& state = m_callers.at(caller);
+    const bool isStreaming = m_copy.finished || !hasStagesLeft() || isLastStage();
+    if (isStreaming && state.position < m_tokens.size()) {
+        const std::uint64_t index = state.position++;
+        return CallerToken { .index = index, .text = m_tokens[index] };
+    }
+    if (isFinished())
+        return CallerCompleted { .tokens = m_tokens.size(), .costs = m_copy.costs };
+    std::optional<Refusal> refusal = m_refusal;
+    if (!refusal && now >= state.deadline)
+        refusal = Refusal { .reason = RefusalReason::DeadlinePassed,
+            .retryAfter = m_options.failureRetryAfter };
+    if (!refusal)
+        return std::nullopt;
+    refusal->ran = ranState(context);
+    return *refusal;
+}
+
+void RequestRecord::begin(const RequestContext& context, TimePoint now, RequestActions& actions)
+{
+    m_refusal.reset();
+    m_excluded.clear();
+    m_sentAttempts = 0;
+    m_rejections = 0;
+    const Fingerprint fingerprint = fingerprintOf(m_copy.pipeline, m_copy.input);
+    if (context.poison.stateOf(fingerprint, now) == PoisonState::Refused)
+        return end(RefusalReason::Poisoned, context.poison.remaining(fingerprint, now),
+            "the request crashed a backend server that ran nothing else");
+    if (m_copy.isOutcomeUnknown())
+        return end(RefusalReason::OutcomeUnknown, Milliseconds(0),
+            "a non-idempotent stage was sent and its answer lost");
+    if (hasStagesLeft() && stage().idempotent)
+        markStarted();
+    storeCopy(Phase::Opening, context, actions);
+}
+
+void RequestRecord::copyStored(std::uint64_t revision, const CopyAnswer& answer,
+    const RequestContext& context, TimePoint now, RequestActions& actions)
+{
+    const bool isStoring
+        = m_phase == Phase::Opening || m_phase == Phase::Storing || m_phase == Phase::Completing;
+    if (!isStoring || revision != m_copy.revision) {
+        ++m_droppedAnswers;
+        return;
+    }
+    if (m_phase == Phase::Completing) {
+        m_phase = Phase::Ended;
+        return;
+    }
+    if (answer.superseded)
+        return supersede();
+    if (answer.running) {
+        supersede();
+        m_runningElsewhere = answer.host;
+        return;
+    }
+    if (!answer.found) {
+        if (isMarkStored())
+            return startAttempt(context, now, actions);
+        return proceed(context, now, actions);
+    }
+    unmarkStarted();
+    if (!m_copy.hasSameBody(answer.copy))
+        return end(RefusalReason::KeyReused, Milliseconds(0), "the key has another request");
+    inherit(answer.copy);
+    if (m_phase != Phase::Ended)
+        proceed(context, now, actions);
+}
+
+void RequestRecord::supersede()
+{
+    unmarkStarted();
+    m_everSent = true;
+    end(RefusalReason::NoEvidence, m_options.failureRetryAfter, "another host runs the request");
+}
+
+void RequestRecord::proceed(const RequestContext& context, TimePoint now, RequestActions& actions)
+{
+    m_phase = Phase::Idle;
+    if (!hasStagesLeft())
+        return complete(context, actions);
+    if (m_copy.isOutcomeUnknown())
+        return end(RefusalReason::OutcomeUnknown, Milliseconds(0),
+            "a non-idempotent stage was sent and its answer lost");
+    if (!m_callers.empty())
+        prepareAttempt(context, now, actions);
+}
+
+void RequestRecord::complete(const RequestContext& context, RequestActions& actions)
+{
+    m_copy.finished = true;
+    m_copy.tokens = m_tokens;
+    storeCopy(Phase::Completing, context, actions);
+}
+
+void RequestRecord::prepareAttempt(
+    const RequestContext& context, TimePoint now, RequestActions& actions)
+{
+    m_retryAt.reset();
+    m_phase = Phase::Idle;
+    if (now >= latestDeadline())
+        return;
+    if (!stage().idempotent && !m_claimGranted) {
+        m_phase = Phase::Claiming;
+        actions.emplace_back(ClaimAction {
+            .claimKey = m_copy.key.value() + "/" + std::to_string(m_copy.results.size()),
+            .key = m_copy.key,
+            .token = m_options.claimToken,
+        });
+        return;
+    }
+    if (isMarkStored())
+        return startAttempt(context, now, actions);
+    markStarted();
+    storeCopy(Phase::Storing, context, actions);
+}
+
+void RequestRecord::claimAnswered(const ClaimAnswer& answer, const RequestContext& context,
+    TimePoint now, RequestActions& actions)
+{
+    if (m_phase != Phase::Claiming) {
+        ++m_droppedAnswers;
+        return;
+    }
+    switch (answer.result) {
+    case ClaimResult::Granted:
+        m_claimGranted = true;
+        return proceed(context, now, actions);
+    case ClaimResult::Taken:
+        m_everSent = true;
+        return end(RefusalReason::OutcomeUnknown, m_options.failureRetryAfter,
+            "another process holds the claim of a non-idempotent stage");
+    case ClaimResult::Unavailable:
+        return end(RefusalReason::PlatformUnavailable,
+            std::max(answer.retryAfter, m_options.failureRetryAfter),
+            "a non-idempotent stage can't be claimed");
+    case ClaimResult::Expired:
+        return end(RefusalReason::KeyExpired, Milliseconds(0), "the key is too old");
+    }
+}
+
+void RequestRecord::startAttempt(
+    const RequestContext& context, TimePoint now, RequestActions& actions)
+{
+    m_phase = Phase::Idle;
+    const TimePoint deadline = latestDeadline();
+    if (m_callers.empty() || now >= deadline)
+        return unmarkStarted();
+    markStarted();
+    const auto left = std::chrono::floor<Milliseconds>(deadline - now);
+    const Milliseconds budget = std::max(Milliseconds(1), std::min(stage().timeout, left));
+    const AttemptId id { .key = m_copy.key,
+        .stage = static_cast<std::uint32_t>(m_copy.results.size()),
+        .attempt = m_nextAttempt++,
+        .coordinator = m_options.coordinator };
+    const bool alone
+        = context.poison.stateOf(stageFingerprint(), now) == PoisonState::Suspect;
+    if (m_sentAttempts == 0)
+        context.retries.firstAttempt();
+    m_attempt = Attempt { .id = id, .limit = now + budget + m_options.answerGrace, .alone = alone };
+    m_resumedAt = stage().kind == StageKind::Generate ? m_tokens.size() : 0;
+    m_phase = Phase::Running;
+    actions.emplace_back(StartAttemptAction { .attempt = id,
+        .stage = stage(),
+        .input = stageInput(),
+        .resumeFrom = m_resumedAt,
+        .budget = budget,
+        .excluded = m_excluded,
+        .alone = alone });
+}
+
+void RequestRecord::routed(const AttemptId& attempt, const BackendServerId& server)
+{
+    if (!matches(attempt))
+        return;
+    m_attempt->server = server;
+    m_attempt->routed = true;
+}
+
+void RequestRecord::unrouted(const AttemptId& attempt, TimePoint now)
+{
+    if (!matches(attempt))
+        return;
+    m_attempt.reset();
+    unmarkStarted();
+    if (m_excluded.empty() || ++m_rejections >= m_options.rejectionLimit)
+        return end(RefusalReason::Overloaded, m_options.failureRetryAfter,
+            "no backend server of the pool may take the stage");
+    m_excluded.clear();
+    waitThenRetry(now);
+}
+
+bool RequestRecord::tokenArrived(
+    const AttemptId& attempt, std::uint64_t index, const std::string& text)
+{
+    if (!matches(attempt) || index != m_tokens.size()) {
+        ++m_droppedAnswers;
+        return false;
+    }
+    m_tokens.push_back(text);
+    return true;
+}
+
+bool RequestRecord::attemptEnded(const StageOutcome& outcome, const RequestContext& context,
+    TimePoint now, RequestActions& actions)
+{
+    if (!matches(outcome.attempt)) {
+        ++m_droppedAnswers;
+        return false;
+    }
+    const Attempt attempt = *m_attempt;
+    m_attempt.reset();
+    m_phase = Phase::Idle;
+    const bool finished = outcome.end == StageEnd::Finished && isWhole(outcome);
+    addCost(outcome, !finished);
+    if (finished)
+        stageFinished(outcome, context, now, actions);
+    else if (outcome.end != StageEnd::Finished && !outcome.sent)
+        attemptRejected(outcome, now);
+    else
+        attemptFailed(outcome, attempt, context, now, actions);
+    return true;
+}
+
+// The server counts its tokens from the start of the stage, those before a resumption included.
+bool RequestRecord::isWhole(const StageOutcome& outcome) const
+{
+    return m_tokens.empty() || outcome.tokens == m_tokens.size();
+}
+
+void RequestRecord::stageFinished(const StageOutcome& outcome, const RequestContext& context,
+    TimePoint now, RequestActions& actions)
+{
+    if (m_tokens.empty() && !outcome.result.empty())
+        m_tokens.push_back(outcome.result);
+    const bool wasLast = isLastStage();
+    context.poison.finished(stageFingerprint(), now);
+    m_copy.results.push_back(StageResult { .stage = stage().name,
+        .text = std::accumulate(m_tokens.begin(), m_tokens.end(), std::string()) });
+    m_everSent = true;
+    m_copy.maybeSent = true;
+    m_nonIdempotentSent = m_copy.nonIdempotentStarted;
+    if (!wasLast)
+        resetStage();
+    const bool abandoned = m_callers.empty();
+    proceed(context, now, actions);
+    if (abandoned && !wasLast)
+        storeCopy(Phase::Idle, context, actions);
+}
+
+void RequestRecord::attemptRejected(const StageOutcome& outcome, TimePoint now)
+{
+    unmarkStarted();
+    const Milliseconds retryAfter = std::max(outcome.retryAfter, m_options.failureRetryAfter);
+    if (++m_rejections >= m_options.rejectionLimit)
+        return end(RefusalReason::Overloaded, retryAfter, "backend servers gave no place");
+    waitThenRetry(now);
+}
+
+void RequestRecord::attemptFailed(const StageOutcome& outcome, const Attempt& attempt,
+    const RequestContext& context, TimePoint now, RequestActions& actions)
+{
+    m_everSent = true;
+    if (!stage().idempotent)
+        m_nonIdempotentSent = m_copy.nonIdempotentStarted;
+    if (outcome.end == StageEnd::Crashed)
+        crashed(attempt, context, now, actions);
+    if (!stage().idempotent)
+        return end(RefusalReason::OutcomeUnknown, Milliseconds(0),
+            "a non-idempotent stage was sent and its answer lost");
+    if (m_refusal)
+        return;
+    const bool mayRetry = ++m_sentAttempts < m_options.attemptLimit
+        && (outcome.end == StageEnd::Crashed || context.retries.takeRetry(stage(), true));
+    if (!mayRetry)
+        return end(RefusalReason::BackendFailed, m_options.failureRetryAfter,
+            "attempts of stage " + stage().name + " failed");
+    m_excluded.push_back(attempt.server);
+    waitThenRetry(now);
+}
+
+void RequestRecord::crashed(const Attempt& attempt, const RequestContext& context, TimePoint now,
+    RequestActions& actions)
+{
+    PoisonNotice notice = context.poison.crashed(stageFingerprint(), attempt.alone, now);
+    if (notice.state == PoisonState::Refused) {
+        notice.fingerprint = fingerprintOf(m_copy.pipeline, m_copy.input);
+        context.poison.absorb(notice, now);
+        end(RefusalReason::Poisoned, notice.remaining,
+            "the request crashed a backend server that ran nothing else");
+    }
+    actions.emplace_back(SharePoisonAction { .notice = notice });
+}
+
+void RequestRecord::tick(const RequestContext& context, TimePoint now, RequestActions& actions)
+{
+    if (m_phase == Phase::Waiting && m_retryAt && now >= *m_retryAt)
+        return prepareAttempt(context, now, actions);
+    if (!m_attempt || now < m_attempt->limit)
+        return;
+    const AttemptId id = m_attempt->id;
+    actions.emplace_back(CancelAttemptAction { .attempt = id });
+    attemptEnded(
+        StageOutcome { .attempt = id, .end = StageEnd::TimedOut, .sent = m_attempt->routed },
+        context, now, actions);
+}
+
+std::optional<TimePoint> RequestRecord::nextTick() const
+{
+    if (m_attempt)
+        return m_attempt->limit;
+    return m_phase == Phase::Waiting ? m_retryAt : std::nullopt;
+}
+
+void RequestRecord::storeCopy(Phase phase, const RequestContext& context, RequestActions& actions)
+{
+    m_copy.epoch = context.epoch;
+    ++m_copy.revision;
+    m_stored = m_copy;
+    m_phase = phase;
+    actions.emplace_back(StoreCopyAction { .copy = m_copy, .opening = phase == Phase::Opening });
+}
+
+void RequestRecord::markStarted()
+{
+    m_copy.maybeSent = true;
+    if (!stage().idempotent)
+        m_copy.nonIdempotentStarted = static_cast<std::uint32_t>(m_copy.results.size() + 1);
+}
+
+void RequestRecord::unmarkStarted()
+{
+    m_copy.maybeSent = m_everSent;
+    m_copy.nonIdempotentStarted = m_nonIdempotentSent;
+}
+
+bool RequestRecord::isMarkStored() const
+{
+    if (!hasStagesLeft() || m_stored.results.size() != m_copy.results.size())
+        return false;
+    const bool isStarted = m_stored.nonIdempotentStarted > m_copy.results.size();
+    return m_stored.maybeSent && (stage().idempotent || (m_claimGranted && isStarted));
+}
+
+const std::string& RequestRecord::stageInput() const
+{
+    return m_copy.results.empty() ? m_copy.input : m_copy.results.back().text;
+}
+
+TimePoint RequestRecord::latestDeadline() const
+{
+    TimePoint latest {};
+    for (const auto& [id, caller] : m_callers)
+        latest = std::max(latest, caller.deadline);
+    return latest;
+}
+
+RanState RequestRecord::ranState(const RequestContext& context) const
+{
+    if (!m_copy.results.empty())
+        return RanState::RanInPart;
+    if (m_everSent || (m_attempt && m_attempt->routed) || !context.knowledgeComplete)
+        return RanState::Unknown;
+    return RanState::NotRun;
+}
+
+Fingerprint RequestRecord::stageFingerprint() const
+{
+    return fingerprintOf(m_copy.pipeline, m_copy.input) + m_copy.results.size() + 1;
+}
+
+void RequestRecord::waitThenRetry(TimePoint now)
+{
+    m_phase = Phase::Waiting;
+    m_retryAt = now + m_options.backoff;
+}
+
+void RequestRecord::end(RefusalReason reason, Milliseconds retryAfter, std::string detail)
+{
+    m_phase = Phase::Idle;
+    m_retryAt.reset();
+    m_refusal
+        = Refusal { .reason = reason, .retryAfter = retryAfter, .detail = std::move(detail) };
+}
+
+void RequestRecord::addCost(const StageOutcome& outcome, bool wasted)
+{
+    auto found = std::find_if(m_copy.costs.begin(), m_copy.costs.end(),
+        [this](const StageCost& cost) { return cost.stage == stage().name; });
+    if (found == m_copy.costs.end())
+        found = m_copy.costs.insert(found, StageCost { .stage = stage().name });
+    (wasted ? found->wasted : found->busy) += outcome.busy;
+    found->tokens += outcome.tokens;
+    found->attempts += outcome.sent || !wasted ? 1 : 0;
+}
+
+void RequestRecord::resetStage()
+{
+    m_tokens.clear();
+    m_excluded.clear();
+    m_sentAttempts = 0;
+    m_rejections = 0;
+    m_claimGranted = false;
+}
+
+std::string_view RequestRecord::phaseName() const
+{
+    switch (m_phase) {
+    case Phase::Idle:
+        return "idle";
+    case Phase::Opening:
+        return "opening";
+    case Phase::Claiming:
+        return "claiming";
+    case Phase::Storing:
+        return "storing";
+    case Phase::Running:
+        return "running";
+    case Phase::Waiting:
+        return "waiting";
+    case Phase::Completing:
+        return "completing";
+    case Phase::Ended:
+        return "ended";
+    }
+    return "unknown";
+}
+
+}
