--- a/src/dispatch/homeservice.cpp
+++ b/src/dispatch/homeservice.cpp
@@ -54,7 +54,8 @@
     StageOutcome outcome { .attempt = message.call.attempt,
         .end = StageEnd::Rejected,
         .retryAfter = unknownServerRetry };
-    co_await stream->write(StageEndedMessage { std::move(outcome) });
+    Message ended = StageEndedMessage { std::move(outcome) };
+    co_await stream->write(std::move(ended));
     stream->finish();
 }
 
@@ -66,7 +67,8 @@
         answer = home->release(message.since);
     else
         m_released[message.server] = std::max(m_released[message.server], message.since);
-    co_await stream->write(std::move(answer));
+    Message released = std::move(answer);
+    co_await stream->write(std::move(released));
     stream->finish();
 }
 
@@ -137,9 +139,9 @@
     if (found == m_endpoints.end() || since == 0)
         co_return;
     try {
-        const Message answer = co_await m_peers.ask(found->second,
-            ReleaseHomeMessage { .server = home.server().id, .since = since },
-            m_options.releaseTimeout);
+        Message question = ReleaseHomeMessage { .server = home.server().id, .since = since };
+        const Message answer = co_await m_peers.ask(
+            found->second, std::move(question), m_options.releaseTimeout);
         const auto* released = std::get_if<HomeReleasedMessage>(&answer);
         if (released && home.ledger().since() == since)
             home.onPredecessorReleased(predecessor, *released);
@@ -202,6 +204,7 @@
     if (released != m_released.end())
         home->release(released->second);
     m_homes.emplace(server, home);
+    home->refresh();
     boost::asio::co_spawn(m_context, pollHealth(home), boost::asio::detached);
     boost::asio::co_spawn(m_context, takeOver(home), boost::asio::detached);
     return home;
--- a/src/dispatch/replicahome.cpp
+++ b/src/dispatch/replicahome.cpp
@@ -132,6 +132,8 @@
 boost::asio::awaitable<StageOutcome> ReplicaHome::runOnServer(StageRun& run)
 {
     StageOutcome outcome { .end = StageEnd::Failed };
+    if (!m_wasPolled)
+        co_await pollHealth();
     const std::string incarnation = m_ledger.serverIncarnation();
     bool isRefusedConnection = false;
     try {
@@ -165,9 +167,11 @@
 {
     // The coordinator learns of the send before it happens: a send that it doesn't know of would make
     // its "not run" untrue.
-    co_await run.relay(StageSentMessage { run.call().attempt });
-    std::unique_ptr<HttpStream> stream = co_await m_client.open(
-        runCallOf(run.call()), [this, &run] { return confirmStart(run); });
+    Message sending = StageSentMessage { run.call().attempt };
+    co_await run.relay(std::move(sending));
+    HttpSendGate gate = [this, &run] { return confirmStart(run); };
+    std::unique_ptr<HttpStream> stream
+        = co_await m_client.open(runCallOf(run.call()), std::move(gate));
     outcome.sent = run.isSent();
     if (!stream) {
         apply(m_ledger.advance(RuntimeClock::now()));
@@ -213,7 +217,8 @@
                 m_ledger.onStep(run.number(), now - last);
             last = now;
             isFirst = false;
-            co_await run.relay(TokenMessage { token.index, std::move(token.text) });
+            Message relayed = TokenMessage { token.index, std::move(token.text) };
+            co_await run.relay(std::move(relayed));
         }
     }
     throw BackendEventError("answer without an end");
@@ -223,9 +228,10 @@
 {
     ServerFate fate = ServerFate::Unknown;
     const TimePoint askedAt = RuntimeClock::now();
+    m_wasPolled = true;
     try {
-        const HttpResponse response = co_await m_client.send(
-            { .target = "/health", .timeout = m_options.healthTimeout });
+        HttpCall call { .target = "/health", .timeout = m_options.healthTimeout };
+        const HttpResponse response = co_await m_client.send(std::move(call));
         const ServerReport report = parseReport(response.body);
         m_isReachable = true;
         const bool isOther = !incarnationBefore.empty() && report.incarnation != incarnationBefore;
@@ -254,12 +260,12 @@
         .target = "/orders",
         .body = orderBody(text, m_ledger.since()),
         .timeout = m_options.healthTimeout };
-    const auto gate = [this, since = m_ledger.since()] {
+    HttpSendGate gate = [this, since = m_ledger.since()] {
         return m_ledger.since() == since && mayOrder(*m_views.view());
     };
     try {
         const std::unique_ptr<HttpStream> stream
-            = co_await m_client.open(std::move(call), gate);
+            = co_await m_client.open(std::move(call), std::move(gate));
         if (!stream)
             co_return OrderResult::NotPermitted;
         if (stream->status() == statusConflict)
--- a/src/dispatch/replicahome.h
+++ b/src/dispatch/replicahome.h
@@ -86,6 +86,8 @@
     std::map<CallNumber, std::shared_ptr<StageRun>> m_runs;
     CallNumber m_nextNumber = 1;
     bool m_isReachable = true;
+    // Whether the server was asked for its health, without which a crash can't be told from a break.
+    bool m_wasPolled = false;
     std::vector<AttemptId> m_lastCrashed;
 };
 
--- a/src/dispatch/stagerun.cpp
+++ b/src/dispatch/stagerun.cpp
@@ -72,7 +72,8 @@
 {
     m_isEnded = true;
     try {
-        co_await m_peer->write(StageEndedMessage { std::move(outcome) });
+        Message ended = StageEndedMessage { std::move(outcome) };
+        co_await m_peer->write(std::move(ended));
         m_peer->finish();
     } catch (const std::exception&) {
         m_peer->cancel();
