End peer connections whose process does not answer pings

Cause: a frozen coordinator or home keeps its TCP connection open, so a stream to it would wait until the request's deadline. A client connection with open streams now pings, and breaks its streams after two silent seconds. Ruled out: a timeout on messages, since a long stage is silent for good reason.

--- a/src/libnet/http2connection.cpp
+++ b/src/libnet/http2connection.cpp
@@ -22,6 +22,9 @@
     constexpr std::int32_t connectionWindowBytes = 1 << 24;
     constexpr std::uint32_t streamsPerConnection = 10000;
     constexpr std::size_t readBytes = 65536;
+    constexpr Milliseconds pingInterval { 500 };
+    // Longest time without a byte from a peer that has been asked.
+    constexpr Milliseconds silenceLimit { 2000 };
 
     nghttp2_nv makeField(std::string_view name, std::string_view value)
     {
@@ -123,6 +126,7 @@
     , m_side(side)
     , m_handler(std::move(handler))
     , m_writable(m_socket.get_executor())
+    , m_livenessTimer(m_socket.get_executor())
 {
     nghttp2_session_callbacks* callbacks = nullptr;
     nghttp2_session_callbacks_new(&callbacks);
@@ -155,6 +159,11 @@
     Asio::co_spawn(
         m_socket.get_executor(), [self = shared_from_this()] { return self->writeLoop(); },
         Asio::detached);
+    if (m_side == Side::Server)
+        return;
+    Asio::co_spawn(
+        m_socket.get_executor(), [self = shared_from_this()] { return self->watchLiveness(); },
+        Asio::detached);
 }
 
 std::shared_ptr<PeerStream> Http2Connection::openStream()
@@ -224,6 +233,7 @@
     boost::system::error_code ignored;
     m_socket.close(ignored); // NOLINT(bugprone-unused-return-value)
     m_writable.notifyAll();
+    m_livenessTimer.cancel();
     const auto streams = std::move(m_streams);
     m_streams.clear();
     for (const auto& [id, stream] : streams) {
@@ -311,6 +321,7 @@
             Asio::buffer(buffer), Asio::redirect_error(Asio::use_awaitable, error));
         if (error || !m_open)
             break;
+        m_lastReceived = RuntimeClock::now();
         if (nghttp2_session_mem_recv(m_session, buffer.data(), count) < 0)
             break;
         m_writable.notifyAll();
@@ -320,6 +331,30 @@
     close();
 }
 
+Asio::awaitable<void> Http2Connection::watchLiveness()
+{
+    TimePoint lastRound = RuntimeClock::now();
+    m_lastReceived = lastRound;
+    while (m_open) {
+        m_livenessTimer.expires_after(pingInterval);
+        boost::system::error_code ignored;
+        co_await m_livenessTimer.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
+        const TimePoint now = RuntimeClock::now();
+        // After a pause of this process, answers may wait unread.
+        const bool wasPaused = now - lastRound > silenceLimit;
+        lastRound = now;
+        if (!m_open || m_streams.empty() || wasPaused) {
+            m_lastReceived = now;
+            continue;
+        }
+        if (now - m_lastReceived > silenceLimit)
+            break;
+        nghttp2_submit_ping(m_session, NGHTTP2_FLAG_NONE, nullptr);
+        m_writable.notifyAll();
+    }
+    close();
+}
+
 Asio::awaitable<void> Http2Connection::writeLoop()
 {
     while (m_open) {
--- a/src/libnet/http2connection.h
+++ b/src/libnet/http2connection.h
@@ -73,6 +73,9 @@
 
     boost::asio::awaitable<void> readLoop();
     boost::asio::awaitable<void> writeLoop();
+    // Ends a client's connection with open streams when the peer's process has not answered a ping,
+    // which tells a frozen or unreachable peer from one that is busy with a long stage.
+    boost::asio::awaitable<void> watchLiveness();
     boost::asio::awaitable<void> runHandler(std::int32_t id, std::shared_ptr<Http2Stream> stream);
     void acceptStream(std::int32_t id);
     void receiveData(Http2Stream& stream, std::string_view data);
@@ -86,6 +89,8 @@
     nghttp2_session* m_session = nullptr;
     std::map<std::int32_t, std::shared_ptr<Http2Stream>> m_streams;
     AsyncEvent m_writable;
+    RuntimeTimer m_livenessTimer;
+    TimePoint m_lastReceived {};
     bool m_open = true;
 };
 
--- a/src/libnet/messages.h
+++ b/src/libnet/messages.h
@@ -23,11 +23,12 @@
     Milliseconds budget { 0 };
     // First token of the answer that the caller still needs.
     std::uint64_t resumeFrom = 0;
+    ServiceClass serviceClass = ServiceClass::Standard;
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(key, keyFromCaller, pipeline, input, budget, resumeFrom);
+        archive(key, keyFromCaller, pipeline, input, budget, resumeFrom, serviceClass);
     }
 };
 
