--- /dev/null
+++ b/src/libnet/adminserver.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "libapricot/metrics.h"
+#include "libnet/httpserver.h"
+
+#include <boost/json/value.hpp>
+
+#include <functional>
+#include <string>
+
+namespace Apricot {
+
+// Whether the process can take new work, and why not.
+struct HealthReport {
+    bool healthy = true;
+    std::string detail;
+
+    auto operator<=>(const HealthReport&) const = default;
+};
+
+struct AdminServerOptions {
+    std::string address = "127.0.0.1";
+    // Zero lets the kernel choose.
+    std::uint16_t port = 0;
+    // Called on the io_context's thread at each question.
+    std::function<boost::json::value()> state;
+    std::function<HealthReport()> health;
+    // Called before the metrics are written, to set gauges that are worked out on demand.
+    std::function<void()> refreshMetrics;
+};
+
+// Serves /metrics (Prometheus text), /state (the state dump as JSON) and /health (200 or 503) over
+// HTTP, for operators, their monitoring and their balancer.
+class AdminServer {
+public:
+    AdminServer(
+        boost::asio::io_context& context, MetricRegistry& metrics, AdminServerOptions options);
+
+    std::uint16_t port() const { return m_server.port(); }
+    void stopAccepting() { m_server.stopAccepting(); }
+
+private:
+    boost::asio::awaitable<void> answer(HttpExchange& exchange);
+    boost::asio::awaitable<void> answerMetrics(HttpExchange& exchange);
+    boost::asio::awaitable<void> answerState(HttpExchange& exchange);
+    boost::asio::awaitable<void> answerHealth(HttpExchange& exchange);
+
+    MetricRegistry& m_metrics;
+    AdminServerOptions m_options;
+    HttpServer m_server;
+};
+
+}
