Share the daemons' command line, threads and shutdown

Cause: both daemons read the same flags, keep control and traffic on threads of their own, and stop gracefully on the first signal; one piece of code serves both. Not measured: no daemon runs yet.

--- /dev/null
+++ b/src/libnet/daemon.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "libapricot/clock.h"
+#include "libapricot/processsettings.h"
+#include "libapricot/settings.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <functional>
+#include <string>
+
+namespace Apricot {
+
+// Command line of a daemon, read by gflags.
+struct DaemonCommand {
+    std::string configFile;
+    bool checkOnly = false;
+    bool helpSettings = false;
+};
+
+// Reads --config, --check and --help_settings, and answers --help and --version.
+DaemonCommand parseDaemonCommand(int argc, char** argv, const std::string& usage);
+
+// Exit statuses of the daemons.
+constexpr int exitOk = 0;
+constexpr int exitFailure = 1;
+constexpr int exitBadSettings = 2;
+
+// Prints every problem of a settings file to standard error.
+void printProblems(const SettingsError& error);
+
+// Begins the process's log as its settings say.
+void startDaemonLog(const std::string& program, const ProcessSettings& settings);
+
+// The threads of a daemon: control state on the thread that calls run(), traffic on another.
+class Daemon {
+public:
+    Daemon();
+
+    boost::asio::io_context& control() { return m_control; }
+    boost::asio::io_context& traffic() { return m_traffic; }
+
+    // Runs until stop(). The shutdown coroutine is started on the control thread by SIGTERM or
+    // SIGINT and calls stop() at its end; a second signal calls describeCut, logs what it tells, and
+    // ends the process at once.
+    void run(std::function<boost::asio::awaitable<void>()> shutdown,
+        std::function<std::string()> describeCut);
+    void stop();
+
+private:
+    boost::asio::awaitable<void> waitForSignals(
+        std::function<boost::asio::awaitable<void>()> shutdown,
+        std::function<std::string()> describeCut);
+
+    boost::asio::io_context m_control;
+    boost::asio::io_context m_traffic;
+    boost::asio::signal_set m_signals;
+};
+
+// Checks the settings file and runs the daemon's body with its settings. Returns the exit status.
+template <typename Settings>
+int runDaemon(int argc, char** argv, const std::string& program, const std::string& usage,
+    const std::function<int(const Settings&)>& body)
+{
+    const DaemonCommand command = parseDaemonCommand(argc, argv, usage);
+    if (command.helpSettings) {
+        Settings settings;
+        SettingsTable table;
+        describe(settings, table);
+        std::fputs(settingsHelp(table).c_str(), stdout);
+        return exitOk;
+    }
+    try {
+        const auto settings = loadSettingsAs<Settings>(command.configFile);
+        if (command.checkOnly)
+            return exitOk;
+        startDaemonLog(program, settings.process);
+        return body(settings);
+    } catch (const SettingsError& error) {
+        printProblems(error);
+        return exitBadSettings;
+    } catch (const std::exception& error) {
+        std::fprintf(stderr, "%s: %s\n", program.c_str(), error.what());
+        return exitFailure;
+    }
+}
+
+}
--- a/src/libnet/httpserver.cpp
+++ b/src/libnet/httpserver.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
+#include <atomic>
 #include <set>
 
 namespace Apricot {
@@ -143,7 +144,7 @@
     HttpHandler m_handler;
     Tcp::acceptor m_acceptor;
     std::uint16_t m_port = 0;
-    std::size_t m_exchanges = 0;
+    std::atomic<std::size_t> m_exchanges { 0 };
     bool m_stopping = false;
     std::set<Tcp::socket*> m_idle;
 };
--- a/src/libnet/httpserver.h
+++ b/src/libnet/httpserver.h
@@ -81,7 +81,7 @@
     HttpServer& operator=(const HttpServer&) = delete;
 
     std::uint16_t port() const;
-    // Number of requests whose handler has not returned.
+    // Number of requests whose handler has not returned. May be called on any thread.
     std::size_t exchangesInFlight() const;
     // Stops listening and closes idle connections; exchanges in flight go on.
     void stopAccepting();
