Coordinate requests over their homes and followers

Cause: records decide what to do next, but nothing did it.

RequestRunner performs a record's actions and feeds the answers back; Coordinator opens records, attaches callers, passes requests on to their home and refuses what this host can't take; RecordService puts copies on the second or else the third host of a key. A copy of a lower epoch is superseded, so that a coordinator that was removed starts nothing once its successor has asked about the key. Asking the successor for leave before each send was ruled out: it costs a hop where the copy already makes one.

--- /dev/null
+++ b/src/dispatch/callerwatch.cpp
@@ -0,0 +1,14 @@
+#include "dispatch/callerwatch.h"
+
+namespace Apricot {
+
+boost::asio::awaitable<void> waitUntilGone(std::shared_ptr<PeerStream> stream)
+{
+    try {
+        while (co_await stream->read()) { }
+    } catch (const std::runtime_error&) {
+        // A broken stream tells the same as one that the far side has finished.
+    }
+}
+
+}
--- /dev/null
+++ b/src/dispatch/coordinator.cpp
@@ -0,0 +1,286 @@
+#include "dispatch/coordinator.h"
+
+#include "dispatch/callerwatch.h"
+#include "dispatch/memberorder.h"
+
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+
+#include <algorithm>
+
+namespace Apricot {
+
+namespace Asio = boost::asio;
+
+namespace {
+
+    constexpr Milliseconds relayTimeout { 500 };
+    constexpr Milliseconds drainInterval { 20 };
+    // Time to come back to a host that takes no new work, or to another one.
+    constexpr Milliseconds unableRetryAfter { 1000 };
+
+    Refusal refusalOf(RefusalReason reason, std::string detail, Milliseconds retryAfter)
+    {
+        return Refusal { .reason = reason,
+            .ran = RanState::NotRun,
+            .retryAfter = retryAfter,
+            .detail = std::move(detail) };
+    }
+
+    // Refuses what another host may be running.
+    Refusal refusalElsewhere(std::string detail)
+    {
+        return Refusal { .reason = RefusalReason::NoEvidence,
+            .ran = RanState::Unknown,
+            .retryAfter = unableRetryAfter,
+            .detail = std::move(detail) };
+    }
+
+    WallTime wallNow()
+    {
+        return std::chrono::floor<Milliseconds>(std::chrono::system_clock::now());
+    }
+
+    bool needsClaim(const CatalogueEntry& entry)
+    {
+        return std::any_of(entry.stages.begin(), entry.stages.end(),
+            [](const StageSpec& stage) { return !stage.idempotent; });
+    }
+
+    // Passes messages on until the sender has finished. Returns whether an end was among them.
+    Asio::awaitable<bool> passOn(
+        std::shared_ptr<PeerStream> from, std::shared_ptr<PeerStream> to, SubmitMessage& submit)
+    {
+        while (std::optional<Message> message = co_await from->read()) {
+            const auto* token = std::get_if<TokenMessage>(&*message);
+            if (token)
+                submit.resumeFrom = token->index + 1;
+            const bool isEnd = !token;
+            co_await to->write(std::move(*message));
+            if (isEnd)
+                co_return true;
+        }
+        co_return false;
+    }
+
+    // Counts a caller for as long as it is served.
+    class CallerCount {
+    public:
+        explicit CallerCount(std::size_t& count)
+            : m_count(count)
+        {
+            ++m_count;
+        }
+        ~CallerCount() { --m_count; }
+
+        CallerCount(const CallerCount&) = delete;
+        CallerCount& operator=(const CallerCount&) = delete;
+
+    private:
+        std::size_t& m_count;
+    };
+
+}
+
+Coordinator::Coordinator(RunnerServices services)
+    : m_services(services)
+{
+}
+
+Asio::awaitable<void> Coordinator::serve(std::shared_ptr<PeerStream> stream, SubmitMessage submit)
+{
+    return serveSubmit(std::move(stream), std::move(submit), Passage::Direct);
+}
+
+Asio::awaitable<void> Coordinator::serve(
+    std::shared_ptr<PeerStream> stream, RelayedSubmitMessage relayed)
+{
+    return serveSubmit(std::move(stream), std::move(relayed.submit), Passage::Relayed);
+}
+
+Asio::awaitable<void> Coordinator::serve(std::shared_ptr<PeerStream> stream, PoisonMessage message)
+{
+    m_services.poison.absorb(message.notice, RuntimeClock::now());
+    co_await stream->write(message);
+    stream->finish();
+}
+
+Asio::awaitable<void> Coordinator::serveSubmit(
+    std::shared_ptr<PeerStream> stream, SubmitMessage submit, Passage passage)
+{
+    const CallerCount count(m_callers);
+    ++m_served;
+    maintain();
+    const std::shared_ptr<const ControlView> view = m_services.views.view();
+    const auto entry = view->catalogue->entries.find(submit.pipeline);
+    if (entry == view->catalogue->entries.end()) {
+        co_await refuse(stream, submit,
+            refusalOf(RefusalReason::UnknownPipeline, "no such pipeline", Milliseconds(0)));
+        co_return;
+    }
+    if (isActive(submit.key)) {
+        co_await run(stream, std::move(submit), entry->second, passage);
+        co_return;
+    }
+    const std::vector<Member> order = liveMembersFor(*view, submit.key.value());
+    const bool isHome = !order.empty() && order.front().host == view->self;
+    if (!isHome && !order.empty() && passage == Passage::Direct) {
+        co_await relay(stream, std::move(submit), order.front().host);
+        co_return;
+    }
+    std::optional<Refusal> refusal = refusalOfNew(*view, entry->second);
+    if (!isHome && !refusal)
+        refusal = refusalElsewhere("this host is not home of the key");
+    if (refusal)
+        co_await refuse(stream, submit, *refusal);
+    else
+        co_await run(stream, std::move(submit), entry->second, passage);
+}
+
+std::optional<Refusal> Coordinator::refusalOfNew(
+    const ControlView& view, const CatalogueEntry& entry) const
+{
+    if (view.stopping)
+        return refusalOf(RefusalReason::Stopping, "this host is stopping", unableRetryAfter);
+    if (!view.permits(RuntimeClock::now()))
+        return refusalOf(RefusalReason::NoEvidence,
+            "this host does not know whether its configuration is the newest", unableRetryAfter);
+    if (needsClaim(entry) && m_services.claims.isUnavailable())
+        return refusalOf(RefusalReason::PlatformUnavailable,
+            "non-idempotent stages can't be claimed", unableRetryAfter);
+    return std::nullopt;
+}
+
+Asio::awaitable<void> Coordinator::run(std::shared_ptr<PeerStream> stream, SubmitMessage submit,
+    const CatalogueEntry& entry, Passage passage)
+{
+    const TimePoint now = RuntimeClock::now();
+    const Milliseconds budget
+        = submit.budget > Milliseconds(0) ? std::min(submit.budget, entry.deadline) : entry.deadline;
+    const TimePoint deadline = now + budget;
+    const RequestOpening opening { .key = submit.key,
+        .keyFromCaller = submit.keyFromCaller,
+        .input = submit.input };
+    const auto opened = m_services.records.open(opening, entry, now, wallNow());
+    if (const auto* refusal = std::get_if<Refusal>(&opened)) {
+        co_await refuse(stream, submit, *refusal);
+        co_return;
+    }
+    const std::shared_ptr<RequestRunner> runner
+        = runnerOf(std::get<std::shared_ptr<RequestRecord>>(opened));
+    const CallerEnd end = co_await runner->serve(stream, submit, deadline);
+    if (end == CallerEnd::Answered)
+        stream->finish();
+    if (end != CallerEnd::RunsElsewhere)
+        co_return;
+    submit.budget = std::chrono::floor<Milliseconds>(deadline - RuntimeClock::now());
+    const HostId host = runner->record()->runningElsewhere();
+    if (passage == Passage::Direct && submit.budget > Milliseconds(0)) {
+        co_await relay(stream, std::move(submit), host);
+        co_return;
+    }
+    co_await refuse(stream, submit, refusalElsewhere("another host runs the request"));
+}
+
+Asio::awaitable<void> Coordinator::relay(
+    std::shared_ptr<PeerStream> stream, SubmitMessage submit, HostId host)
+{
+    using namespace Asio::experimental::awaitable_operators;
+    ++m_relayed;
+    const std::optional<PeerEndpoint> endpoint = endpointOf(*m_services.views.view(), host);
+    bool answered = false;
+    try {
+        if (endpoint) {
+            const std::shared_ptr<PeerStream> upstream = co_await m_services.peers.open(
+                *endpoint, RelayedSubmitMessage { .submit = submit }, relayTimeout);
+            const auto ended
+                = co_await (passOn(upstream, stream, submit) || waitUntilGone(stream));
+            answered = ended.index() == 1 || std::get<0>(ended);
+        }
+    } catch (const std::runtime_error&) {
+        // The other host could not be reached or has gone; the caller is told so below.
+    }
+    if (answered) {
+        stream->finish();
+        co_return;
+    }
+    co_await refuse(stream, submit, refusalElsewhere("the host of the request's key is gone"));
+}
+
+Asio::awaitable<void> Coordinator::refuse(
+    std::shared_ptr<PeerStream> stream, const SubmitMessage& submit, Refusal refusal)
+{
+    const RequestOpening opening { .key = submit.key, .keyFromCaller = submit.keyFromCaller };
+    ++m_refused[refusal.reason];
+    refusal = m_services.records.limitToKnown(
+        std::move(refusal), opening, {}, RuntimeClock::now());
+    co_await stream->write(RefusedMessage { .refusal = refusal });
+    stream->finish();
+}
+
+std::shared_ptr<RequestRunner> Coordinator::runnerOf(const std::shared_ptr<RequestRecord>& record)
+{
+    std::weak_ptr<RequestRunner>& known = m_runners[record->copy().key];
+    std::shared_ptr<RequestRunner> runner = known.lock();
+    if (runner && runner->record() == record)
+        return runner;
+    runner = std::make_shared<RequestRunner>(record, m_services);
+    known = runner;
+    return runner;
+}
+
+bool Coordinator::isActive(const RequestKey& key) const
+{
+    const std::shared_ptr<RequestRecord> record = m_services.records.find(key);
+    return record && (record->isRunning() || record->isFinished());
+}
+
+void Coordinator::maintain()
+{
+    const std::shared_ptr<const ControlView> view = m_services.views.view();
+    const TimePoint now = RuntimeClock::now();
+    if (view->epoch == m_observedEpoch && m_observedEpoch != 0)
+        return;
+    m_observedEpoch = view->epoch;
+    m_services.records.knowledge().observe(liveMembersFor(*view, std::string()), now);
+    m_services.records.evict(now);
+    std::erase_if(m_runners, [](const auto& entry) { return entry.second.expired(); });
+}
+
+Asio::awaitable<void> Coordinator::drain()
+{
+    while (m_callers > 0 || runningRecords() > 0)
+        co_await sleepFor(m_services.context.get_executor(), drainInterval);
+}
+
+std::size_t Coordinator::runningRecords() const
+{
+    const auto& records = m_services.records.records();
+    return static_cast<std::size_t>(std::count_if(records.begin(), records.end(),
+        [](const auto& entry) { return entry.second->isRunning(); }));
+}
+
+boost::json::value Coordinator::dump() const
+{
+    boost::json::array running;
+    for (const auto& [key, record] : m_services.records.records()) {
+        if (!record->isRunning())
+            continue;
+        running.push_back(boost::json::object { { "key", key.value() },
+            { "pipeline", record->copy().pipeline.value() }, { "phase", record->phaseName() },
+            { "stages_finished", record->copy().results.size() },
+            { "callers", record->callerCount() },
+            { "dropped_answers", record->droppedAnswers() } });
+    }
+    boost::json::object refused;
+    for (const auto& [reason, count] : m_refused)
+        refused[refusalReasonName(reason)] = count;
+    return boost::json::object { { "callers", m_callers }, { "served", m_served },
+        { "relayed", m_relayed }, { "records", m_services.records.recordCount() },
+        { "copies", m_services.records.copyCount() }, { "running", std::move(running) },
+        { "refused", std::move(refused) }, { "retries_saved", m_services.retries.saved() },
+        { "poison", m_services.poison.size() } };
+}
+
+}
--- /dev/null
+++ b/src/dispatch/recordservice.cpp
@@ -0,0 +1,66 @@
+#include "dispatch/recordservice.h"
+
+#include "dispatch/memberorder.h"
+
+namespace Apricot {
+
+namespace Asio = boost::asio;
+
+namespace {
+
+    // Hosts after the home that a copy may stand on; see PartitionKnowledge.
+    constexpr std::size_t followerCandidates = 2;
+    constexpr Milliseconds storeTimeout { 400 };
+
+}
+
+RecordService::RecordService(
+    const ControlViewSource& views, PeerLink& peers, RecordTable& records)
+    : m_views(views)
+    , m_peers(peers)
+    , m_records(records)
+{
+}
+
+Asio::awaitable<std::optional<CopyAnswer>> RecordService::replicate(StoreCopyAction action)
+{
+    const std::shared_ptr<const ControlView> view = m_views.view();
+    std::vector<Member> members = liveMembersFor(*view, action.copy.key.value());
+    std::erase_if(members, [&view](const Member& member) { return member.host == view->self; });
+    if (members.empty())
+        co_return CopyAnswer {};
+    if (members.size() > followerCandidates)
+        members.resize(followerCandidates);
+    for (const Member& member : members) {
+        const PeerEndpoint endpoint { .address = member.address, .port = member.port };
+        std::optional<CopyAnswer> answer = co_await storeAt(endpoint, action);
+        if (answer)
+            co_return answer;
+    }
+    co_return std::nullopt;
+}
+
+Asio::awaitable<std::optional<CopyAnswer>> RecordService::storeAt(
+    PeerEndpoint endpoint, const StoreCopyAction& action)
+{
+    try {
+        const Message answer = co_await m_peers.ask(std::move(endpoint),
+            StoreCopyMessage { .copy = action.copy, .opening = action.opening }, storeTimeout);
+        if (const auto* stored = std::get_if<CopyStoredMessage>(&answer))
+            co_return stored->answer;
+    } catch (const std::runtime_error&) {
+        // The next host in order is asked instead.
+    }
+    co_return std::nullopt;
+}
+
+Asio::awaitable<void> RecordService::serve(
+    std::shared_ptr<PeerStream> stream, StoreCopyMessage message)
+{
+    const CopyAnswer answer
+        = m_records.store(message.copy, message.opening, RuntimeClock::now());
+    co_await stream->write(CopyStoredMessage { .answer = answer });
+    stream->finish();
+}
+
+}
--- /dev/null
+++ b/src/dispatch/requestrunner.cpp
@@ -0,0 +1,297 @@
+#include "dispatch/requestrunner.h"
+
+#include "dispatch/callerwatch.h"
+#include "dispatch/memberorder.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+
+namespace Apricot {
+
+namespace Asio = boost::asio;
+
+namespace {
+
+    constexpr Milliseconds connectTimeout { 500 };
+    // Wait before the followers are asked again after none could be reached.
+    constexpr Milliseconds storeRetryInterval { 100 };
+
+    Message messageOf(const CallerStep& step)
+    {
+        if (const auto* token = std::get_if<CallerToken>(&step))
+            return TokenMessage { .index = token->index, .text = token->text };
+        if (const auto* completed = std::get_if<CallerCompleted>(&step))
+            return CompletedMessage { .tokens = completed->tokens, .costs = completed->costs };
+        return RefusedMessage { .refusal = std::get<Refusal>(step) };
+    }
+
+    // Keeps a timer in a set for as long as it is waited for.
+    class WaitingEntry {
+    public:
+        WaitingEntry(std::set<RuntimeTimer*>& waiting, RuntimeTimer& timer)
+            : m_waiting(waiting)
+            , m_timer(timer)
+        {
+            m_waiting.insert(&m_timer);
+        }
+        ~WaitingEntry() { m_waiting.erase(&m_timer); }
+
+        WaitingEntry(const WaitingEntry&) = delete;
+        WaitingEntry& operator=(const WaitingEntry&) = delete;
+
+    private:
+        std::set<RuntimeTimer*>& m_waiting;
+        RuntimeTimer& m_timer;
+    };
+
+}
+
+RequestRunner::RequestRunner(std::shared_ptr<RequestRecord> record, RunnerServices& services)
+    : m_record(std::move(record))
+    , m_services(services)
+    , m_tickTimer(services.context)
+{
+}
+
+Asio::awaitable<CallerEnd> RequestRunner::serve(
+    std::shared_ptr<PeerStream> stream, SubmitMessage& submit, TimePoint deadline)
+{
+    using namespace Asio::experimental::awaitable_operators;
+    const std::shared_ptr<RequestRunner> self = shared_from_this();
+    RequestActions actions;
+    const CallerId caller = m_record->attach(
+        submit.resumeFrom, deadline, context(), RuntimeClock::now(), actions);
+    perform(std::move(actions));
+    CallerEnd end = CallerEnd::Gone;
+    try {
+        const RequestOpening opening { .key = submit.key, .keyFromCaller = submit.keyFromCaller };
+        const auto ended
+            = co_await (answer(stream, caller, opening) || waitUntilGone(stream));
+        if (ended.index() == 0)
+            end = std::get<0>(ended);
+    } catch (const std::exception&) {
+        end = CallerEnd::Gone;
+    }
+    submit.resumeFrom = m_record->positionOf(caller);
+    RequestActions afterwards;
+    m_record->detach(caller, RuntimeClock::now(), afterwards);
+    perform(std::move(afterwards));
+    co_return end;
+}
+
+Asio::awaitable<CallerEnd> RequestRunner::answer(
+    std::shared_ptr<PeerStream> stream, CallerId caller, RequestOpening opening)
+{
+    while (m_record->runningElsewhere().empty()) {
+        const TimePoint now = RuntimeClock::now();
+        std::optional<CallerStep> step = m_record->next(caller, now);
+        if (!step) {
+            co_await waitForChange(m_record->deadlineOf(caller));
+            continue;
+        }
+        if (auto* refusal = std::get_if<Refusal>(&*step))
+            step = m_services.records.limitToKnown(*refusal, opening, m_answers, now);
+        co_await stream->write(messageOf(*step));
+        if (!std::holds_alternative<CallerToken>(*step))
+            co_return CallerEnd::Answered;
+    }
+    co_return CallerEnd::RunsElsewhere;
+}
+
+Asio::awaitable<void> RequestRunner::waitForChange(TimePoint deadline)
+{
+    RuntimeTimer timer(m_services.context, deadline);
+    const WaitingEntry entry(m_waiting, timer);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
+}
+
+RequestContext RequestRunner::context() const
+{
+    return { .retries = m_services.retries,
+        .poison = m_services.poison,
+        .epoch = m_services.views.view()->epoch };
+}
+
+void RequestRunner::perform(RequestActions actions)
+{
+    for (const RequestAction& action : actions)
+        std::visit([this](const auto& alternative) { performOne(alternative); }, action);
+    notifyAll();
+    scheduleTick();
+}
+
+void RequestRunner::notifyAll()
+{
+    for (RuntimeTimer* timer : m_waiting)
+        timer->cancel();
+}
+
+void RequestRunner::scheduleTick()
+{
+    const std::optional<TimePoint> next = m_record->nextTick();
+    m_tickTimer.cancel();
+    if (!next)
+        return;
+    m_tickTimer.expires_at(*next);
+    m_tickTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
+        if (error)
+            return;
+        RequestActions actions;
+        self->m_record->tick(self->context(), RuntimeClock::now(), actions);
+        self->perform(std::move(actions));
+    });
+}
+
+void RequestRunner::performOne(const StoreCopyAction& action)
+{
+    Asio::co_spawn(m_services.context, storeCopy(action), Asio::detached);
+}
+
+void RequestRunner::performOne(const ClaimAction& action)
+{
+    Asio::co_spawn(m_services.context, claim(action), Asio::detached);
+}
+
+void RequestRunner::performOne(const StartAttemptAction& action)
+{
+    const TimePoint now = RuntimeClock::now();
+    const std::shared_ptr<const ControlView> view = m_services.views.view();
+    const std::optional<BackendServerId> server = m_services.router.chooseForInput(
+        *view, action.stage, action.attempt.key, action.input, action.excluded, now);
+    if (!server)
+        return m_record->unrouted(action.attempt, now);
+    m_record->routed(action.attempt, *server);
+    m_attempts[action.attempt] = {};
+    Asio::co_spawn(m_services.context, runAttempt(action, *server), Asio::detached);
+}
+
+void RequestRunner::performOne(const CancelAttemptAction& action)
+{
+    const auto found = m_attempts.find(action.attempt);
+    if (found == m_attempts.end())
+        return;
+    found->second.cancelled = true;
+    if (found->second.stream)
+        found->second.stream->cancel();
+}
+
+void RequestRunner::performOne(const SharePoisonAction& action)
+{
+    const std::shared_ptr<const ControlView> view = m_services.views.view();
+    for (const Member& member : view->cell->members) {
+        if (member.host == view->self)
+            continue;
+        const PeerEndpoint endpoint { .address = member.address, .port = member.port };
+        Asio::co_spawn(m_services.context,
+            m_services.peers.ask(
+                endpoint, PoisonMessage { .notice = action.notice }, connectTimeout),
+            [](const std::exception_ptr& /*error*/, const Message& /*answer*/) {});
+    }
+}
+
+Asio::awaitable<void> RequestRunner::storeCopy(StoreCopyAction action)
+{
+    const std::shared_ptr<RequestRunner> self = shared_from_this();
+    const std::uint64_t revision = action.copy.revision;
+    std::optional<CopyAnswer> stored = co_await m_services.copies.replicate(action);
+    while (!stored && m_record->awaitsCopy(revision) && m_record->callerCount() > 0) {
+        co_await sleepFor(m_services.context.get_executor(), storeRetryInterval);
+        stored = co_await m_services.copies.replicate(action);
+    }
+    if (stored && action.opening)
+        m_answers.push_back(*stored);
+    RequestActions actions;
+    if (stored || action.copy.finished)
+        m_record->copyStored(revision, stored.value_or(CopyAnswer {}), context(),
+            RuntimeClock::now(), actions);
+    perform(std::move(actions));
+}
+
+Asio::awaitable<void> RequestRunner::claim(ClaimAction action)
+{
+    const std::shared_ptr<RequestRunner> self = shared_from_this();
+    const ClaimAnswer answer
+        = co_await m_services.claims.claim(action, m_record->claimBudget(RuntimeClock::now()));
+    RequestActions actions;
+    m_record->claimAnswered(answer, context(), RuntimeClock::now(), actions);
+    perform(std::move(actions));
+}
+
+Asio::awaitable<void> RequestRunner::runAttempt(StartAttemptAction action, BackendServerId server)
+{
+    const std::shared_ptr<RequestRunner> self = shared_from_this();
+    StageOutcome outcome = co_await callHome(action, server);
+    if (m_attempts[action.attempt].cancelled && outcome.end == StageEnd::Failed)
+        outcome.end = StageEnd::Cancelled;
+    m_attempts.erase(action.attempt);
+    m_services.router.report(outcome, server, RuntimeClock::now());
+    RequestActions actions;
+    m_record->attemptEnded(outcome, context(), RuntimeClock::now(), actions);
+    perform(std::move(actions));
+}
+
+Asio::awaitable<StageOutcome> RequestRunner::callHome(
+    const StartAttemptAction& action, const BackendServerId& server)
+{
+    StageOutcome outcome { .attempt = action.attempt, .end = StageEnd::Rejected };
+    const std::shared_ptr<const ControlView> view = m_services.views.view();
+    const auto home = view->cell->homes.find(server);
+    if (home == view->cell->homes.end())
+        co_return outcome;
+    const std::optional<PeerEndpoint> endpoint = endpointOf(*view, home->second.home);
+    if (!endpoint)
+        co_return outcome;
+    const CatalogueEntry& entry = m_record->entry();
+    StageCallMessage message { .call = { .attempt = action.attempt,
+                                   .server = server,
+                                   .kind = action.stage.kind,
+                                   .serviceClass = entry.serviceClass,
+                                   .owner = entry.owner,
+                                   .input = action.input,
+                                   .maxTokens = action.stage.maxTokens,
+                                   .resumeFrom = action.resumeFrom,
+                                   .budget = action.budget,
+                                   .idempotent = action.stage.idempotent,
+                                   .alone = action.alone } };
+    std::shared_ptr<PeerStream> stream;
+    try {
+        stream = co_await m_services.peers.open(*endpoint, std::move(message), connectTimeout);
+    } catch (const PeerError& error) {
+        if (error.failure() == PeerFailure::Refused)
+            co_return outcome;
+    } catch (const std::runtime_error&) {
+        // Handled as a peer that may have got the message.
+    }
+    if (stream)
+        co_return co_await readAnswers(std::move(stream), action.attempt);
+    outcome.end = StageEnd::Failed;
+    outcome.sent = true;
+    co_return outcome;
+}
+
+Asio::awaitable<StageOutcome> RequestRunner::readAnswers(
+    std::shared_ptr<PeerStream> stream, AttemptId attempt)
+{
+    OpenAttempt& open = m_attempts[attempt];
+    open.stream = stream;
+    if (open.cancelled)
+        stream->cancel();
+    try {
+        while (std::optional<Message> message = co_await stream->read()) {
+            if (auto* ended = std::get_if<StageEndedMessage>(&*message)) {
+                stream->finish();
+                co_return std::move(ended->outcome);
+            }
+            const auto* token = std::get_if<TokenMessage>(&*message);
+            if (token && m_record->tokenArrived(attempt, token->index, token->text))
+                notifyAll();
+        }
+    } catch (const std::runtime_error&) {
+        // The home is gone, or this process has cancelled the attempt.
+    }
+    co_return StageOutcome { .attempt = attempt, .end = StageEnd::Failed, .sent = true };
+}
+
+}
--- /dev/null
+++ b/src/dispatch/requestrunner.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "dispatch/claimgateway.h"
+#include "dispatch/recordservice.h"
+#include "libapricot/recordtable.h"
+#include "libapricot/stagerouter.h"
+#include "libnet/asyncevent.h"
+
+#include <map>
+#include <set>
+
+namespace Apricot {
+
+// What the runners of one process share.
+struct RunnerServices {
+    boost::asio::io_context& context;
+    const ControlViewSource& views;
+    PeerLink& peers;
+    StageRouter& router;
+    RecordTable& records;
+    RecordService& copies;
+    ClaimGateway& claims;
+    RetryBudget& retries;
+    PoisonTable& poison;
+};
+
+// How a caller's turn at a runner ended.
+enum class CallerEnd {
+    Answered,
+    Gone,
+    // Another host runs the request; the caller has to be passed on to it.
+    RunsElsewhere,
+};
+
+// Performs what a request's record asks for, and feeds the answers back to it. Lives as long as a
+// caller or an action of the record.
+class RequestRunner : public std::enable_shared_from_this<RequestRunner> {
+public:
+    RequestRunner(std::shared_ptr<RequestRecord> record, RunnerServices& services);
+
+    // Attaches a caller and answers it to its end. Moves the submission on to what is still needed.
+    boost::asio::awaitable<CallerEnd> serve(
+        std::shared_ptr<PeerStream> stream, SubmitMessage& submit, TimePoint deadline);
+    const std::shared_ptr<RequestRecord>& record() const { return m_record; }
+
+private:
+    struct OpenAttempt {
+        std::shared_ptr<PeerStream> stream;
+        bool cancelled = false;
+    };
+
+    boost::asio::awaitable<CallerEnd> answer(
+        std::shared_ptr<PeerStream> stream, CallerId caller, RequestOpening opening);
+    boost::asio::awaitable<void> waitForChange(TimePoint deadline);
+
+    RequestContext context() const;
+    void perform(RequestActions actions);
+    void performOne(const StoreCopyAction& action);
+    void performOne(const ClaimAction& action);
+    void performOne(const StartAttemptAction& action);
+    void performOne(const CancelAttemptAction& action);
+    void performOne(const SharePoisonAction& action);
+    void notifyAll();
+    void scheduleTick();
+
+    boost::asio::awaitable<void> storeCopy(StoreCopyAction action);
+    boost::asio::awaitable<void> claim(ClaimAction action);
+    boost::asio::awaitable<void> runAttempt(StartAttemptAction action, BackendServerId server);
+    boost::asio::awaitable<StageOutcome> callHome(
+        const StartAttemptAction& action, const BackendServerId& server);
+    boost::asio::awaitable<StageOutcome> readAnswers(
+        std::shared_ptr<PeerStream> stream, AttemptId attempt);
+
+    std::shared_ptr<RequestRecord> m_record;
+    RunnerServices& m_services;
+    RuntimeTimer m_tickTimer;
+    std::set<RuntimeTimer*> m_waiting;
+    std::map<AttemptId, OpenAttempt> m_attempts;
+    // What followers answered about the key when this process began to run it.
+    std::vector<CopyAnswer> m_answers;
+};
+
+}
--- a/src/libapricot/recordtable.cpp
+++ b/src/libapricot/recordtable.cpp
@@ -23,6 +23,9 @@
             .detail = "this pipeline needs a UUID of version 7 as its key" };
     }
 
+    // More than the copies that one record is ever written.
+    constexpr unsigned revisionBits = 24;
+
     Refusal tableFull(Milliseconds retryAfter)
     {
         return Refusal { .reason = RefusalReason::Overloaded,
@@ -61,15 +64,17 @@
     options.entry = entry;
     options.input = opening.input;
     options.coordinator = m_options.incarnation;
+    options.firstRevision = (m_recordsMade + 1) << revisionBits;
     options.claimToken = m_options.incarnation + "/" + std::to_string(++m_recordsMade);
     auto record = std::make_shared<RequestRecord>(std::move(options));
     const auto kept = m_copies.find(opening.key);
     if (kept != m_copies.end()) {
-        if (!record->copy().hasSameBody(kept->second.copy))
+        const RecordCopy known = mergedOf(kept->second);
+        if (!record->copy().hasSameBody(known))
             return Refusal { .reason = RefusalReason::KeyReused,
                 .ran = RanState::Unknown,
                 .detail = "the key has another request" };
-        record->inherit(kept->second.copy);
+        record->inherit(known);
         m_copies.erase(kept);
     }
     m_records[opening.key] = record;
@@ -104,41 +109,48 @@
         m_copies[copy.key] = KeptCopy { .copy = copy, .storedAt = now };
         return answer;
     }
-    RecordCopy& known = kept->second.copy;
-    kept->second.storedAt = now;
-    if (known.coordinator == copy.coordinator) {
-        if (copy.revision >= known.revision)
-            known = copy;
-        return answer;
-    }
-    answer.superseded = !opening || copy.epoch < known.epoch;
-    if (answer.superseded || !known.hasSameBody(copy)) {
-        answer.found = !answer.superseded;
-        answer.copy = known;
+    KeptCopy& known = kept->second;
+    known.storedAt = now;
+    const bool isSame = known.copy.coordinator == copy.coordinator;
+    answer.superseded = isSame ? copy.revision < known.copy.revision
+                               : !opening || copy.epoch < known.copy.epoch;
+    if (answer.superseded)
         return answer;
+    if (!isSame)
+        known.inherited = mergedOf(known);
+    if (opening && known.inherited) {
+        answer.found = true;
+        answer.copy = *known.inherited;
     }
-    answer.found = true;
-    answer.copy = known;
-    RecordCopy merged = copy;
-    merged.absorb(known);
-    known = merged;
+    if (!known.inherited || known.inherited->hasSameBody(copy))
+        known.copy = copy;
     return answer;
 }
 
-bool RecordTable::isKnowledgeComplete(const RequestKey& key, bool keyFromCaller,
+RecordCopy RecordTable::mergedOf(const KeptCopy& kept)
+{
+    RecordCopy merged = kept.copy;
+    if (kept.inherited)
+        merged.absorb(*kept.inherited);
+    return merged;
+}
+
+Refusal RecordTable::limitToKnown(Refusal refusal, const RequestOpening& opening,
     const std::vector<CopyAnswer>& answers, TimePoint now) const
 {
-    if (!keyFromCaller)
-        return true;
+    if (refusal.ran != RanState::NotRun || !opening.keyFromCaller)
+        return refusal;
     std::vector<RecordHolder> holders {
         { .host = m_options.host, .incarnation = m_options.incarnation }
     };
+    bool complete = false;
     for (const CopyAnswer& answer : answers) {
-        if (answer.complete)
-            return true;
+        complete = complete || answer.complete;
         holders.push_back({ .host = answer.host, .incarnation = answer.incarnation });
     }
-    return m_knowledge.isComplete(key, holders, now);
+    if (!complete && !m_knowledge.isComplete(opening.key, holders, now))
+        refusal.ran = RanState::Unknown;
+    return refusal;
 }
 
 void RecordTable::evict(TimePoint now)
--- a/src/libapricot/recordtable.h
+++ b/src/libapricot/recordtable.h
@@ -45,8 +45,9 @@
     CopyAnswer store(const RecordCopy& copy, bool opening, TimePoint now);
 
     PartitionKnowledge& knowledge() { return m_knowledge; }
-    // Whether all that was ever sent for the key is known, given who answered about it.
-    bool isKnowledgeComplete(const RequestKey& key, bool keyFromCaller,
+    // The refusal as it may be told: "not run" only where this process, with those that answered
+    // about the key, knows all that was ever sent for it.
+    Refusal limitToKnown(Refusal refusal, const RequestOpening& opening,
         const std::vector<CopyAnswer>& answers, TimePoint now) const;
 
     // Drops what has been kept for the retention time, and more where memory is short.
@@ -58,9 +59,14 @@
 private:
     struct KeptCopy {
         RecordCopy copy;
+        // What earlier coordinators knew. It is told whenever the present one begins to run the
+        // request, since the first answer may have been lost.
+        std::optional<RecordCopy> inherited;
         TimePoint storedAt {};
     };
 
+    // All that is known of a key from its present and earlier coordinators.
+    static RecordCopy mergedOf(const KeptCopy& kept);
     std::size_t sizeBytes() const;
     std::size_t dropExpired(TimePoint oldestKept);
     bool isFull() const;
--- a/src/libapricot/requestaction.h
+++ b/src/libapricot/requestaction.h
@@ -27,6 +27,9 @@
     std::string token;
 
     auto operator<=>(const ClaimAction&) const = default;
+
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(claimKey, key, token); }
 };
 
 // Choose a backend server and send it an attempt.
--- a/src/libapricot/requestrecord.cpp
+++ b/src/libapricot/requestrecord.cpp
@@ -1,7 +1,7 @@
 #include "libapricot/requestrecord.h"
 
 #include <algorithm>
-#include <numeric>
+#include <array>
 
 namespace Apricot {
 
@@ -12,6 +12,7 @@
     m_copy.pipeline = m_options.entry.name;
     m_copy.input = m_options.input;
     m_copy.coordinator = m_options.coordinator;
+    m_copy.revision = m_options.firstRevision;
 }
 
 void RequestRecord::inherit(const RecordCopy& copy)
@@ -71,8 +72,7 @@
             });
 }
 
-std::optional<CallerStep> RequestRecord::next(
-    CallerId caller, const RequestContext& context, TimePoint now)
+std::optional<CallerStep> RequestRecord::next(CallerId caller, TimePoint now)
 {
     Caller& state = m_callers.at(caller);
     const bool isStreaming = m_copy.finished || !hasStagesLeft() || isLastStage();
@@ -88,7 +88,7 @@
             .retryAfter = m_options.failureRetryAfter };
     if (!refusal)
         return std::nullopt;
-    refusal->ran = ranState(context);
+    refusal->ran = ranState();
     return *refusal;
 }
 
@@ -110,12 +110,17 @@
     storeCopy(Phase::Opening, context, actions);
 }
 
-void RequestRecord::copyStored(std::uint64_t revision, const CopyAnswer& answer,
-    const RequestContext& context, TimePoint now, RequestActions& actions)
+bool RequestRecord::awaitsCopy(std::uint64_t revision) const
 {
     const bool isStoring
         = m_phase == Phase::Opening || m_phase == Phase::Storing || m_phase == Phase::Completing;
-    if (!isStoring || revision != m_copy.revision) {
+    return isStoring && revision == m_copy.revision;
+}
+
+void RequestRecord::copyStored(std::uint64_t revision, const CopyAnswer& answer,
+    const RequestContext& context, TimePoint now, RequestActions& actions)
+{
+    if (!awaitsCopy(revision)) {
         ++m_droppedAnswers;
         return;
     }
@@ -277,97 +282,6 @@
     return true;
 }
 
-bool RequestRecord::attemptEnded(const StageOutcome& outcome, const RequestContext& context,
-    TimePoint now, RequestActions& actions)
-{
-    if (!matches(outcome.attempt)) {
-        ++m_droppedAnswers;
-        return false;
-    }
-    const Attempt attempt = *m_attempt;
-    m_attempt.reset();
-    m_phase = Phase::Idle;
-    const bool finished = outcome.end == StageEnd::Finished && isWhole(outcome);
-    addCost(outcome, !finished);
-    if (finished)
-        stageFinished(outcome, context, now, actions);
-    else if (outcome.end != StageEnd::Finished && !outcome.sent)
-        attemptRejected(outcome, now);
-    else
-        attemptFailed(outcome, attempt, context, now, actions);
-    return true;
-}
-
-// The server counts its tokens from the start of the stage, those before a resumption included.
-bool RequestRecord::isWhole(const StageOutcome& outcome) const
-{
-    return m_tokens.empty() || outcome.tokens == m_tokens.size();
-}
-
-void RequestRecord::stageFinished(const StageOutcome& outcome, const RequestContext& context,
-    TimePoint now, RequestActions& actions)
-{
-    if (m_tokens.empty() && !outcome.result.empty())
-        m_tokens.push_back(outcome.result);
-    const bool wasLast = isLastStage();
-    context.poison.finished(stageFingerprint(), now);
-    m_copy.results.push_back(StageResult { .stage = stage().name,
-        .text = std::accumulate(m_tokens.begin(), m_tokens.end(), std::string()) });
-    m_everSent = true;
-    m_copy.maybeSent = true;
-    m_nonIdempotentSent = m_copy.nonIdempotentStarted;
-    if (!wasLast)
-        resetStage();
-    const bool abandoned = m_callers.empty();
-    proceed(context, now, actions);
-    if (abandoned && !wasLast)
-        storeCopy(Phase::Idle, context, actions);
-}
-
-void RequestRecord::attemptRejected(const StageOutcome& outcome, TimePoint now)
-{
-    unmarkStarted();
-    const Milliseconds retryAfter = std::max(outcome.retryAfter, m_options.failureRetryAfter);
-    if (++m_rejections >= m_options.rejectionLimit)
-        return end(RefusalReason::Overloaded, retryAfter, "backend servers gave no place");
-    waitThenRetry(now);
-}
-
-void RequestRecord::attemptFailed(const StageOutcome& outcome, const Attempt& attempt,
-    const RequestContext& context, TimePoint now, RequestActions& actions)
-{
-    m_everSent = true;
-    if (!stage().idempotent)
-        m_nonIdempotentSent = m_copy.nonIdempotentStarted;
-    if (outcome.end == StageEnd::Crashed)
-        crashed(attempt, context, now, actions);
-    if (!stage().idempotent)
-        return end(RefusalReason::OutcomeUnknown, Milliseconds(0),
-            "a non-idempotent stage was sent and its answer lost");
-    if (m_refusal)
-        return;
-    const bool mayRetry = ++m_sentAttempts < m_options.attemptLimit
-        && (outcome.end == StageEnd::Crashed || context.retries.takeRetry(stage(), true));
-    if (!mayRetry)
-        return end(RefusalReason::BackendFailed, m_options.failureRetryAfter,
-            "attempts of stage " + stage().name + " failed");
-    m_excluded.push_back(attempt.server);
-    waitThenRetry(now);
-}
-
-void RequestRecord::crashed(const Attempt& attempt, const RequestContext& context, TimePoint now,
-    RequestActions& actions)
-{
-    PoisonNotice notice = context.poison.crashed(stageFingerprint(), attempt.alone, now);
-    if (notice.state == PoisonState::Refused) {
-        notice.fingerprint = fingerprintOf(m_copy.pipeline, m_copy.input);
-        context.poison.absorb(notice, now);
-        end(RefusalReason::Poisoned, notice.remaining,
-            "the request crashed a backend server that ran nothing else");
-    }
-    actions.emplace_back(SharePoisonAction { .notice = notice });
-}
-
 void RequestRecord::tick(const RequestContext& context, TimePoint now, RequestActions& actions)
 {
     if (m_phase == Phase::Waiting && m_retryAt && now >= *m_retryAt)
@@ -431,11 +345,16 @@
     return latest;
 }
 
-RanState RequestRecord::ranState(const RequestContext& context) const
+Milliseconds RequestRecord::claimBudget(TimePoint now) const
+{
+    return std::max(Milliseconds(0), std::chrono::floor<Milliseconds>(latestDeadline() - now));
+}
+
+RanState RequestRecord::ranState() const
 {
     if (!m_copy.results.empty())
         return RanState::RanInPart;
-    if (m_everSent || (m_attempt && m_attempt->routed) || !context.knowledgeComplete)
+    if (m_everSent || (m_attempt && m_attempt->routed))
         return RanState::Unknown;
     return RanState::NotRun;
 }
@@ -445,12 +364,6 @@
     return fingerprintOf(m_copy.pipeline, m_copy.input) + m_copy.results.size() + 1;
 }
 
-void RequestRecord::waitThenRetry(TimePoint now)
-{
-    m_phase = Phase::Waiting;
-    m_retryAt = now + m_options.backoff;
-}
-
 void RequestRecord::end(RefusalReason reason, Milliseconds retryAfter, std::string detail)
 {
     m_phase = Phase::Idle;
@@ -459,17 +372,6 @@
         = Refusal { .reason = reason, .retryAfter = retryAfter, .detail = std::move(detail) };
 }
 
-void RequestRecord::addCost(const StageOutcome& outcome, bool wasted)
-{
-    auto found = std::find_if(m_copy.costs.begin(), m_copy.costs.end(),
-        [this](const StageCost& cost) { return cost.stage == stage().name; });
-    if (found == m_copy.costs.end())
-        found = m_copy.costs.insert(found, StageCost { .stage = stage().name });
-    (wasted ? found->wasted : found->busy) += outcome.busy;
-    found->tokens += outcome.tokens;
-    found->attempts += outcome.sent || !wasted ? 1 : 0;
-}
-
 void RequestRecord::resetStage()
 {
     m_tokens.clear();
@@ -481,25 +383,9 @@
 
 std::string_view RequestRecord::phaseName() const
 {
-    switch (m_phase) {
-    case Phase::Idle:
-        return "idle";
-    case Phase::Opening:
-        return "opening";
-    case Phase::Claiming:
-        return "claiming";
-    case Phase::Storing:
-        return "storing";
-    case Phase::Running:
-        return "running";
-    case Phase::Waiting:
-        return "waiting";
-    case Phase::Completing:
-        return "completing";
-    case Phase::Ended:
-        return "ended";
-    }
-    return "unknown";
+    static constexpr std::array<std::string_view, 8> names { "idle", "opening", "claiming",
+        "storing", "running", "waiting", "completing", "ended" };
+    return names.at(static_cast<std::size_t>(m_phase));
 }
 
 }
--- a/src/libapricot/requestrecord.h
+++ b/src/libapricot/requestrecord.h
@@ -42,6 +42,8 @@
     // Process that runs the record, and a token that no other record of any process has.
     std::string coordinator;
     std::string claimToken;
+    // Revisions of the copies of a later record of the same key are higher.
+    std::uint64_t firstRevision = 0;
     // Most attempts of one stage that were sent to a server.
     int attemptLimit = 4;
     // Most attempts of one stage that were given no place.
@@ -58,8 +60,6 @@
 struct RequestContext {
     RetryBudget& retries;
     PoisonTable& poison;
-    // Whether this process knows all that was ever sent for the key.
-    bool knowledgeComplete = false;
     ObjectVersion epoch = 0;
 };
 
@@ -77,13 +77,18 @@
     // Removes a caller. Without callers the open attempt is cancelled, unless it is a sent
     // non-idempotent one.
     void detach(CallerId caller, TimePoint now, RequestActions& actions);
-    // Next token or the end for a caller, or nothing while it has to wait. Moves its position.
-    std::optional<CallerStep> next(CallerId caller, const RequestContext& context, TimePoint now);
+    // Next token or the end for a caller, or nothing while it has to wait. Moves its position. A
+    // refusal says what this record knows to have run; RecordTable::limitToKnown() says whether
+    // that is all.
+    std::optional<CallerStep> next(CallerId caller, TimePoint now);
+    std::uint64_t positionOf(CallerId caller) const { return m_callers.at(caller).position; }
     TimePoint deadlineOf(CallerId caller) const { return m_callers.at(caller).deadline; }
 
     // A follower answered the copy of this revision. Nobody could be asked: an empty answer.
     void copyStored(std::uint64_t revision, const CopyAnswer& answer,
         const RequestContext& context, TimePoint now, RequestActions& actions);
+    // Whether the answer to the copy of this revision is still waited for.
+    bool awaitsCopy(std::uint64_t revision) const;
     void claimAnswered(const ClaimAnswer& answer, const RequestContext& context, TimePoint now,
         RequestActions& actions);
     // The attempt got no server from the router. Nothing was sent.
@@ -100,6 +105,9 @@
     // When tick() is due next, if at all.
     std::optional<TimePoint> nextTick() const;
 
+    // How long a claim is of use: until the last caller's deadline.
+    Milliseconds claimBudget(TimePoint now) const;
+    const CatalogueEntry& entry() const { return m_options.entry; }
     const RecordCopy& copy() const { return m_copy; }
     // Takes over a copy that an earlier coordinator left on this host.
     void inherit(const RecordCopy& copy);
@@ -115,6 +123,7 @@
     std::string_view phaseName() const;
 
 private:
+    // phaseName() names them in this order.
     enum class Phase {
         Idle,
         Opening,
@@ -145,7 +154,7 @@
     const std::string& stageInput() const;
     bool hasResultsOfEntry() const;
     TimePoint latestDeadline() const;
-    RanState ranState(const RequestContext& context) const;
+    RanState ranState() const;
 
     void begin(const RequestContext& context, TimePoint now, RequestActions& actions);
     void proceed(const RequestContext& context, TimePoint now, RequestActions& actions);
--- a/src/libnet/messages.h
+++ b/src/libnet/messages.h
@@ -3,6 +3,7 @@
 #include "libapricot/attempt.h"
 #include "libapricot/refusal.h"
 #include "libapricot/stagecall.h"
+#include "libnet/recordmessages.h"
 
 #include <cstdint>
 #include <string>
@@ -89,10 +90,20 @@
     void serialize(Archive& archive) { archive(topic, json); }
 };
 
+// Coordinator to the host that runs the request already, or is home of its key: as SubmitMessage,
+// but never passed on a second time.
+struct RelayedSubmitMessage {
+    SubmitMessage submit;
+
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(submit); }
+};
+
 // Everything that processes of the system say to each other. New alternatives go to the end: a
 // position is the type's number on the wire.
 using Message = std::variant<SubmitMessage, TokenMessage, CompletedMessage, RefusedMessage,
-    StageCallMessage, StageSentMessage, StageEndedMessage, TextMessage>;
+    StageCallMessage, StageSentMessage, StageEndedMessage, TextMessage, RelayedSubmitMessage,
+    StoreCopyMessage, CopyStoredMessage, ClaimMessage, ClaimedMessage, PoisonMessage>;
 
 // Version of the encoding; a frame of another version closes its connection.
 constexpr std::uint8_t messageVersion = 1;
