--- a/src/libnet/messages.h
+++ b/src/libnet/messages.h
@@ -4,6 +4,7 @@
 #include "libapricot/hometenure.h"
 #include "libapricot/refusal.h"
 #include "libapricot/stagecall.h"
+#include "libnet/recordmessages.h"
 
 #include <cstdint>
 #include <string>
@@ -118,11 +119,21 @@
     }
 };
 
+// Coordinator to the host that runs the request already, or is home of its key: as SubmitMessage,
+// but never passed on a second time.
+struct RelayedSubmitMessage {
+    SubmitMessage submit;
+
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(submit); }
+};
+
 // Everything that processes of the system say to each other. New alternatives go to the end: a
 // position is the type's number on the wire.
 using Message = std::variant<SubmitMessage, TokenMessage, CompletedMessage, RefusedMessage,
     StageCallMessage, StageSentMessage, StageEndedMessage, TextMessage, ReleaseHomeMessage,
-    HomeReleasedMessage>;
+    HomeReleasedMessage, RelayedSubmitMessage, StoreCopyMessage, CopyStoredMessage, ClaimMessage,
+    ClaimedMessage, PoisonMessage>;
 
 // Version of the encoding; a frame of another version closes its connection.
 constexpr std::uint8_t messageVersion = 1;
