--- a/src/libapricot/cataloguejson.cpp
+++ b/src/libapricot/cataloguejson.cpp
@@ -72,6 +72,17 @@
         }
     }
 
+    // Checks the shape of the change's field and leaves it out of the value.
+    void skipChange(JsonFields& fields)
+    {
+        if (!fields.has(changeField))
+            return;
+        JsonFields change(fields.value(changeField), fields.pathOf(changeField));
+        change.name("by");
+        change.name("id");
+        change.finish();
+    }
+
     Milliseconds parseDuration(JsonFields& fields, std::string_view key, Milliseconds limit)
     {
         return Milliseconds(fields.integer(key, { 1, limit.count() }));
@@ -196,6 +207,7 @@
     if (fields.has("limits"))
         entry.limits = parseLimits(fields.value("limits"), fields.pathOf("limits"));
     entry.stages = parseStages(fields.value("stages"), fields.pathOf("stages"), entry.deadline);
+    skipChange(fields);
     fields.finish();
     return entry;
 }
@@ -217,6 +229,7 @@
         server.warmCap = static_cast<int>(fields.integer("warm_cap", capRange));
     if (fields.has("checks_orders"))
         server.checksOrders = fields.boolean("checks_orders");
+    skipChange(fields);
     fields.finish();
     checkCaps(fields, server);
     return server;
@@ -226,6 +239,7 @@
 {
     JsonFields fields(value, std::string(rootPath));
     const ServiceState state = parseWord(fields, "state", serviceStates);
+    skipChange(fields);
     fields.finish();
     return state;
 }
--- a/src/libapricot/cataloguejson.h
+++ b/src/libapricot/cataloguejson.h
@@ -19,6 +19,10 @@
 std::string_view serviceClassName(ServiceClass serviceClass);
 std::string_view serviceStateName(ServiceState state);
 
+// Optional field of every value: who changed it last, and with which change. The operators' tool
+// writes it to name the winner of a conflict; it has no effect on the value.
+constexpr std::string_view changeField = "changed";
+
 // Readers of the values that operators write. Each checks the value in full and throws
 // CatalogueError at the first fault; a value that was read once is valid.
 CatalogueEntry parseCatalogueEntry(const PipelineId& name, const boost::json::value& value);
--- a/tests/unit/cataloguejsontest.cpp
+++ b/tests/unit/cataloguejsontest.cpp
@@ -105,6 +105,9 @@
 TEST(CatalogueJson, anErrorNamesItsPath)
 {
     STRCMP_EQUAL("accepted", errorPath("kitchen", "galley").c_str());
+    STRCMP_EQUAL("accepted",
+        errorPath(R"("class")", R"("changed":{"by":"amina","id":"7"},"class")").c_str());
+    STRCMP_EQUAL("$.changed.id", errorPath(R"("class")", R"("changed":{"by":"a"},"class")").c_str());
     STRCMP_EQUAL("$.ownr", errorPath(R"("class")", R"("ownr":1,"class")").c_str());
     STRCMP_EQUAL("$.owner", errorPath(R"("kitchen")", "7").c_str());
     STRCMP_EQUAL("$.owner", errorPath("kitchen", "the kitchen").c_str());
