Prove the cap and take-over of replicas by random histories

Several homes in turn, paused, killed, cut off and crashed with their server at any point, and between the last check and the write too; the server is the ground truth. Found by it: a drain of a home that was gone already was forgotten on the next hand-over; after an unannounced restart of an idle server the grown cap was used at once; a baseline that was still being learned took the cold pace for normal. A home now always waits for its server to notice closed connections, and uses no more than the cold cap after an idle time until the normal pace is shown. Ruled out: judging drains by elapsed time alone, which a paused server does not keep.

--- a/src/dispatch/homeservice.cpp
+++ b/src/dispatch/homeservice.cpp
@@ -90,6 +90,16 @@
         co_await pause(m_options.refreshInterval);
 }
 
+std::vector<BackendServerId> HomeService::busyServers() const
+{
+    std::vector<BackendServerId> busy;
+    for (const auto& [server, home] : m_homes) {
+        if (home->ledger().inFlight() > 0)
+            busy.push_back(server);
+    }
+    return busy;
+}
+
 boost::json::value HomeService::dump() const
 {
     boost::json::array replicas;
@@ -167,13 +177,13 @@
         return;
     if (view->epoch != m_epochSeen)
         rememberEndpoints(*view->cell);
-    m_epochSeen = view->epoch;
     for (const auto& [server, assignment] : view->cell->homes) {
         if (ownAssignment(*view, server))
             findHome(server);
     }
     for (const auto& [server, home] : m_homes)
         home->refresh();
+    m_epochSeen = view->epoch;
 }
 
 void HomeService::rememberEndpoints(const CellState& cell)
--- a/src/dispatch/homeservice.h
+++ b/src/dispatch/homeservice.h
@@ -53,6 +53,9 @@
     // returns once nothing of this process is in flight. The peer port has to stay open until then,
     // because a refused connection tells new homes that this process is gone.
     boost::asio::awaitable<void> drain();
+    // Epoch that the homes act on, and the servers with calls of this process in flight.
+    ObjectVersion appliedEpoch() const { return m_epochSeen; }
+    std::vector<BackendServerId> busyServers() const;
     // State of every replica.
     boost::json::value dump() const;
 
--- a/src/dispatch/replicahome.cpp
+++ b/src/dispatch/replicahome.cpp
@@ -302,15 +302,14 @@
 
 HomeReleasedMessage ReplicaHome::release(ObjectVersion since)
 {
-    std::vector<Predecessor> unresolved;
-    if (m_ledger.tenure())
-        unresolved = m_ledger.tenure()->unresolved();
+    std::vector<Predecessor> unresolved = m_ledger.unresolved();
     const int inFlight = m_ledger.release(since);
     const std::shared_ptr<const ControlView> view = m_views.view();
     apply(m_ledger.advance(RuntimeClock::now()));
     return { .incarnation = view->incarnation,
         .inFlight = inFlight,
-        .cap = m_ledger.cap(),
+        .cap = m_ledger.earnedCap(),
+        .normalStep = m_ledger.normalStep(),
         .serverIncarnation = m_ledger.serverIncarnation(),
         .unresolved = std::move(unresolved) };
 }
@@ -328,8 +327,9 @@
         return onPredecessorGone(predecessor);
     if (!m_ledger.tenure())
         return;
-    m_ledger.tenure()->onPredecessorStopped(predecessor, answer.inFlight, answer.unresolved);
-    m_ledger.adoptCapacity(answer.cap, answer.serverIncarnation);
+    m_ledger.tenure()->onPredecessorStopped(
+        predecessor, answer.inFlight, answer.unresolved, RuntimeClock::now());
+    m_ledger.adoptCapacity(answer.cap, answer.normalStep, answer.serverIncarnation);
     apply(m_ledger.advance(RuntimeClock::now()));
 }
 
@@ -375,10 +375,8 @@
     for (const AttemptId& attempt : m_lastCrashed)
         crashed.emplace_back(attemptText(attempt));
     boost::json::array unresolved;
-    if (m_ledger.tenure()) {
-        for (const Predecessor& predecessor : m_ledger.tenure()->unresolved())
-            unresolved.emplace_back(predecessor.host.value() + "/" + predecessor.incarnation);
-    }
+    for (const Predecessor& predecessor : m_ledger.unresolved())
+        unresolved.emplace_back(predecessor.host.value() + "/" + predecessor.incarnation);
     return boost::json::object { { "server", m_options.server.id.value() },
         { "since", m_ledger.since() }, { "condition", startConditionName(m_ledger.condition()) },
         { "in_flight", m_ledger.inFlight() }, { "queued", m_ledger.queued() },
--- a/src/libapricot/hometenure.cpp
+++ b/src/libapricot/hometenure.cpp
@@ -75,17 +75,21 @@
 std::vector<Predecessor> predecessorsOf(const HomeAssignment& assignment)
 {
     std::vector<Predecessor> predecessors;
-    if (!assignment.unconfirmedHome.empty())
+    const bool isItself = assignment.unconfirmedHome == assignment.home
+        && assignment.unconfirmedIncarnation == assignment.incarnation;
+    if (!assignment.unconfirmedHome.empty() && !isItself)
         predecessors.push_back({ .host = assignment.unconfirmedHome,
             .incarnation = assignment.unconfirmedIncarnation });
     return predecessors;
 }
 
-HomeTenure::HomeTenure(TenureOptions options, const std::vector<Predecessor>& predecessors)
+HomeTenure::HomeTenure(
+    TenureOptions options, const std::vector<Predecessor>& predecessors, TimePoint now)
     : m_options(options)
 {
     for (const Predecessor& predecessor : predecessors)
-        add(predecessor);
+        m_entries.push_back({ predecessor, AwaitingMajority {}, true });
+    add({}, now);
 }
 
 void HomeTenure::onEpochAcknowledged(TimePoint now)
@@ -104,8 +108,16 @@
     entry->state = AwaitingDrain { .goneAt = now, .inFlight = withheldIn(entry->state) };
 }
 
-void HomeTenure::onPredecessorStopped(
-    const Predecessor& predecessor, int inFlight, const std::vector<Predecessor>& unresolved)
+void HomeTenure::onCellConfirmed(TimePoint now)
+{
+    for (const Entry& entry : std::vector<Entry>(m_entries)) {
+        if (entry.isNamedByCell)
+            onPredecessorGone(entry.predecessor, now);
+    }
+}
+
+void HomeTenure::onPredecessorStopped(const Predecessor& predecessor, int inFlight,
+    const std::vector<Predecessor>& unresolved, TimePoint now)
 {
     Entry* entry = find(predecessor);
     if (!entry || isReleased(entry->state) || std::holds_alternative<AwaitingDrain>(entry->state))
@@ -114,10 +126,13 @@
         entry->state = Released {};
     else
         entry->state = HandedOver { .inFlight = inFlight };
-    for (const Predecessor& earlier : unresolved) {
-        if (!find(earlier))
-            add(earlier);
-    }
+    addUnresolved(unresolved, now);
+}
+
+void HomeTenure::addUnresolved(const std::vector<Predecessor>& predecessors, TimePoint now)
+{
+    for (const Predecessor& earlier : predecessors)
+        add(earlier, now);
 }
 
 void HomeTenure::onServerAnswered(TimePoint askedAt)
@@ -197,9 +212,16 @@
     return found == m_entries.end() ? nullptr : &*found;
 }
 
-void HomeTenure::add(const Predecessor& predecessor)
+void HomeTenure::add(const Predecessor& predecessor, TimePoint now)
 {
-    m_entries.push_back({ predecessor, AwaitingMajority {} });
+    const Entry* known = find(predecessor);
+    const bool isUnnamed = predecessor.host.empty();
+    if (known && (!isUnnamed || !isReleased(known->state)))
+        return;
+    if (isUnnamed)
+        m_entries.push_back({ predecessor, AwaitingDrain { .goneAt = now } });
+    else
+        m_entries.push_back({ predecessor, AwaitingMajority {} });
 }
 
 }
--- a/src/libapricot/hometenure.h
+++ b/src/libapricot/hometenure.h
@@ -20,14 +20,14 @@
     void serialize(Archive& archive) { archive(host, incarnation); }
 };
 
-// Predecessors that an assignment names.
+// Predecessors that an assignment names. The home itself is none: it counts its own calls.
 std::vector<Predecessor> predecessorsOf(const HomeAssignment& assignment);
 
 struct TenureOptions {
     // Longest time for which a process may start work after its last evidence.
     Duration evidenceTime = Milliseconds(3000);
     // Time for a server to notice closed connections.
-    Duration drainTime = Milliseconds(500);
+    Duration drainTime = Milliseconds(300);
     // Longest time that one attempt runs on a server.
     Duration longestAttempt = Milliseconds(10000);
 
@@ -84,15 +84,24 @@
 // much of the server's cap has to be left free for work that is not this home's own.
 class HomeTenure {
 public:
-    HomeTenure(TenureOptions options, const std::vector<Predecessor>& predecessors);
+    // Besides the named predecessors there may have been one whose process was gone already when the
+    // writer assigned the replica; its connections are always given time to be noticed.
+    HomeTenure(
+        TenureOptions options, const std::vector<Predecessor>& predecessors, TimePoint now);
 
     // More than half of the members have acknowledged the epoch of this tenure.
     void onEpochAcknowledged(TimePoint now);
     // The predecessor's process has ended.
     void onPredecessorGone(const Predecessor& predecessor, TimePoint now);
+    // The cell no longer names any predecessor: every one that it named is gone, confirmed to the
+    // writer, or taken out by the operators.
+    void onCellConfirmed(TimePoint now);
     // The predecessor starts nothing more. It names its own predecessors that are still unresolved.
     void onPredecessorStopped(
-        const Predecessor& predecessor, int inFlight, const std::vector<Predecessor>& unresolved);
+        const Predecessor& predecessor, int inFlight, const std::vector<Predecessor>& unresolved,
+        TimePoint now);
+    // Adds predecessors that another tenure has not resolved.
+    void addUnresolved(const std::vector<Predecessor>& predecessors, TimePoint now);
     // The server answered a question that was asked at a certain time.
     void onServerAnswered(TimePoint askedAt);
     // Lets waiting times end.
@@ -102,7 +111,8 @@
     std::optional<int> withheld() const;
     // Whether no predecessor can give an order any more.
     bool arePredecessorsStopped() const;
-    // Predecessors for which something has still to be left free.
+    // Predecessors for which something has still to be left free. One that is gone and has no name is
+    // among them, so that a hand-over doesn't forget its connections.
     std::vector<Predecessor> unresolved() const;
     // Predecessors that should be asked whether they stopped.
     std::vector<Predecessor> unconfirmed() const;
@@ -114,10 +124,12 @@
     struct Entry {
         Predecessor predecessor;
         PredecessorState state;
+        // Whether the cell's assignment named it, rather than another predecessor.
+        bool isNamedByCell = false;
     };
 
     Entry* find(const Predecessor& predecessor);
-    void add(const Predecessor& predecessor);
+    void add(const Predecessor& predecessor, TimePoint now);
 
     TenureOptions m_options;
     std::vector<Entry> m_entries;
--- a/src/libapricot/latencybaseline.cpp
+++ b/src/libapricot/latencybaseline.cpp
@@ -14,22 +14,31 @@
 
 }
 
-bool LatencyBaseline::observe(Duration step)
+StepPace LatencyBaseline::observe(Duration step)
 {
     m_recent.at(m_observed % recentSteps) = step;
     ++m_observed;
     const auto sample = static_cast<double>(step.count());
     if (m_observed <= stepsBeforeJudging) {
         m_mean += (sample - m_mean) / static_cast<double>(m_observed);
-        return false;
+        return StepPace::Unknown;
     }
     std::array<Duration, recentSteps> sorted = m_recent;
     std::sort(sorted.begin(), sorted.end());
     const Duration median = sorted.at(recentSteps / 2);
-    const auto bound = Duration(static_cast<Duration::rep>(m_mean * jumpFactor));
-    const bool isJump = median > bound && median > normal() + jumpFloor;
+    const Duration bound = std::max(
+        Duration(static_cast<Duration::rep>(m_mean * jumpFactor)), normal() + jumpFloor);
     m_mean += (sample - m_mean) * meanWeight;
-    return isJump;
+    if (median > bound)
+        return StepPace::Jump;
+    return step > bound ? StepPace::Slow : StepPace::Normal;
+}
+
+void LatencyBaseline::adopt(Duration normal)
+{
+    m_recent.fill(normal);
+    m_observed = stepsBeforeJudging;
+    m_mean = static_cast<double>(normal.count());
 }
 
 void LatencyBaseline::reset()
--- a/src/libapricot/latencybaseline.h
+++ b/src/libapricot/latencybaseline.h
@@ -7,12 +7,25 @@
 
 namespace Apricot {
 
+// How a step compares with the normal ones.
+enum class StepPace {
+    // Too few steps were seen to tell.
+    Unknown,
+    Normal,
+    // Slow by itself, which says nothing yet.
+    Slow,
+    // The recent steps are slow as a whole.
+    Jump,
+};
+
 // Notices that a server's steps have become much slower than they were, which is the earliest sign
 // of a cold start that nobody announced. Single slow steps are passed over.
 class LatencyBaseline {
 public:
-    // Takes the time of one step; returns whether the recent steps are a jump.
-    bool observe(Duration step);
+    // Takes the time of one step and compares it.
+    StepPace observe(Duration step);
+    // Takes over what another home has seen to be normal.
+    void adopt(Duration normal);
     // Forgets what was normal.
     void reset();
     // Normal time of a step; zero before enough steps were seen.
--- a/src/libapricot/replicaledger.cpp
+++ b/src/libapricot/replicaledger.cpp
@@ -31,13 +31,13 @@
     const HomeAssignment* assignment = ownAssignment(view, server);
     const bool isHome = assignment && assignment->since > m_releasedBefore;
     if (isHome && assignment->since != m_since)
-        beginTenure(*assignment);
-    if (!isHome) {
-        m_tenure.reset();
-        m_since = 0;
-    }
+        beginTenure(*assignment, now);
+    if (!isHome)
+        endTenure();
     if (m_tenure && view.acknowledgedEpoch >= m_since)
         m_tenure->onEpochAcknowledged(now);
+    if (m_tenure && predecessorsOf(*assignment).empty())
+        m_tenure->onCellConfirmed(now);
     m_condition = isHome ? startCondition(view, server, now) : StartCondition::NotHome;
     return advance(now);
 }
@@ -73,7 +73,7 @@
     const std::optional<int> withheld = m_tenure ? m_tenure->withheld() : std::nullopt;
     const bool isAllowed = startCondition(view, server, now) == StartCondition::Allowed
         && assignment->since == m_since && m_since > m_releasedBefore && withheld
-        && countSent() + *withheld < m_capacity.cap();
+        && countSent() + *withheld < cap();
     if (!isAllowed) {
         m_places.erase(found);
         return false;
@@ -142,8 +142,13 @@
     if (found == m_places.end() || m_capacity.isCold())
         return;
     const auto* sent = std::get_if<Sent>(&found->second.state);
-    if (sent && sent->coldStart == m_capacity.coldStarts() && m_steps.observe(step))
+    if (!sent || sent->coldStart != m_capacity.coldStarts())
+        return;
+    const StepPace pace = m_steps.observe(step);
+    if (pace == StepPace::Jump)
         fallBack();
+    if (pace == StepPace::Normal)
+        m_isPaceShown = true;
 }
 
 LedgerActions ReplicaLedger::onReport(
@@ -161,6 +166,8 @@
     });
     if (m_tenure)
         m_tenure->onServerAnswered(askedAt);
+    else if (m_lastTenure)
+        m_lastTenure->onServerAnswered(askedAt);
     return advance(now);
 }
 
@@ -175,20 +182,20 @@
 {
     if (since > 0)
         m_releasedBefore = std::max(m_releasedBefore, since - 1);
-    if (m_since <= m_releasedBefore) {
-        m_tenure.reset();
-        m_since = 0;
-        m_condition = StartCondition::NotHome;
-    }
+    if (m_since <= m_releasedBefore)
+        endTenure();
     return countSent();
 }
 
-void ReplicaLedger::adoptCapacity(int cap, const std::string& serverIncarnation)
+void ReplicaLedger::adoptCapacity(
+    int cap, Duration normalStep, const std::string& serverIncarnation)
 {
-    if (serverIncarnation.empty() || serverIncarnation != m_serverIncarnation)
+    const bool isSameProcess
+        = !serverIncarnation.empty() && serverIncarnation == m_serverIncarnation;
+    if (!isSameProcess || !m_capacity.isCold() || normalStep == Duration::zero())
         return;
-    if (m_capacity.isCold())
-        m_capacity.adopt(cap);
+    m_capacity.adopt(cap);
+    m_steps.adopt(normalStep);
 }
 
 void ReplicaLedger::setCapacityOptions(ServerCapacityOptions options)
@@ -199,6 +206,12 @@
     m_capacity.setOptions(options);
 }
 
+int ReplicaLedger::cap() const
+{
+    return m_isPaceShown ? m_capacity.cap()
+                         : std::min(m_capacity.cap(), std::max(1, m_options.capacity.coldCap));
+}
+
 int ReplicaLedger::inFlight() const
 {
     return static_cast<int>(m_places.size());
@@ -211,7 +224,7 @@
     const std::optional<Duration> tenureWait = waitForTenure(now);
     if (!tenureWait)
         return defaultRetry;
-    const auto waiting = static_cast<double>(m_queue.size() + 1) / m_capacity.cap();
+    const auto waiting = static_cast<double>(m_queue.size() + 1) / cap();
     return roundedUp(*tenureWait
         + Duration(static_cast<Duration::rep>(
             static_cast<double>(m_meanService.count()) * waiting)));
@@ -229,7 +242,7 @@
         return taken == 0;
     const bool isSuspectRunning = std::any_of(m_places.begin(), m_places.end(),
         [](const auto& entry) { return entry.second.alone; });
-    return !isSuspectRunning && taken < m_capacity.cap();
+    return !isSuspectRunning && taken < cap();
 }
 
 int ReplicaLedger::countSent() const
@@ -262,15 +275,45 @@
         actions.emplace_back(RejectAction { call.number, retryAfter(now) });
 }
 
-void ReplicaLedger::beginTenure(const HomeAssignment& assignment)
+void ReplicaLedger::beginTenure(const HomeAssignment& assignment, TimePoint now)
 {
+    const std::vector<Predecessor> earlier = unresolved();
     m_since = assignment.since;
-    m_tenure.emplace(m_options.tenure, predecessorsOf(assignment));
+    m_tenure.emplace(m_options.tenure, predecessorsOf(assignment), now);
+    m_tenure->addUnresolved(earlier, now);
+}
+
+void ReplicaLedger::endTenure()
+{
+    if (m_tenure)
+        m_lastTenure = std::move(m_tenure);
+    m_tenure.reset();
+    m_since = 0;
+    m_condition = StartCondition::NotHome;
+}
+
+std::vector<Predecessor> ReplicaLedger::unresolved() const
+{
+    if (m_tenure)
+        return m_tenure->unresolved();
+    return m_lastTenure ? m_lastTenure->unresolved() : std::vector<Predecessor>();
+}
+
+// Without an open connection a restart of the server goes unnoticed. The next steps then must not
+// teach what is normal.
+void ReplicaLedger::forgetPaceWhenIdle()
+{
+    const bool isOpen = std::any_of(m_places.begin(), m_places.end(),
+        [](const auto& entry) { return std::holds_alternative<Sent>(entry.second.state); });
+    m_isPaceShown = m_isPaceShown && isOpen;
+    if (!isOpen && !m_capacity.isCold() && m_steps.normal() == Duration::zero())
+        fallBack();
 }
 
 void ReplicaLedger::fallBack()
 {
     m_capacity.fallBack();
+    m_isPaceShown = false;
     m_steps.reset();
 }
 
@@ -288,8 +331,8 @@
 Duration ReplicaLedger::estimateWait(const WaitingCall& call) const
 {
     const auto before = static_cast<long>(m_queue.countBefore(call)) + inFlight() + 1;
-    const long beyond = std::max<long>(0, before - m_capacity.cap());
-    return m_meanService * beyond / m_capacity.cap();
+    const long beyond = std::max<long>(0, before - cap());
+    return m_meanService * beyond / cap();
 }
 
 std::optional<Duration> ReplicaLedger::waitForTenure(TimePoint now) const
@@ -306,6 +349,7 @@
 
 LedgerActions ReplicaLedger::pumped(TimePoint now)
 {
+    forgetPaceWhenIdle();
     LedgerActions actions;
     if (m_condition != StartCondition::Allowed)
         rejectAll(actions, now);
--- a/src/libapricot/replicaledger.h
+++ b/src/libapricot/replicaledger.h
@@ -95,15 +95,23 @@
     int release(ObjectVersion since);
     HomeTenure* tenure() { return m_tenure ? &*m_tenure : nullptr; }
     const HomeTenure* tenure() const { return m_tenure ? &*m_tenure : nullptr; }
+    // Predecessors that this process has not resolved, in its present or its last tenure.
+    std::vector<Predecessor> unresolved() const;
     // Epoch of the assignment under which this process is home; zero when it isn't.
     ObjectVersion since() const { return m_since; }
-    // Continues from the cap that the predecessor reached with the server's same process.
-    void adoptCapacity(int cap, const std::string& serverIncarnation);
+    // Continues from the cap that the predecessor reached with the server's same process, and from
+    // the normal time of a step that it saw.
+    void adoptCapacity(int cap, Duration normalStep, const std::string& serverIncarnation);
+    Duration normalStep() const { return m_steps.normal(); }
+    // Cap that finished work has earned, which cap() may withhold for a while.
+    int earnedCap() const { return m_capacity.cap(); }
     void setCapacityOptions(ServerCapacityOptions options);
 
     // Requests that are or may be on the server, and places given to calls that are about to leave.
     int inFlight() const;
-    int cap() const { return m_capacity.cap(); }
+    // How many requests the server may carry now. After an idle time it is no more than the cold cap
+    // until the server has shown its normal pace again, since it can have become cold unnoticed.
+    int cap() const;
     bool isCold() const { return m_capacity.isCold(); }
     std::size_t queued() const { return m_queue.size(); }
     const std::string& serverIncarnation() const { return m_serverIncarnation; }
@@ -135,7 +143,9 @@
     void pump(LedgerActions& actions);
     void rejectAll(LedgerActions& actions, TimePoint now);
     void rejectExpired(LedgerActions& actions, TimePoint now);
-    void beginTenure(const HomeAssignment& assignment);
+    void beginTenure(const HomeAssignment& assignment, TimePoint now);
+    void endTenure();
+    void forgetPaceWhenIdle();
     void fallBack();
     void close(CallNumber number, TimePoint now);
     Duration estimateWait(const WaitingCall& call) const;
@@ -148,10 +158,13 @@
     StartQueue m_queue;
     std::map<CallNumber, Place> m_places;
     std::optional<HomeTenure> m_tenure;
+    std::optional<HomeTenure> m_lastTenure;
     ObjectVersion m_since = 0;
     ObjectVersion m_releasedBefore = 0;
     StartCondition m_condition = StartCondition::NotHome;
     std::string m_serverIncarnation;
+    // Whether the server has worked at its normal pace since it was last idle.
+    bool m_isPaceShown = false;
     Duration m_meanService {};
 };
 
--- a/src/libnet/messages.h
+++ b/src/libnet/messages.h
@@ -108,6 +108,8 @@
     int inFlight = 0;
     // Cap that the earlier home had reached with this process of the server.
     int cap = 0;
+    // Normal time of one step of the server, as far as it was seen.
+    Duration normalStep {};
     std::string serverIncarnation;
     // Predecessors of the earlier home that had not confirmed to it that they stopped.
     std::vector<Predecessor> unresolved;
@@ -115,7 +117,7 @@
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(incarnation, inFlight, cap, serverIncarnation, unresolved);
+        archive(incarnation, inFlight, cap, normalStep, serverIncarnation, unresolved);
     }
 };
 
--- /dev/null
+++ b/tests/unit/homemodel.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "libapricot/replicaledger.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <ostream>
+#include <set>
+#include <string>
+#include <vector>
+
+// One step of a random history. Its meaning, and that of the two numbers, is in HomeModel::apply().
+struct ModelStep {
+    int kind = 0;
+    int process = 0;
+    int amount = 0;
+};
+
+std::ostream& operator<<(std::ostream& stream, const ModelStep& step);
+
+// Several processes that are home of one server in turn, and the server itself as the ground truth:
+// it counts what really runs on it, whatever the ledgers believe.
+class HomeModel {
+public:
+    HomeModel(int coldCap, int finishesToWarm);
+    ~HomeModel();
+
+    HomeModel(const HomeModel&) = delete;
+    HomeModel& operator=(const HomeModel&) = delete;
+
+    void apply(const ModelStep& step);
+
+    int coldViolations() const { return m_coldViolations; }
+    int started() const { return m_started; }
+    int capOverFinishedWork() const { return m_capOverFinishedWork; }
+    // Longest time from a take-out to the start of a run that was not held up between check and write.
+    Apricot::Duration longestLateStart() const { return m_longestLateStart; }
+
+private:
+    enum class Ending {
+        Finished,
+        Lost,
+        TimedOut,
+    };
+
+    struct Process {
+        Apricot::ControlView view;
+        std::unique_ptr<Apricot::ReplicaLedger> ledger;
+        std::vector<Apricot::CallNumber> reserved;
+        // Call that has passed its check and is not written, because the process froze there.
+        std::optional<Apricot::CallNumber> checked;
+        // What happened to its connections while it was frozen.
+        std::vector<std::pair<Apricot::CallNumber, Ending>> unread;
+        bool isFrozen = false;
+        // Whether neither the platform nor its peers reach it; the server does.
+        bool isCutOff = false;
+        bool isAlive = true;
+
+        bool isRunning() const { return isAlive && !isFrozen; }
+    };
+
+    struct Run {
+        std::size_t process = 0;
+        Apricot::CallNumber number = 0;
+        Apricot::TimePoint startedAt;
+        std::optional<Apricot::TimePoint> closedAt;
+    };
+
+    std::size_t addProcess(const std::string& host);
+    std::size_t pick(int number) const;
+    bool isCold() const;
+    void stepRuns();
+    void submit(std::size_t index);
+    void send(std::size_t index, bool freezeBeforeWrite);
+    void write(std::size_t index, Apricot::CallNumber number, bool wasHeldUp);
+    void thaw(std::size_t index);
+    void kill(std::size_t index);
+    void reassign(std::size_t index);
+    void finishOne(int choice);
+    void cancelOne(int choice);
+    void crashServer();
+    void setService(bool isOut);
+    void askPredecessors(Process& home);
+    void pollHealth(std::size_t index);
+    void passTime(Apricot::Duration time);
+    void updateViews();
+    void endRuns();
+    void tell(std::size_t index, Apricot::CallNumber number, Ending ending);
+    bool isConfirmed(const Process& process) const;
+    std::size_t findProcess(const std::string& incarnation) const;
+    std::shared_ptr<const Apricot::Catalogue> relayedCatalogue() const;
+    std::string reportedIncarnation() const;
+    void keep(std::size_t index, const Apricot::LedgerActions& actions);
+
+    int m_coldCap;
+    int m_finishesToWarm;
+    std::vector<Process> m_processes;
+    std::vector<Run> m_runs;
+    std::shared_ptr<const Apricot::Catalogue> m_catalogue;
+    std::shared_ptr<const Apricot::Catalogue> m_catalogueBefore;
+    Apricot::TimePoint m_catalogueChangedAt;
+    Apricot::TimePoint m_crashedAt;
+    Apricot::CellState m_cell;
+    Apricot::ObjectVersion m_epoch = 1;
+    std::optional<Apricot::TimePoint> m_outSince;
+    std::size_t m_home = 0;
+    std::uint64_t m_incarnation = 1;
+    Apricot::CallNumber m_nextNumber = 1;
+    int m_finishedSinceCold = 0;
+    int m_coldViolations = 0;
+    int m_started = 0;
+    int m_capOverFinishedWork = 0;
+    Apricot::Duration m_longestLateStart {};
+};
--- a/tests/unit/homeservicetest.cpp
+++ b/tests/unit/homeservicetest.cpp
@@ -59,7 +59,8 @@
     explicit HomeFixture(int coldCap = 2)
         : emulator(emulatorOptions(coldCap))
         , backend(context, {}, [this](HttpExchange& exchange) { return emulator.handle(exchange); })
-        , service(context, views)
+        , service(context, views,
+              { .tenure = { .drainTime = Milliseconds(20) }, .healthInterval = Milliseconds(20) })
         , peers(context, {}, [this](auto stream) { return servePeer(std::move(stream)); })
         , client(context)
         , backendClient(context, { .port = backend.port() })
