Add the platform emulator

Cause: the daemons' calls of the platform's object API need a server in tests that can be down, slow, stale or lose answers. The store is apart from the program, so that tests use it without sockets.

--- /dev/null
+++ b/src/emulator/platform/objectstore.cpp
@@ -0,0 +1,103 @@
+#include "emulator/platform/objectstore.h"
+
+#include <algorithm>
+
+namespace Apricot {
+
+namespace {
+
+    // Versions kept of each object for stale reads.
+    constexpr std::size_t historyLength = 16;
+    // Changes kept for watches.
+    constexpr std::size_t logLength = 20000;
+
+}
+
+StoreResult ObjectStore::put(const std::string& key, boost::json::value value,
+    std::optional<ObjectVersion> ifVersion)
+{
+    if (auto conflict = checkCondition(key, ifVersion))
+        return std::move(*conflict);
+    return record(key, std::move(value));
+}
+
+StoreResult ObjectStore::remove(const std::string& key, std::optional<ObjectVersion> ifVersion)
+{
+    if (auto conflict = checkCondition(key, ifVersion))
+        return std::move(*conflict);
+    if (!get(key, m_revision))
+        return StoreConflict {};
+    return record(key, std::nullopt);
+}
+
+std::optional<StoreObject> ObjectStore::get(const std::string& key, ObjectVersion asOf) const
+{
+    const auto found = m_objects.find(key);
+    if (found == m_objects.end())
+        return std::nullopt;
+    const Revised* revised = findRevised(found->second, asOf);
+    if (!revised || !revised->value)
+        return std::nullopt;
+    return StoreObject { .key = key, .version = revised->version, .value = *revised->value };
+}
+
+StoreList ObjectStore::list(std::string_view prefix, ObjectVersion asOf) const
+{
+    StoreList list { .revision = asOf };
+    for (auto entry = m_objects.lower_bound(std::string(prefix));
+         entry != m_objects.end() && entry->first.starts_with(prefix); ++entry) {
+        const Revised* revised = findRevised(entry->second, asOf);
+        if (revised && revised->value)
+            list.objects.push_back({ entry->first, revised->version, *revised->value });
+    }
+    return list;
+}
+
+StoreEvents ObjectStore::eventsSince(
+    std::string_view prefix, ObjectVersion since, ObjectVersion asOf) const
+{
+    StoreEvents found { .revision = std::max(since, asOf), .complete = since >= m_trimmedUpTo };
+    const auto first = std::upper_bound(m_log.begin(), m_log.end(), since,
+        [](ObjectVersion version, const StoreEvent& event) { return version < event.version; });
+    for (auto event = first; event != m_log.end() && event->version <= asOf; ++event) {
+        if (event->key.starts_with(prefix))
+            found.events.push_back(*event);
+    }
+    return found;
+}
+
+const ObjectStore::Revised* ObjectStore::findRevised(const History& history, ObjectVersion asOf)
+{
+    const auto after = std::upper_bound(history.begin(), history.end(), asOf,
+        [](ObjectVersion version, const Revised& revised) { return version < revised.version; });
+    return after == history.begin() ? nullptr : &*std::prev(after);
+}
+
+std::optional<StoreConflict> ObjectStore::checkCondition(
+    const std::string& key, std::optional<ObjectVersion> ifVersion) const
+{
+    if (!ifVersion)
+        return std::nullopt;
+    std::optional<StoreObject> current = get(key, m_revision);
+    const ObjectVersion version = current ? current->version : 0;
+    if (version == *ifVersion)
+        return std::nullopt;
+    return StoreConflict { .current = std::move(current) };
+}
+
+StoreAccepted ObjectStore::record(const std::string& key, std::optional<boost::json::value> value)
+{
+    ++m_revision;
+    m_log.push_back({ .key = key, .version = m_revision, .value = value });
+    if (m_log.size() > logLength) {
+        m_trimmedUpTo = m_log.front().version;
+        m_log.pop_front();
+    }
+    History& history = m_objects[key];
+    history.push_back({ .version = m_revision, .value = std::move(value) });
+    if (history.size() > historyLength)
+        history.pop_front();
+    return { .version = m_revision };
+}
+
+}
--- /dev/null
+++ b/src/emulator/platform/platformfaults.cpp
@@ -0,0 +1,32 @@
+#include "emulator/platform/platformfaults.h"
+
+#include <boost/json/value_to.hpp>
+
+namespace Apricot {
+
+namespace {
+
+    template <typename Type>
+    Type memberOr(const boost::json::object& object, std::string_view name, Type fallback)
+    {
+        const boost::json::value* member = object.if_contains(name);
+        return member ? boost::json::value_to<Type>(*member) : fallback;
+    }
+
+}
+
+PlatformFaults parsePlatformFaults(const boost::json::value& value)
+{
+    const boost::json::object& object = value.as_object();
+    PlatformFaults faults;
+    faults.outage = memberOr(object, "outage", false);
+    faults.delay = Milliseconds(memberOr<std::int64_t>(object, "delay_ms", 0));
+    faults.loseAnswers = memberOr(object, "lose_answers", 0.0);
+    faults.staleReads = memberOr(object, "stale_reads", false);
+    faults.reorderWatch = memberOr(object, "reorder_watch", false);
+    faults.cutHosts = memberOr(object, "cut_hosts", std::set<std::string>());
+    faults.seed = memberOr<std::uint64_t>(object, "seed", 1);
+    return faults;
+}
+
+}
--- /dev/null
+++ b/src/emulator/platform/platformserver.cpp
@@ -0,0 +1,308 @@
+#include "emulator/platform/platformserver.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value_from.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace Apricot {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+    constexpr std::string_view objectsPath = "/objects/";
+    constexpr std::string_view jsonType = "application/json";
+    constexpr Milliseconds watchTimeoutDefault { 10000 };
+    constexpr Milliseconds watchTimeoutLimit { 60000 };
+    // How long a call of a cut-off host hangs before its connection is closed.
+    constexpr Milliseconds cutHangTime { 2000 };
+    // How far back stale reads reach.
+    constexpr ObjectVersion staleRevisions = 4;
+    constexpr std::size_t bodyLimitBytes = 1024UL * 1024;
+
+    // A request that the API does not allow.
+    class BadRequest : public std::runtime_error {
+    public:
+        using std::runtime_error::runtime_error;
+    };
+
+    std::optional<std::uint64_t> numberParameter(
+        const HttpRequest& request, std::string_view name)
+    {
+        const std::string text = request.parameter(name);
+        if (text.empty())
+            return std::nullopt;
+        std::uint64_t number = 0;
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+        if (error != std::errc() || end != text.data() + text.size())
+            throw BadRequest("parameter " + std::string(name) + " is no number");
+        return number;
+    }
+
+    json::value objectJson(const StoreObject& object)
+    {
+        return { { "key", object.key }, { "version", object.version }, { "value", object.value } };
+    }
+
+    json::value eventsJson(const StoreEvents& events)
+    {
+        json::array list;
+        for (const StoreEvent& event : events.events) {
+            list.push_back({ { "key", event.key }, { "version", event.version },
+                { "value", event.value ? *event.value : json::value(nullptr) } });
+        }
+        return { { "revision", events.revision }, { "events", std::move(list) } };
+    }
+
+    json::value listJson(const StoreList& list)
+    {
+        json::array objects;
+        for (const StoreObject& object : list.objects)
+            objects.push_back(objectJson(object));
+        return { { "revision", list.revision }, { "objects", std::move(objects) } };
+    }
+
+    json::value conflictJson(const StoreConflict& conflict)
+    {
+        return conflict.current ? objectJson(*conflict.current) : json::value(nullptr);
+    }
+
+    json::value acceptedJson(const StoreAccepted& accepted)
+    {
+        json::object object;
+        object["version"] = accepted.version;
+        return object;
+    }
+
+    json::value errorJson(std::string_view text)
+    {
+        json::object object;
+        object["error"] = text;
+        return object;
+    }
+
+    std::vector<HttpField> statusFields(int status)
+    {
+        if (status == 429 || status == 503)
+            return { { "Retry-After", "1" } };
+        return {};
+    }
+
+    asio::awaitable<void> respondJson(HttpExchange& exchange, int status, const json::value& value)
+    {
+        co_await exchange.respond(
+            status, std::string(jsonType), json::serialize(value), statusFields(status));
+    }
+
+    asio::awaitable<void> respondError(HttpExchange& exchange, int status, std::string_view text)
+    {
+        co_await respondJson(exchange, status, errorJson(text));
+    }
+
+}
+
+PlatformServer::PlatformServer(asio::io_context& context, PlatformServerOptions options)
+    : m_context(context)
+    , m_random(m_faults.seed)
+    , m_writes(options.writesPerSecond, RuntimeClock::now())
+    , m_reads(options.readsPerSecond, RuntimeClock::now())
+    , m_changed(context, TimePoint::max())
+    , m_server(context, { .port = options.port, .bodyLimitBytes = bodyLimitBytes },
+          [this](HttpExchange& exchange) { return handle(exchange); })
+{
+}
+
+asio::awaitable<void> PlatformServer::handle(HttpExchange& exchange)
+{
+    const std::string& path = exchange.request().path;
+    std::string error;
+    try {
+        if (path == "/faults")
+            co_await handleFaults(exchange);
+        else if (path == "/counts")
+            co_await handleCounts(exchange);
+        else
+            co_await handleObjects(exchange);
+    } catch (const BadRequest& badRequest) {
+        error = badRequest.what();
+    }
+    if (!error.empty())
+        co_await respondError(exchange, 400, error);
+}
+
+asio::awaitable<void> PlatformServer::handleFaults(HttpExchange& exchange)
+{
+    try {
+        m_faults = parsePlatformFaults(json::parse(exchange.request().body));
+    } catch (const std::exception& error) {
+        throw BadRequest(error.what());
+    }
+    m_random.seed(m_faults.seed);
+    wakeWatches();
+    co_await respondJson(exchange, 200, json::object());
+}
+
+asio::awaitable<void> PlatformServer::handleCounts(HttpExchange& exchange)
+{
+    co_await respondJson(exchange, 200, json::value_from(m_counts));
+}
+
+asio::awaitable<void> PlatformServer::handleObjects(HttpExchange& exchange)
+{
+    const HttpRequest& request = exchange.request();
+    if (isCut(request)) {
+        ++m_counts["cut"];
+        co_await pause(cutHangTime);
+        exchange.abort();
+        co_return;
+    }
+    if (m_faults.delay.count() > 0)
+        co_await pause(m_faults.delay);
+    const bool isWrite = request.method != "GET";
+    const bool isWatch = request.path == "/watch";
+    ++m_counts[isWrite ? "writes" : (isWatch ? "watches" : "reads")];
+    if (m_faults.outage) {
+        ++m_counts["unavailable"];
+        co_return co_await respondError(exchange, 503, "platform unavailable");
+    }
+    if (!(isWrite ? m_writes : m_reads).admit(RuntimeClock::now())) {
+        ++m_counts["limited"];
+        co_return co_await respondError(exchange, 429, "rate exceeded");
+    }
+    if (isWatch)
+        co_return co_await handleWatch(exchange);
+    if (request.path == "/objects" && !isWrite)
+        co_return co_await handleList(exchange);
+    if (!request.path.starts_with(objectsPath) || request.path.size() == objectsPath.size())
+        co_return co_await respondError(exchange, 404, "no such path");
+    const std::string key = request.path.substr(objectsPath.size());
+    if (isWrite)
+        co_await handleWrite(exchange, key);
+    else
+        co_await handleGet(exchange, key);
+}
+
+asio::awaitable<void> PlatformServer::handleGet(HttpExchange& exchange, const std::string& key)
+{
+    const std::optional<StoreObject> object = m_store.get(key, readRevision());
+    if (!object)
+        co_return co_await respondError(exchange, 404, "no such object");
+    co_await respondJson(exchange, 200, objectJson(*object));
+}
+
+asio::awaitable<void> PlatformServer::handleList(HttpExchange& exchange)
+{
+    const StoreList list = m_store.list(exchange.request().parameter("prefix"), readRevision());
+    co_await respondJson(exchange, 200, listJson(list));
+}
+
+asio::awaitable<void> PlatformServer::handleWatch(HttpExchange& exchange)
+{
+    const HttpRequest& request = exchange.request();
+    const std::string prefix = request.parameter("prefix");
+    const ObjectVersion since = numberParameter(request, "since").value_or(0);
+    const Milliseconds timeout(
+        numberParameter(request, "timeout_ms").value_or(watchTimeoutDefault.count()));
+    const TimePoint deadline = RuntimeClock::now() + std::min(timeout, watchTimeoutLimit);
+    while (true) {
+        if (isCut(request)) {
+            exchange.abort();
+            co_return;
+        }
+        if (m_faults.outage)
+            co_return co_await respondError(exchange, 503, "platform unavailable");
+        StoreEvents events = m_store.eventsSince(prefix, since, readRevision(since));
+        if (!events.complete)
+            co_return co_await respondError(exchange, 410, "the log starts later; list again");
+        if (!events.events.empty() || RuntimeClock::now() >= deadline) {
+            if (m_faults.reorderWatch)
+                disorder(prefix, since, events);
+            co_return co_await respondJson(exchange, 200, eventsJson(events));
+        }
+        Timer timer(m_context, deadline);
+        boost::system::error_code ignored;
+        // All watches wait on the shared timer, which the deadline of any of them cancels.
+        timer.async_wait([this](boost::system::error_code error) {
+            if (!error)
+                wakeWatches();
+        });
+        co_await m_changed.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        if (exchange.isPeerGone())
+            co_return;
+    }
+}
+
+asio::awaitable<void> PlatformServer::handleWrite(HttpExchange& exchange, const std::string& key)
+{
+    const HttpRequest& request = exchange.request();
+    const std::optional<ObjectVersion> ifVersion = numberParameter(request, "if_version");
+    StoreResult result;
+    if (request.method == "PUT") {
+        boost::system::error_code error;
+        json::value value = json::parse(request.body, error);
+        if (error)
+            throw BadRequest("the body is no JSON: " + error.message());
+        result = m_store.put(key, std::move(value), ifVersion);
+    } else if (request.method == "DELETE") {
+        result = m_store.remove(key, ifVersion);
+    } else {
+        co_return co_await respondError(exchange, 405, "method not allowed");
+    }
+    wakeWatches();
+    if (losesAnswer()) {
+        ++m_counts["lost_answers"];
+        exchange.abort();
+        co_return;
+    }
+    if (const auto* accepted = std::get_if<StoreAccepted>(&result))
+        co_return co_await respondJson(exchange, 200, acceptedJson(*accepted));
+    ++m_counts["conflicts"];
+    co_await respondJson(exchange, 409, conflictJson(std::get<StoreConflict>(result)));
+}
+
+asio::awaitable<void> PlatformServer::pause(Duration duration)
+{
+    Timer timer(m_context, duration);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+bool PlatformServer::isCut(const HttpRequest& request) const
+{
+    return m_faults.cutHosts.contains(std::string(request.field("X-Host")));
+}
+
+bool PlatformServer::losesAnswer()
+{
+    return std::bernoulli_distribution(std::clamp(m_faults.loseAnswers, 0.0, 1.0))(m_random);
+}
+
+ObjectVersion PlatformServer::readRevision(ObjectVersion atLeast)
+{
+    const ObjectVersion newest = m_store.revision();
+    if (!m_faults.staleReads)
+        return newest;
+    const ObjectVersion back = m_random() % (staleRevisions + 1);
+    return std::max(newest > back ? newest - back : 0, std::min(atLeast, newest));
+}
+
+void PlatformServer::disorder(
+    std::string_view prefix, ObjectVersion since, StoreEvents& events)
+{
+    const ObjectVersion earlier = since > staleRevisions ? since - staleRevisions : 0;
+    const StoreEvents old = m_store.eventsSince(prefix, earlier, since);
+    events.events.insert(events.events.end(), old.events.begin(), old.events.end());
+    std::shuffle(events.events.begin(), events.events.end(), m_random);
+}
+
+void PlatformServer::wakeWatches()
+{
+    m_changed.cancel();
+}
+
+}
--- /dev/null
+++ b/src/emulator/platform/ratelimit.cpp
@@ -0,0 +1,27 @@
+#include "emulator/platform/ratelimit.h"
+
+#include <algorithm>
+
+namespace Apricot {
+
+RateLimit::RateLimit(double callsPerSecond, TimePoint now)
+    : m_callsPerSecond(callsPerSecond)
+    , m_tokens(callsPerSecond)
+    , m_filledAt(now)
+{
+}
+
+bool RateLimit::admit(TimePoint now)
+{
+    if (m_callsPerSecond <= 0)
+        return true;
+    const double seconds = std::chrono::duration<double>(now - m_filledAt).count();
+    m_tokens = std::min(m_callsPerSecond, m_tokens + seconds * m_callsPerSecond);
+    m_filledAt = now;
+    if (m_tokens < 1)
+        return false;
+    m_tokens -= 1;
+    return true;
+}
+
+}
