Decide membership, homes and evidence of a cell

Cause: membership, home assignment, evidence and configuration need decisions without I/O, so that the same code runs under paused clocks and in the daemon. Ruled out: evidence from reads (stale); joins and silent removals without the majority's knowledge of the last one (two disjoint majorities could then exist); processes known gone by an answer of another incarnation alone (a late answer of the earlier process looks the same; the listing at the time of the question decides).

--- a/src/libapricot/catalogue.cpp
+++ b/src/libapricot/catalogue.cpp
@@ -5,7 +5,7 @@
 namespace {
 
     template <typename Id>
-    bool isOut(const std::map<Id, ServiceState>& states, const Id& id)
+    bool isMarkedOut(const std::map<Id, ServiceState>& states, const Id& id)
     {
         const auto found = states.find(id);
         return found != states.end() && found->second == ServiceState::Out;
@@ -13,10 +13,20 @@
 
 }
 
+bool Catalogue::isOut(const FailureDomainId& domain) const
+{
+    return isMarkedOut(domains, domain);
+}
+
+bool Catalogue::isOut(const HostId& host) const
+{
+    return isMarkedOut(hosts, host);
+}
+
 bool Catalogue::isInService(const BackendServer& server) const
 {
-    return !isOut(domains, server.failureDomain) && !isOut(hosts, server.host)
-        && !isOut(leaving, server.host);
+    return !isOut(server.failureDomain) && !isOut(server.host)
+        && !isMarkedOut(leaving, server.host);
 }
 
 }
--- /dev/null
+++ b/src/libapricot/cellkeeper.cpp
@@ -0,0 +1,328 @@
+#include "libapricot/cellkeeper.h"
+
+#include "libapricot/rendezvous.h"
+
+#include <algorithm>
+
+namespace Apricot {
+
+namespace {
+
+    // Key whose rendezvous order is the order of succession of writers.
+    constexpr std::string_view successionKey = "writer";
+
+    template <typename... Visitors>
+    struct Overloaded : Visitors... {
+        using Visitors::operator()...;
+    };
+
+    template <typename... Visitors>
+    Overloaded(Visitors...) -> Overloaded<Visitors...>;
+
+}
+
+CellKeeper::CellKeeper(CellKeeperOptions options, TimePoint now)
+    : m_options(std::move(options))
+    , m_lease(m_options.evidence)
+    , m_startedAt(now)
+    , m_epochMovedAt(now)
+{
+}
+
+std::vector<CellAction> CellKeeper::tick(TimePoint now)
+{
+    std::vector<CellAction> actions;
+    forgetPast(now);
+    const bool learnsNothing
+        = !m_isStateKnown || now - m_epochMovedAt >= m_options.renewInterval * 3 / 2;
+    if (learnsNothing && !m_isReading && now - m_readBegunAt >= m_options.readInterval) {
+        m_isReading = true;
+        m_readBegunAt = now;
+        actions.emplace_back(ReadCell {});
+    }
+    if (std::optional<WriteCell> write = chooseWrite(now)) {
+        m_isWriting = true;
+        m_writeBegunAt = now;
+        actions.emplace_back(std::move(*write));
+    }
+    return actions;
+}
+
+void CellKeeper::takeRead(const std::optional<VersionedCell>& read, TimePoint now)
+{
+    m_isReading = false;
+    m_isStateKnown = true;
+    if (read)
+        adopt(read->state, read->version, now);
+}
+
+void CellKeeper::takeReadFailure()
+{
+    m_isReading = false;
+}
+
+void CellKeeper::takeWrite(
+    const WriteCell& write, const CellWriteOutcome& outcome, TimePoint begunAt, TimePoint now)
+{
+    m_isWriting = false;
+    const auto visitor = Overloaded {
+        [&](const CellWriteAccepted& accepted) {
+            m_unsettledSince.reset();
+            adopt(write.state, accepted.version, now);
+            m_lease.recordAcceptedWrite(accepted.version, begunAt);
+        },
+        [&](const CellWriteConflict& conflict) { settleWrite(write, conflict, now); },
+        [&](const CellWriteUnknown&) {
+            if (!m_unsettledSince)
+                m_unsettledSince = begunAt;
+        },
+        [](const CellWriteRefused&) {},
+    };
+    std::visit(visitor, outcome);
+}
+
+// A conflict may show this daemon's own earlier write whose answer was lost.
+void CellKeeper::settleWrite(
+    const WriteCell& write, const CellWriteConflict& conflict, TimePoint now)
+{
+    const std::optional<TimePoint> unsettledSince = std::exchange(m_unsettledSince, std::nullopt);
+    if (!conflict.current) {
+        m_condition = 0;
+        return;
+    }
+    const VersionedCell& current = *conflict.current;
+    adopt(current.state, current.version, now);
+    const bool isOwn = current.state.writer == m_options.self.host
+        && current.state.writerIncarnation == m_options.self.incarnation
+        && current.state.renewals == write.state.renewals && current.version > write.ifVersion;
+    if (isOwn && unsettledSince)
+        m_lease.recordAcceptedWrite(current.version, *unsettledSince);
+}
+
+std::vector<Member> CellKeeper::listPeers() const
+{
+    std::vector<Member> peers;
+    for (const Member& member : m_state.members) {
+        if (member.host != m_options.self.host)
+            peers.push_back(member);
+    }
+    for (const Member& member : m_state.removed) {
+        if (member.host != m_options.self.host)
+            peers.push_back(member);
+    }
+    return peers;
+}
+
+CellQuestion CellKeeper::question() const
+{
+    return {
+        .asker = m_options.self, .wish = m_wish, .epoch = m_epoch, .homes = m_homeReport
+    };
+}
+
+CellAnswer CellKeeper::answer(const CellQuestion& question, TimePoint now)
+{
+    ReceivedQuestion& received = m_questions[question.asker.host];
+    received = { .question = question, .receivedAt = now };
+    CellAnswer answer { .host = m_options.self.host,
+        .incarnation = m_options.self.incarnation,
+        .epoch = m_epoch,
+        .configRevision = m_configRevision };
+    if (m_epoch > question.epoch)
+        answer.newerState.push_back(m_state);
+    if (const std::optional<EvidenceProof> proof = m_lease.proof(now))
+        answer.proof.push_back(*proof);
+    return answer;
+}
+
+void CellKeeper::takeAnswer(
+    const ProcessId& asked, const CellAnswer& answer, TimePoint askedAt, TimePoint now)
+{
+    if (answer.host != asked.host)
+        return;
+    m_contacts.recordAnswer(asked,
+        { .incarnation = answer.incarnation,
+            .askedAt = askedAt,
+            .epoch = answer.epoch,
+            .configRevision = answer.configRevision });
+    if (!answer.newerState.empty())
+        adopt(answer.newerState.front(), answer.epoch, now);
+    for (const EvidenceProof& proof : answer.proof)
+        m_lease.recordProof(proof, askedAt);
+}
+
+void CellKeeper::takeGone(const ProcessId& process)
+{
+    m_contacts.recordGone(process);
+}
+
+void CellKeeper::setCatalogue(
+    std::shared_ptr<const Catalogue> catalogue, ObjectVersion configRevision)
+{
+    m_catalogue = std::move(catalogue);
+    m_configRevision = std::max(m_configRevision, configRevision);
+}
+
+void CellKeeper::rejoin(std::string incarnation)
+{
+    m_options.self.incarnation = std::move(incarnation);
+    m_wasMember = false;
+}
+
+bool CellKeeper::isMember() const
+{
+    return m_state.findProcess(m_options.self.host, m_options.self.incarnation) != nullptr;
+}
+
+bool CellKeeper::isWriter() const
+{
+    return m_epoch > 0 && m_state.writer == m_options.self.host
+        && m_state.writerIncarnation == m_options.self.incarnation;
+}
+
+KnownState CellKeeper::knownState() const
+{
+    return { .self = m_options.self.host,
+        .incarnation = m_options.self.incarnation,
+        .cell = m_state,
+        .epoch = m_epoch,
+        .configRevision = m_configRevision };
+}
+
+TimePoint CellKeeper::permittedUntil() const
+{
+    return m_lease.permittedUntil(knownState(), m_contacts);
+}
+
+TimePoint CellKeeper::evidenceUntil() const
+{
+    return m_lease.evidenceUntil(knownState());
+}
+
+ObjectVersion CellKeeper::acknowledgedEpoch() const
+{
+    std::vector<ObjectVersion> epochs;
+    for (const Member& member : m_state.members) {
+        const PeerContact* contact = m_contacts.find(member);
+        if (member.host == m_options.self.host)
+            epochs.push_back(m_epoch);
+        else if (!m_contacts.isGone(processOf(member)))
+            epochs.push_back(contact ? contact->epoch : 0);
+    }
+    if (epochs.empty())
+        return 0;
+    std::sort(epochs.begin(), epochs.end(), std::greater<>());
+    return epochs.at(epochs.size() / 2);
+}
+
+void CellKeeper::adopt(const CellState& state, ObjectVersion version, TimePoint now)
+{
+    m_isStateKnown = true;
+    if (version <= m_epoch)
+        return;
+    const bool wasWriter = isWriter();
+    m_state = state;
+    m_epoch = version;
+    m_condition = version;
+    m_epochMovedAt = now;
+    m_wasMember = m_wasMember || isMember();
+    if (isWriter() && !wasWriter)
+        m_writerSince = now;
+}
+
+void CellKeeper::forgetPast(TimePoint now)
+{
+    std::erase_if(m_questions, [this, now](const auto& entry) {
+        return now - entry.second.receivedAt > m_options.removalTime;
+    });
+    std::set<ProcessId> named;
+    for (const Member& member : listPeers())
+        named.insert(processOf(member));
+    for (const auto& [server, home] : m_state.homes) {
+        named.insert({ home.home, home.incarnation });
+        named.insert({ home.unconfirmedHome, home.unconfirmedIncarnation });
+    }
+    m_contacts.forgetGoneExcept(named);
+}
+
+CellState CellKeeper::planNext(TimePoint now) const
+{
+    std::map<HostId, ReceivedQuestion> questions = m_questions;
+    questions[m_options.self.host] = { .question = question(), .receivedAt = now };
+    const CellPlanInputs inputs { .current = m_state,
+        .epoch = m_epoch,
+        .self = m_options.self,
+        .contacts = m_contacts,
+        .questions = questions,
+        .catalogue = m_catalogue,
+        .now = now,
+        .removalTime = m_options.removalTime,
+        .askingSince = std::max(m_startedAt, m_writerSince) };
+    return CellPlanner(inputs).plan();
+}
+
+std::optional<WriteCell> CellKeeper::chooseWrite(TimePoint now)
+{
+    if (!m_isStateKnown || m_isWriting || now - m_writeBegunAt < m_options.changeInterval)
+        return std::nullopt;
+    const bool mayWrite = isWriter() ? !yields(now) : isTakeoverDue(now);
+    if (!mayWrite)
+        return std::nullopt;
+    CellState next = planNext(now);
+    if (!isWriteDue(next, now))
+        return std::nullopt;
+    return WriteCell { .state = std::move(next), .ifVersion = m_condition };
+}
+
+bool CellKeeper::isWriteDue(const CellState& next, TimePoint now) const
+{
+    if (now - m_writeBegunAt >= m_options.renewInterval)
+        return true;
+    CellState renewed = m_state;
+    renewed.renewals = next.renewals;
+    return isWriter() && !m_unsettledSince && renewed != next;
+}
+
+bool CellKeeper::isTakeoverDue(TimePoint now) const
+{
+    if (m_wish == MembershipWish::Leave)
+        return false;
+    if (m_epoch == 0)
+        return true;
+    std::vector<HostId> hosts;
+    for (const Member& member : m_state.members)
+        hosts.push_back(member.host);
+    const std::vector<HostId> order = rankHosts(successionKey, hosts);
+    // Daemons that are not members yet stand after all members.
+    const auto rank = std::find(order.begin(), order.end(), m_options.self.host) - order.begin();
+    return now - m_epochMovedAt
+        >= m_options.renewInterval * m_options.missedRenewals + m_options.successionStep * rank;
+}
+
+bool CellKeeper::hearsFewerThanHalf(TimePoint now) const
+{
+    const TimePoint limit = now - m_options.removalTime;
+    std::size_t heard = 0;
+    std::size_t asked = 0;
+    for (const Member& member : m_state.members) {
+        if (m_contacts.isGone(processOf(member)))
+            continue;
+        ++asked;
+        if (member.host == m_options.self.host || m_contacts.isHeardSince(member, limit))
+            ++heard;
+    }
+    return heard * 2 < asked;
+}
+
+bool CellKeeper::yields(TimePoint now)
+{
+    const bool isAsking = now - std::max(m_startedAt, m_writerSince) >= m_options.removalTime;
+    if (!isAsking || !hearsFewerThanHalf(now))
+        return false;
+    if (m_yieldedAt == TimePoint {} || now - m_yieldedAt >= m_options.yieldInterval)
+        m_yieldedAt = now;
+    // Long enough for any member to take over; after that this one goes on.
+    return now - m_yieldedAt < m_options.renewInterval * m_options.missedRenewals * 2;
+}
+
+}
--- a/src/libapricot/cellstate.cpp
+++ b/src/libapricot/cellstate.cpp
@@ -11,4 +11,10 @@
     return found == members.end() ? nullptr : &*found;
 }
 
+const Member* CellState::findProcess(const HostId& host, const std::string& incarnation) const
+{
+    const Member* member = findMember(host);
+    return member && member->incarnation == incarnation ? member : nullptr;
+}
+
 }
--- a/src/libapricot/cellstate.h
+++ b/src/libapricot/cellstate.h
@@ -55,6 +55,12 @@
 // Value of the platform object cells/<cell>. Its version is the epoch.
 struct CellState {
     std::vector<Member> members;
+    // Members that were removed while silent and may still be running. They stay listed until each
+    // replica that they were home of is confirmed.
+    std::vector<Member> removed;
+    // No later than the epoch of the last join or silent removal. The next one waits until more than
+    // half of the members know this one.
+    ObjectVersion membersSince = 0;
     std::map<BackendServerId, HomeAssignment> homes;
     HostId writer;
     std::string writerIncarnation;
@@ -63,11 +69,13 @@
     auto operator<=>(const CellState&) const = default;
 
     const Member* findMember(const HostId& host) const;
+    // Member with this name only if it is this process.
+    const Member* findProcess(const HostId& host, const std::string& incarnation) const;
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(members, homes, writer, writerIncarnation, renewals);
+        archive(members, removed, membersSince, homes, writer, writerIncarnation, renewals);
     }
 };
 
--- /dev/null
+++ b/src/libapricot/configstore.cpp
@@ -0,0 +1,186 @@
+#include "libapricot/configstore.h"
+
+#include "libapricot/cataloguejson.h"
+
+#include <boost/json/parse.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace Apricot {
+
+namespace json = boost::json;
+
+namespace {
+
+    const std::string entryPrefix = "catalogue/";
+    const std::string serverPrefix = "servers/";
+    const std::string domainPrefix = "domains/";
+    const std::string hostPrefix = "hosts/";
+    const std::string livePrefix = "live/";
+
+    std::vector<HostId> parseLeavingHosts(const json::value& value)
+    {
+        std::vector<HostId> hosts;
+        for (const json::value& host : value.at("leaving").as_array())
+            hosts.emplace_back(std::string(host.as_string()));
+        return hosts;
+    }
+
+    // Adds one valid object to the catalogue that is being built.
+    struct CatalogueBuilder {
+        Catalogue& catalogue;
+        const std::string& key;
+
+        void operator()(const CatalogueEntry& entry) const
+        {
+            catalogue.entries.emplace(entry.name, entry);
+        }
+
+        void operator()(const BackendServer& server) const
+        {
+            catalogue.servers.emplace(server.id, server);
+        }
+
+        void operator()(ServiceState state) const
+        {
+            if (key.starts_with(domainPrefix))
+                catalogue.domains.emplace(key.substr(domainPrefix.size()), state);
+            else
+                catalogue.hosts.emplace(key.substr(hostPrefix.size()), state);
+        }
+
+        void operator()(const std::vector<HostId>& leaving) const
+        {
+            for (const HostId& host : leaving)
+                catalogue.leaving.emplace(host, ServiceState::Out);
+        }
+    };
+
+}
+
+ConfigStore::ConfigStore()
+    : m_catalogue(std::make_shared<Catalogue>())
+{
+}
+
+const std::vector<std::string>& ConfigStore::prefixes()
+{
+    static const std::vector<std::string> all { entryPrefix, serverPrefix, domainPrefix, hostPrefix,
+        livePrefix };
+    return all;
+}
+
+bool ConfigStore::take(const ConfigDelta& delta)
+{
+    Prefix& prefix = m_prefixes[delta.prefix];
+    if (delta.isWhole && delta.revision < prefix.revision)
+        return false;
+    bool isChanged = false;
+    for (const ConfigObject& object : delta.objects) {
+        // What the known revision covers and this store does not hold has been deleted since.
+        const bool isCovered = object.version <= prefix.revision && !m_objects.contains(object.key);
+        if (!isCovered && object.key.starts_with(delta.prefix))
+            isChanged = takeObject(object) || isChanged;
+    }
+    if (delta.isWhole) {
+        isChanged = deleteMissing(delta) || isChanged;
+        prefix.knownSince = delta.revision;
+    }
+    if (delta.isWhole || delta.since <= prefix.revision)
+        prefix.revision = std::max(prefix.revision, delta.revision);
+    if (isChanged)
+        buildCatalogue();
+    return isChanged;
+}
+
+ConfigDelta ConfigStore::delta(const std::string& prefix, ObjectVersion since) const
+{
+    const auto known = m_prefixes.find(prefix);
+    const Prefix state = known == m_prefixes.end() ? Prefix {} : known->second;
+    ConfigDelta delta { .prefix = prefix,
+        .isWhole = since < state.knownSince,
+        .since = since,
+        .revision = state.revision };
+    for (auto object = m_objects.lower_bound(prefix);
+         object != m_objects.end() && object->first.starts_with(prefix); ++object) {
+        const bool isDeleted = object->second.json.empty();
+        if (delta.isWhole ? !isDeleted : object->second.version > since)
+            delta.objects.push_back(object->second);
+    }
+    return delta;
+}
+
+ObjectVersion ConfigStore::revision(const std::string& prefix) const
+{
+    const auto known = m_prefixes.find(prefix);
+    return known == m_prefixes.end() ? 0 : known->second.revision;
+}
+
+ObjectVersion ConfigStore::revision() const
+{
+    ObjectVersion lowest = revision(prefixes().front());
+    for (const std::string& prefix : prefixes())
+        lowest = std::min(lowest, revision(prefix));
+    return lowest;
+}
+
+bool ConfigStore::takeObject(const ConfigObject& object)
+{
+    ConfigObject& known = m_objects[object.key];
+    if (object.version <= known.version)
+        return false;
+    known = object;
+    m_invalid.erase(object.key);
+    if (object.json.empty()) {
+        m_parsed.erase(object.key);
+        return true;
+    }
+    try {
+        m_parsed.insert_or_assign(object.key, parse(object.key, json::parse(object.json)));
+    } catch (const std::exception& error) {
+        m_invalid.emplace(
+            object.key, InvalidObject { .version = object.version, .error = error.what() });
+    }
+    return true;
+}
+
+bool ConfigStore::deleteMissing(const ConfigDelta& whole)
+{
+    std::set<std::string> listed;
+    for (const ConfigObject& object : whole.objects)
+        listed.insert(object.key);
+    std::vector<ConfigObject> deleted;
+    for (auto object = m_objects.lower_bound(whole.prefix);
+         object != m_objects.end() && object->first.starts_with(whole.prefix); ++object) {
+        const ConfigObject& known = object->second;
+        if (!known.json.empty() && !listed.contains(known.key) && known.version < whole.revision)
+            deleted.push_back({ .key = known.key, .version = whole.revision });
+    }
+    for (const ConfigObject& object : deleted)
+        takeObject(object);
+    return !deleted.empty();
+}
+
+ConfigStore::Parsed ConfigStore::parse(const std::string& key, const json::value& value)
+{
+    if (key.starts_with(entryPrefix))
+        return parseCatalogueEntry(PipelineId(key.substr(entryPrefix.size())), value);
+    if (key.starts_with(serverPrefix))
+        return parseBackendServer(BackendServerId(key.substr(serverPrefix.size())), value);
+    if (key.starts_with(livePrefix))
+        return parseLeavingHosts(value);
+    return parseServiceState(value);
+}
+
+void ConfigStore::buildCatalogue()
+{
+    auto catalogue = std::make_shared<Catalogue>();
+    for (const auto& [key, parsed] : m_parsed)
+        std::visit(CatalogueBuilder { *catalogue, key }, parsed);
+    for (const auto& [key, object] : m_objects)
+        catalogue->version = std::max(catalogue->version, object.version);
+    m_catalogue = std::move(catalogue);
+}
+
+}
--- /dev/null
+++ b/src/libapricot/evidence.cpp
@@ -0,0 +1,89 @@
+#include "libapricot/evidence.h"
+
+#include <algorithm>
+
+namespace Apricot {
+
+EvidenceLease::EvidenceLease(EvidenceOptions options)
+    : m_options(options)
+{
+}
+
+void EvidenceLease::recordAcceptedWrite(ObjectVersion version, TimePoint begunAt)
+{
+    record({ .version = version, .provenAt = begunAt });
+}
+
+void EvidenceLease::recordProof(const EvidenceProof& proof, TimePoint askedAt)
+{
+    record({ .version = proof.version, .provenAt = askedAt - proof.age });
+}
+
+std::optional<EvidenceProof> EvidenceLease::proof(TimePoint now) const
+{
+    if (m_evidence.empty() || now >= m_evidence.back().provenAt + m_options.evidenceLease)
+        return std::nullopt;
+    const Evidence& newest = m_evidence.back();
+    return EvidenceProof { .version = newest.version,
+        .age = std::chrono::ceil<Milliseconds>(now - newest.provenAt) };
+}
+
+TimePoint EvidenceLease::permittedUntil(const KnownState& known, const PeerContacts& contacts) const
+{
+    if (!known.cell.findProcess(known.self, known.incarnation))
+        return {};
+    return std::max(evidenceUntil(known), majorityUntil(known, contacts));
+}
+
+void EvidenceLease::record(const Evidence& evidence)
+{
+    if (!m_evidence.empty() && evidence.version < m_evidence.back().version)
+        return;
+    if (!m_evidence.empty() && evidence.version == m_evidence.back().version) {
+        TimePoint& provenAt = m_evidence.back().provenAt;
+        provenAt = std::max(provenAt, evidence.provenAt);
+        return;
+    }
+    m_evidence.push_back(evidence);
+    const TimePoint oldest = evidence.provenAt - m_options.configLease;
+    while (m_evidence.front().provenAt < oldest)
+        m_evidence.pop_front();
+}
+
+TimePoint EvidenceLease::evidenceUntil(const KnownState& known) const
+{
+    const auto provenUpTo = [this](ObjectVersion version) {
+        const auto found = std::find_if(m_evidence.rbegin(), m_evidence.rend(),
+            [version](const Evidence& evidence) { return evidence.version <= version; });
+        return found == m_evidence.rend() ? TimePoint {} : found->provenAt;
+    };
+    const TimePoint cellProvenAt = provenUpTo(known.epoch);
+    const TimePoint configProvenAt = provenUpTo(known.configRevision);
+    if (cellProvenAt == TimePoint {} || configProvenAt == TimePoint {})
+        return {};
+    return std::min(
+        cellProvenAt + m_options.evidenceLease, configProvenAt + m_options.configLease);
+}
+
+TimePoint EvidenceLease::majorityUntil(const KnownState& known, const PeerContacts& contacts) const
+{
+    std::vector<TimePoint> heardAt;
+    for (const Member& member : known.cell.members) {
+        if (member.host == known.self) {
+            heardAt.push_back(TimePoint::max());
+            continue;
+        }
+        const PeerContact* contact = contacts.find(member);
+        const bool counts = contact && contact->epoch <= known.epoch
+            && contact->configRevision <= known.configRevision;
+        heardAt.push_back(counts ? contact->askedAt : TimePoint {});
+    }
+    std::sort(heardAt.begin(), heardAt.end(), std::greater<>());
+    const TimePoint weakest = heardAt.at(known.cell.members.size() / 2);
+    if (weakest == TimePoint {})
+        return {};
+    // A daemon alone in its cell is all of it: nobody joins before it has acknowledged them.
+    return weakest == TimePoint::max() ? weakest : weakest + m_options.evidenceLease;
+}
+
+}
--- /dev/null
+++ b/src/libapricot/peercontacts.cpp
@@ -0,0 +1,65 @@
+#include "libapricot/peercontacts.h"
+
+#include <algorithm>
+
+namespace Apricot {
+
+ProcessId processOf(const Member& member)
+{
+    return { .host = member.host, .incarnation = member.incarnation };
+}
+
+void PeerContacts::recordAnswer(const ProcessId& asked, const PeerContact& contact)
+{
+    if (contact.incarnation != asked.incarnation)
+        m_gone.insert(asked);
+    if (isGone({ asked.host, contact.incarnation }))
+        return;
+    PeerContact& known = m_contacts[asked.host];
+    if (contact.askedAt < known.askedAt)
+        return;
+    const bool isSameProcess = known.incarnation == contact.incarnation;
+    const ObjectVersion epoch = isSameProcess ? std::max(known.epoch, contact.epoch) : contact.epoch;
+    known = contact;
+    known.epoch = epoch;
+}
+
+void PeerContacts::recordGone(const ProcessId& process)
+{
+    m_gone.insert(process);
+}
+
+void PeerContacts::forgetGoneExcept(const std::set<ProcessId>& named)
+{
+    std::erase_if(
+        m_gone, [&named](const ProcessId& process) { return !named.contains(process); });
+}
+
+const PeerContact* PeerContacts::find(const Member& member) const
+{
+    const auto found = m_contacts.find(member.host);
+    if (found == m_contacts.end() || found->second.incarnation != member.incarnation)
+        return nullptr;
+    return &found->second;
+}
+
+bool PeerContacts::isGone(const ProcessId& process) const
+{
+    return m_gone.contains(process);
+}
+
+bool PeerContacts::isHeardSince(const Member& member, TimePoint instant) const
+{
+    const PeerContact* contact = find(member);
+    return contact && contact->askedAt >= instant;
+}
+
+bool isMajority(
+    const std::vector<Member>& members, const std::function<bool(const Member&)>& predicate)
+{
+    const auto count = static_cast<std::size_t>(
+        std::count_if(members.begin(), members.end(), predicate));
+    return count * 2 > members.size();
+}
+
+}
