--- a/src/libapricot/requestoutcome.cpp
+++ b/src/libapricot/requestoutcome.cpp
@@ -30,7 +30,7 @@
 // The server counts its tokens from the start of the stage, those before a resumption included.
 bool RequestRecord::isWhole(const StageOutcome& outcome) const
 {
-    return m_tokens.empty() || outcome.tokens == m_tokens.size();
+    return outcome.tokens == m_tokens.size() || (m_tokens.empty() && outcome.tokens == 1);
 }
 
 void RequestRecord::stageFinished(const StageOutcome& outcome, const RequestContext& context,
@@ -110,7 +110,7 @@
     if (found == m_copy.costs.end())
         found = m_copy.costs.insert(found, StageCost { .stage = stage().name });
     (wasted ? found->wasted : found->busy) += outcome.busy;
-    found->tokens += outcome.tokens;
+    found->tokens += outcome.tokens - std::min(outcome.tokens, m_resumedAt);
     found->attempts += outcome.sent || !wasted ? 1 : 0;
 }
 
