Claim non-idempotent stages in batches through a claim home

Cause: a stage that may run at most once needs a claim in the platform before it is sent, and a claim for each request would cost the platform a write for each.

ClaimBatch puts all claims that wait for one hour and partition into one conditional write, with one call open at a time; a claim is granted only by an accepted write or by an object that shows its token, so lost answers are read back. ClaimService asks the claim home, or is it. PartitionKnowledge now forgets what it knew after a gap in its observations, since the process may have been removed and taken in again meanwhile.

--- /dev/null
+++ b/src/dispatch/claimservice.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "dispatch/claimgateway.h"
+#include "dispatch/claimstore.h"
+#include "dispatch/peerlink.h"
+#include "libapricot/controlview.h"
+#include "libapricot/keyage.h"
+#include "libnet/asyncevent.h"
+
+#include <boost/json/value.hpp>
+
+#include <map>
+#include <memory>
+
+namespace Apricot {
+
+struct ClaimServiceOptions {
+    // Shortest time between two writes of one claim object.
+    Milliseconds writeInterval { 50 };
+    // How long after a failed call the platform counts as unavailable.
+    Milliseconds unavailableTime { 1000 };
+};
+
+// Claims keys of non-idempotent stages. As coordinator's gateway it asks the claim home of the key's
+// partition; as claim home it batches the claims of each object into conditional writes. Two claim
+// homes at once are safe: the platform accepts only one write for each version.
+class ClaimService : public ClaimGateway {
+public:
+    ClaimService(boost::asio::io_context& context, const ControlViewSource& views, PeerLink& peers,
+        ClaimStore& store, ClaimServiceOptions options = {});
+
+    boost::asio::awaitable<ClaimAnswer> claim(ClaimAction action, Milliseconds budget) override;
+    bool isUnavailable() const override;
+    // Serves a coordinator's claim as claim home.
+    boost::asio::awaitable<void> serve(std::shared_ptr<PeerStream> stream, ClaimMessage message);
+    // Deletes the claim objects of an hour whose keys expired a while ago. To be called each hour.
+    boost::asio::awaitable<void> removeExpired();
+    boost::json::value dump() const;
+
+private:
+    // The claims of one object and the answers that callers wait for.
+    struct Partition {
+        explicit Partition(boost::asio::io_context& context)
+            : changed(context.get_executor())
+        {
+        }
+
+        ClaimBatch batch;
+        AsyncEvent changed;
+        std::map<std::pair<std::string, std::string>, ClaimAnswer> answers;
+        bool isWriting = false;
+    };
+
+    boost::asio::awaitable<ClaimAnswer> claimHere(ClaimAction action, Milliseconds budget);
+    boost::asio::awaitable<void> write(std::string objectKey, std::shared_ptr<Partition> partition);
+    boost::asio::awaitable<void> perform(
+        const std::string& objectKey, ClaimBatch& batch, ClaimStep step);
+    std::shared_ptr<Partition> partitionOf(const std::string& objectKey);
+
+    boost::asio::io_context& m_context;
+    const ControlViewSource& m_views;
+    PeerLink& m_peers;
+    ClaimStore& m_store;
+    ClaimServiceOptions m_options;
+    std::map<std::string, std::shared_ptr<Partition>> m_partitions;
+    TimePoint m_unavailableUntil {};
+    std::uint64_t m_writes = 0;
+    std::uint64_t m_claims = 0;
+};
+
+}
--- a/src/dispatch/coordinator.cpp
+++ b/src/dispatch/coordinator.cpp
@@ -16,6 +16,8 @@
 namespace {
 
     constexpr Milliseconds relayTimeout { 500 };
+    constexpr Milliseconds observationInterval { 200 };
+    constexpr Milliseconds evictionInterval { 1000 };
     constexpr Milliseconds drainInterval { 20 };
     // Time to come back to a host that takes no new work, or to another one.
     constexpr Milliseconds unableRetryAfter { 1000 };
@@ -240,10 +242,14 @@
 {
     const std::shared_ptr<const ControlView> view = m_services.views.view();
     const TimePoint now = RuntimeClock::now();
-    if (view->epoch == m_observedEpoch && m_observedEpoch != 0)
+    if (view->epoch == m_observedEpoch && now < m_observedAt + observationInterval)
         return;
     m_observedEpoch = view->epoch;
+    m_observedAt = now;
     m_services.records.knowledge().observe(liveMembersFor(*view, std::string()), now);
+    if (now < m_evictedAt + evictionInterval)
+        return;
+    m_evictedAt = now;
     m_services.records.evict(now);
     std::erase_if(m_runners, [](const auto& entry) { return entry.second.expired(); });
 }
--- a/src/dispatch/coordinator.h
+++ b/src/dispatch/coordinator.h
@@ -20,8 +20,8 @@
     // Takes over another member's finding.
     boost::asio::awaitable<void> serve(std::shared_ptr<PeerStream> stream, PoisonMessage message);
 
-    // Takes in a changed membership and drops records that have been kept long enough. To be called
-    // about once a second, and before the first request.
+    // Takes in the membership and drops records that have been kept long enough. To be called at
+    // least once a second, from the process's start on.
     void maintain();
     // Returns once no request is in flight. New ones are refused as soon as the snapshot says that
     // the process is stopping.
@@ -56,6 +56,8 @@
     std::uint64_t m_relayed = 0;
     std::map<RefusalReason, std::uint64_t> m_refused;
     ObjectVersion m_observedEpoch = 0;
+    TimePoint m_observedAt {};
+    TimePoint m_evictedAt {};
 };
 
 }
--- a/src/libapricot/keyage.cpp
+++ b/src/libapricot/keyage.cpp
@@ -14,7 +14,6 @@
     constexpr std::size_t versionPosition = 14;
     constexpr std::size_t variantPosition = 19;
     constexpr std::size_t timeDigits = 12;
-    constexpr unsigned claimPartitions = 16;
 
     bool isDash(std::size_t position)
     {
@@ -60,9 +59,14 @@
 }
 
 std::string claimObjectKey(const RequestKey& key, WallTime keyTime)
+{
+    return claimObjectKey(claimPartition(key), keyTime);
+}
+
+std::string claimObjectKey(unsigned partition, WallTime keyTime)
 {
     const auto hour = std::chrono::floor<std::chrono::hours>(keyTime).time_since_epoch().count();
-    return "claims/" + std::to_string(hour) + "/" + std::to_string(claimPartition(key));
+    return "claims/" + std::to_string(hour) + "/" + std::to_string(partition);
 }
 
 }
--- a/src/libapricot/keyage.h
+++ b/src/libapricot/keyage.h
@@ -28,8 +28,12 @@
 
 KeyAge ageOfKey(const RequestKey& key, WallTime now);
 
+// Objects into which the claims of one hour are divided.
+constexpr unsigned claimPartitions = 16;
+
 // Platform key of the object that holds the claims of a key's hour and partition.
 std::string claimObjectKey(const RequestKey& key, WallTime keyTime);
+std::string claimObjectKey(unsigned partition, WallTime keyTime);
 // Partition of a key's claims, which also decides which host writes them.
 unsigned claimPartition(const RequestKey& key);
 
--- a/src/libapricot/partitionknowledge.cpp
+++ b/src/libapricot/partitionknowledge.cpp
@@ -32,6 +32,9 @@
 
 void PartitionKnowledge::observe(const std::vector<Member>& members, TimePoint now)
 {
+    if (now - m_observedAt > m_longestGap)
+        m_epochs.clear();
+    m_observedAt = now;
     Epoch epoch { .since = now };
     for (const Member& member : members)
         epoch.members.push_back({ .host = member.host, .incarnation = member.incarnation });
@@ -46,7 +49,9 @@
 bool PartitionKnowledge::isComplete(
     const RequestKey& key, const std::vector<RecordHolder>& answered, TimePoint now) const
 {
-    if (m_epochs.empty() || now < m_lostUntil || m_epochs.front().since + m_retention > now)
+    if (m_epochs.empty() || now - m_observedAt > m_longestGap || now < m_lostUntil)
+        return false;
+    if (m_epochs.front().since + m_retention > now)
         return false;
     return std::all_of(m_epochs.begin(), m_epochs.end(),
         [&](const Epoch& epoch) { return isKnown(epoch.members, key, answered); });
--- a/src/libapricot/partitionknowledge.h
+++ b/src/libapricot/partitionknowledge.h
@@ -24,12 +24,15 @@
 // are known where the first answers, or both others do.
 class PartitionKnowledge {
 public:
-    explicit PartitionKnowledge(Milliseconds retention)
+    // A process that has not observed the members for longer than the gap may have been removed and
+    // taken in again meanwhile, so what it knew counts no more.
+    explicit PartitionKnowledge(Milliseconds retention, Milliseconds longestGap)
         : m_retention(retention)
+        , m_longestGap(longestGap)
     {
     }
 
-    // Takes in the members of the newest epoch.
+    // Takes in the members of the newest epoch. To be called more often than the longest gap.
     void observe(const std::vector<Member>& members, TimePoint now);
     // Whether this process, with those that it asked about the key, holds all records of the key
     // that were kept within the retention time.
@@ -45,6 +48,8 @@
     };
 
     Milliseconds m_retention;
+    Milliseconds m_longestGap;
+    TimePoint m_observedAt {};
     std::deque<Epoch> m_epochs;
     TimePoint m_lostUntil {};
 };
--- a/src/libapricot/recordtable.cpp
+++ b/src/libapricot/recordtable.cpp
@@ -38,7 +38,7 @@
 
 RecordTable::RecordTable(RecordTableOptions options)
     : m_options(std::move(options))
-    , m_knowledge(m_options.retention)
+    , m_knowledge(m_options.retention, m_options.longestGap)
 {
 }
 
--- a/src/libapricot/recordtable.h
+++ b/src/libapricot/recordtable.h
@@ -17,6 +17,9 @@
     std::string incarnation;
     // How long a record is kept after its last use.
     Milliseconds retention { 600'000 };
+    // Longest time between two observations of the members; below the time after which a silent
+    // member is removed.
+    Milliseconds longestGap { 2000 };
     std::size_t recordLimit = 50'000;
     std::size_t bytesLimit = 268'435'456;
     RequestRecordOptions record;
