Write the operators' page with the settings reference under test

Cause: nothing told operators how to run the system.

The settings tables of docs/OPERATORS.md are written by a script from the programs' own table, and a unit test compares them. The setting for the number of traffic threads is gone again: a daemon has one traffic thread, so the setting would have had no effect.

--- a/src/libapricot/processsettings.cpp
+++ b/src/libapricot/processsettings.cpp
@@ -2,12 +2,6 @@
 
 namespace Apricot {
 
-namespace {
-
-    constexpr NumberRange<double> threadRange { 1, 64 };
-
-}
-
 void describe(ProcessSettings& settings, SettingsTable& table)
 {
     const std::string section = "process";
@@ -35,11 +29,6 @@
                   .format = TextFormat::Path,
                   .effect = "File that is given the ports in use as JSON; empty for none." },
         &settings.portFile);
-    table.add({ .section = section,
-                  .key = "traffic_threads",
-                  .range = threadRange,
-                  .effect = "Threads that carry requests, beside the control thread." },
-        &settings.trafficThreads);
 }
 
 }
--- a/src/libapricot/processsettings.h
+++ b/src/libapricot/processsettings.h
@@ -15,7 +15,6 @@
     std::string logFile;
     // File that is given the ports in use as JSON; empty for none.
     std::string portFile;
-    int trafficThreads = 1;
 
     auto operator<=>(const ProcessSettings&) const = default;
 };
--- /dev/null
+++ b/tests/unit/settingsreferencetest.cpp
@@ -0,0 +1,39 @@
+#include "property.h"
+#include "sourcefolder.h"
+
+#include "libapricot/dispatchsettings.h"
+#include "libapricot/entrysettings.h"
+
+using namespace Apricot;
+
+namespace {
+
+// Text between a program's markers in the operators' page.
+std::string documentedReference(const std::string& program)
+{
+    const std::string page = readSourceFile("docs/OPERATORS.md");
+    const std::string begin = "<!-- settings " + program + " begin -->\n";
+    const std::size_t start = page.find(begin) + begin.size();
+    return page.substr(start, page.find("<!-- settings " + program + " end -->") - start);
+}
+
+template <typename Settings>
+std::string reference()
+{
+    Settings settings;
+    SettingsTable table;
+    describe(settings, table);
+    return settingsReference(table);
+}
+
+}
+
+TEST_GROUP(SettingsReference) {};
+
+TEST(SettingsReference, theOperatorsPageShowsEverySetting)
+{
+    STRCMP_EQUAL(
+        reference<EntrySettings>().c_str(), documentedReference("entry").c_str());
+    STRCMP_EQUAL(
+        reference<DispatchSettings>().c_str(), documentedReference("dispatch").c_str());
+}
