Ask for and grant owners' shares between the daemons

Cause: the share decisions had no way between hosts. LimitService asks each home once for all its owners every 250 ms, with at most one question open per home, and at once for an owner it has not seen; admission itself never waits. Two message types go to the end of the variant.

Seen on the way: an aggregate temporary inside a co_await expression was destroyed twice ("free(): invalid size" in the new test); it is named now.

--- /dev/null
+++ b/src/dispatch/limitservice.cpp
@@ -0,0 +1,120 @@
+#include "limitservice.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+
+namespace Apricot {
+
+namespace asio = boost::asio;
+
+LimitService::LimitService(
+    asio::io_context& context, const ControlViewSource& views, LimitServiceOptions options)
+    : m_context(context)
+    , m_views(views)
+    , m_options(options)
+    , m_limiter(options.shares)
+    , m_ledger(options.shares)
+    , m_peers(context)
+    , m_timer(context)
+{
+}
+
+void LimitService::start()
+{
+    m_isRunning = true;
+    asio::co_spawn(m_context, refresh(), asio::detached);
+}
+
+void LimitService::stop()
+{
+    m_isRunning = false;
+    m_timer.cancel();
+}
+
+std::optional<Refusal> LimitService::admit(
+    const OwnerId& owner, const OwnerLimits& limits, int expectedTokens, TimePoint now)
+{
+    const bool isNew = !m_limiter.knows(owner);
+    auto refusal = m_limiter.admit(owner, limits, expectedTokens, now);
+    // The first request of an owner doesn't wait for the next round to ask for a share.
+    if (isNew && m_isRunning && limits != OwnerLimits {})
+        m_timer.cancel();
+    return refusal;
+}
+
+void LimitService::finished(const OwnerId& owner, int tokens, TimePoint now)
+{
+    m_limiter.finished(owner, tokens, now);
+}
+
+asio::awaitable<void> LimitService::serve(
+    std::shared_ptr<PeerStream> stream, ShareRequestMessage message)
+{
+    const auto view = m_views.view();
+    Message answer
+        = ShareAnswerMessage { m_ledger.answer(message.request, *view, RuntimeClock::now()) };
+    co_await stream->write(std::move(answer));
+    stream->finish();
+}
+
+boost::json::value LimitService::dump(TimePoint now) const
+{
+    boost::json::array owners;
+    for (const OwnerId& owner : m_limiter.ownerIds()) {
+        const OwnerShare share = m_limiter.shareInForce(owner, now);
+        owners.push_back(boost::json::object { { "owner", owner.value() },
+            { "in_flight", m_limiter.requestsInFlight(owner) },
+            { "share_requests_per_second", share.requestsPerSecond },
+            { "share_requests_in_flight", share.requestsInFlight },
+            { "share_tokens_per_second", share.tokensPerSecond } });
+    }
+    return boost::json::object { { "owners", std::move(owners) },
+        { "owners_granted", m_ledger.owners() } };
+}
+
+asio::awaitable<void> LimitService::refresh()
+{
+    while (m_isRunning) {
+        const auto view = m_views.view();
+        const TimePoint now = RuntimeClock::now();
+        if (view && view->cell) {
+            m_ledger.observe(*view, now);
+            askHomes(*view, now);
+        }
+        m_timer.expires_after(m_options.refreshInterval);
+        boost::system::error_code ignored;
+        co_await m_timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+void LimitService::askHomes(const ControlView& view, TimePoint now)
+{
+    for (auto& [home, request] : m_limiter.shareRequests(view, now)) {
+        if (home == view.self) {
+            m_limiter.applyAnswer(m_ledger.answer(request, view, now), now);
+            continue;
+        }
+        const Member* member = view.cell->findMember(home);
+        if (member == nullptr || !m_asking.insert(home).second)
+            continue;
+        asio::co_spawn(m_context,
+            ask({ .address = member->address, .port = member->port }, std::move(request)),
+            [this, host = home](const std::exception_ptr&) { m_asking.erase(host); });
+    }
+}
+
+asio::awaitable<void> LimitService::ask(PeerEndpoint home, ShareRequest request)
+{
+    // Named, because g++ 12 destroys an aggregate temporary of a co_await expression twice.
+    Message question = ShareRequestMessage { std::move(request) };
+    const Message reply
+        = co_await m_peers.ask(std::move(home), std::move(question), m_options.answerTimeout);
+    if (const auto* answer = std::get_if<ShareAnswerMessage>(&reply))
+        m_limiter.applyAnswer(answer->answer, RuntimeClock::now());
+}
+
+}
--- /dev/null
+++ b/src/dispatch/limitservice.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "libapricot/controlview.h"
+#include "libapricot/ownerlimiter.h"
+#include "libapricot/shareledger.h"
+#include "libnet/peerstream.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/basic_waitable_timer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/json/value.hpp>
+
+#include <optional>
+#include <set>
+
+namespace Apricot {
+
+struct LimitServiceOptions {
+    OwnerShareOptions shares;
+    // Pause between two requests for shares. Also the wait for an answer.
+    Milliseconds refreshInterval { 250 };
+    Milliseconds answerTimeout { 1000 };
+};
+
+// The owners' limits in a dispatch daemon: admits requests within this host's shares, asks for the
+// next shares in the background, and grants shares as home of the owners that rank this host first.
+// Runs on one thread, that of the coordinator; must outlive the io_context's run().
+class LimitService {
+public:
+    LimitService(boost::asio::io_context& context, const ControlViewSource& views,
+        LimitServiceOptions options = {});
+
+    LimitService(const LimitService&) = delete;
+    LimitService& operator=(const LimitService&) = delete;
+
+    // Begins to ask for shares.
+    void start();
+    // Ends the background work, so that the io_context can run out of it.
+    void stop();
+
+    // Counts a request of the owner, or says why it may not run now. Never waits.
+    std::optional<Refusal> admit(
+        const OwnerId& owner, const OwnerLimits& limits, int expectedTokens, TimePoint now);
+    // Counts the end of an admitted request and the tokens that it really took.
+    void finished(const OwnerId& owner, int tokens, TimePoint now);
+
+    // Answers a host's request for shares on the stream that it opened.
+    boost::asio::awaitable<void> serve(
+        std::shared_ptr<PeerStream> stream, ShareRequestMessage message);
+    // Shares in force of the owners with recent use.
+    boost::json::value dump(TimePoint now) const;
+
+private:
+    using Timer = boost::asio::basic_waitable_timer<RuntimeClock>;
+
+    boost::asio::awaitable<void> refresh();
+    boost::asio::awaitable<void> ask(PeerEndpoint home, ShareRequest request);
+    void askHomes(const ControlView& view, TimePoint now);
+
+    boost::asio::io_context& m_context;
+    const ControlViewSource& m_views;
+    LimitServiceOptions m_options;
+    OwnerLimiter m_limiter;
+    ShareLedger m_ledger;
+    PeerClient m_peers;
+    Timer m_timer;
+    // Homes with a question that has not been answered; each has at most one.
+    std::set<HostId> m_asking;
+    bool m_isRunning = false;
+};
+
+}
--- a/src/libapricot/ownerlimiter.cpp
+++ b/src/libapricot/ownerlimiter.cpp
@@ -146,6 +146,15 @@
     return found == m_records.end() ? 0 : found->second.inFlight;
 }
 
+std::vector<OwnerId> OwnerLimiter::ownerIds() const
+{
+    std::vector<OwnerId> ids;
+    ids.reserve(m_records.size());
+    for (const auto& [owner, record] : m_records)
+        ids.push_back(owner);
+    return ids;
+}
+
 OwnerShare OwnerLimiter::share(const Record& record, TimePoint now) const
 {
     OwnerShare result;
--- a/src/libapricot/ownerlimiter.h
+++ b/src/libapricot/ownerlimiter.h
@@ -32,7 +32,9 @@
     // Reserve and unexpired grant together.
     OwnerShare shareInForce(const OwnerId& owner, TimePoint now) const;
     int requestsInFlight(const OwnerId& owner) const;
-    std::size_t owners() const { return m_records.size(); }
+    bool knows(const OwnerId& owner) const { return m_records.contains(owner); }
+    // Owners with recent use.
+    std::vector<OwnerId> ownerIds() const;
 
 private:
     struct Grant {
--- a/src/libapricot/shareledger.cpp
+++ b/src/libapricot/shareledger.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <numeric>
-#include <ranges>
 
 namespace Apricot {
 
@@ -155,13 +154,10 @@
 
 const ShareLedger::Membership& ShareLedger::homeSince(const OwnerId& owner) const
 {
-    const Membership* first = &m_memberships.back();
-    for (const Membership& membership : std::ranges::reverse_view(m_memberships)) {
-        if (ownerHome(owner, membership.cell) != m_self)
-            break;
-        first = &membership;
-    }
-    return *first;
+    std::size_t first = m_memberships.size() - 1;
+    while (first > 0 && ownerHome(owner, m_memberships[first - 1].cell) == m_self)
+        --first;
+    return m_memberships[first];
 }
 
 void ShareLedger::takeReport(HostRecord& host, const ShareAsk& ask, TimePoint now) const
--- a/src/libnet/messages.h
+++ b/src/libnet/messages.h
@@ -2,6 +2,7 @@
 
 #include "libapricot/attempt.h"
 #include "libapricot/hometenure.h"
+#include "libapricot/ownershare.h"
 #include "libapricot/refusal.h"
 #include "libapricot/stagecall.h"
 #include "libnet/recordmessages.h"
@@ -128,12 +129,28 @@
     void serialize(Archive& archive) { archive(submit); }
 };
 
+// Host to the home of owners: the demand for the owners' limits, and the shares in force.
+struct ShareRequestMessage {
+    ShareRequest request;
+
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(request); }
+};
+
+// Home of owners to a host: the shares that it may use next.
+struct ShareAnswerMessage {
+    ShareAnswer answer;
+
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(answer); }
+};
+
 // Everything that processes of the system say to each other. New alternatives go to the end: a
 // position is the type's number on the wire.
 using Message = std::variant<SubmitMessage, TokenMessage, CompletedMessage, RefusedMessage,
     StageCallMessage, StageSentMessage, StageEndedMessage, TextMessage, ReleaseHomeMessage,
     HomeReleasedMessage, RelayedSubmitMessage, StoreCopyMessage, CopyStoredMessage, ClaimMessage,
-    ClaimedMessage, PoisonMessage>;
+    ClaimedMessage, PoisonMessage, ShareRequestMessage, ShareAnswerMessage>;
 
 // Version of the encoding; a frame of another version closes its connection.
 constexpr std::uint8_t messageVersion = 1;
