Run the control state of a dispatch daemon and follow it from the entry

Calls are now named variables that are moved in. An answer to a write that is not understood (5xx, bad body) counts as unknown, not as refused.

--- /dev/null
+++ b/src/libnet/controlfollower.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "libapricot/configstore.h"
+#include "libapricot/controlview.h"
+#include "libnet/peerstream.h"
+
+#include <mutex>
+
+namespace Apricot {
+
+struct ControlFollowerOptions {
+    HostId host;
+    FailureDomainId failureDomain;
+    // The dispatch daemon of the same host.
+    PeerEndpoint dispatch;
+    // Longest wait for a change, by which the permission is renewed.
+    Milliseconds wait { 500 };
+    Milliseconds timeout { 1500 };
+    // Pause after a failed question.
+    Milliseconds retryInterval { 200 };
+};
+
+// Keeps the control snapshot of an entry daemon up to date from the dispatch daemon of its host.
+// Must outlive the io_context's run().
+class ControlFollower : public ControlViewSource {
+public:
+    ControlFollower(boost::asio::io_context& context, ControlFollowerOptions options);
+
+    ControlFollower(const ControlFollower&) = delete;
+    ControlFollower& operator=(const ControlFollower&) = delete;
+
+    void start();
+    std::shared_ptr<const ControlView> view() const override;
+    // State for a dump.
+    boost::json::value dump() const;
+
+private:
+    boost::asio::awaitable<void> follow();
+    boost::asio::awaitable<void> askOnce();
+    void take(const ViewAnswerMessage& answer, TimePoint askedAt);
+
+    boost::asio::io_context& m_context;
+    ControlFollowerOptions m_options;
+    PeerClient m_peers;
+    ConfigStore m_config;
+    mutable std::mutex m_viewMutex;
+    std::shared_ptr<const ControlView> m_view;
+};
+
+}
--- a/src/libnet/messages.cpp
+++ b/src/libnet/messages.cpp
@@ -2,6 +2,7 @@
 
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/chrono.hpp>
+#include <cereal/types/map.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 
--- a/src/libnet/messages.h
+++ b/src/libnet/messages.h
@@ -4,6 +4,7 @@
 #include "libapricot/hometenure.h"
 #include "libapricot/refusal.h"
 #include "libapricot/stagecall.h"
+#include "libnet/controlmessages.h"
 #include "libnet/recordmessages.h"
 
 #include <cstdint>
@@ -133,7 +134,8 @@
 using Message = std::variant<SubmitMessage, TokenMessage, CompletedMessage, RefusedMessage,
     StageCallMessage, StageSentMessage, StageEndedMessage, TextMessage, ReleaseHomeMessage,
     HomeReleasedMessage, RelayedSubmitMessage, StoreCopyMessage, CopyStoredMessage, ClaimMessage,
-    ClaimedMessage, PoisonMessage>;
+    ClaimedMessage, PoisonMessage, CellQuestionMessage, CellAnswerMessage, ConfigQuestionMessage,
+    ConfigAnswerMessage, ViewQuestionMessage, ViewAnswerMessage>;
 
 // Version of the encoding; a frame of another version closes its connection.
 constexpr std::uint8_t messageVersion = 1;
--- a/src/libnet/platformclient.cpp
+++ b/src/libnet/platformclient.cpp
@@ -77,6 +77,27 @@
         }
     }
 
+    // Reads the answer to a write. One that is not understood tells nothing of the write.
+    WriteResult parseWriteAnswer(int status, const std::string& body, bool isDeletion)
+    {
+        if (status >= 400 && status < 500 && status != 409)
+            throw PlatformUnavailable("platform answered " + std::to_string(status), retryDefault);
+        try {
+            const json::value value = json::parse(body);
+            if (status == 409 && value.is_null())
+                return WriteConflict {};
+            if (status == 409)
+                return WriteConflict { .current = parseObject(value) };
+            if (status == 200 && isDeletion)
+                return WriteStored {};
+            if (status == 200)
+                return WriteStored { value.at("version").to_number<ObjectVersion>() };
+        } catch (const std::exception& error) {
+            return WriteUnknown { .detail = error.what() };
+        }
+        return WriteUnknown { .detail = "platform answered " + std::to_string(status) };
+    }
+
     PlatformUnavailable unexpectedStatus(int status)
     {
         return { "platform answered " + std::to_string(status), retryDefault };
@@ -121,7 +142,7 @@
             + "&since=" + std::to_string(since) + "&timeout_ms=" + std::to_string(timeout.count()),
         timeout + m_options.timeout);
     if (answer.status == 410)
-        co_return PlatformListAgain {};
+        co_return PlatformWatch(PlatformListAgain {});
     if (answer.status != 200)
         throw unexpectedStatus(answer.status);
     co_return parseBody(answer.body, [](const json::value& value) {
@@ -138,10 +159,11 @@
     std::string target = "/objects/" + encodeComponent(key);
     if (ifVersion)
         target += "?if_version=" + std::to_string(*ifVersion);
-    co_return co_await write({ .method = "PUT",
+    HttpCall call { .method = "PUT",
         .target = std::move(target),
         .body = json::serialize(value),
-        .timeout = m_options.timeout });
+        .timeout = m_options.timeout };
+    co_return co_await write(std::move(call));
 }
 
 asio::awaitable<WriteResult> PlatformClient::remove(
@@ -150,8 +172,8 @@
     std::string target = "/objects/" + encodeComponent(key);
     if (ifVersion)
         target += "?if_version=" + std::to_string(*ifVersion);
-    co_return co_await write(
-        { .method = "DELETE", .target = std::move(target), .timeout = m_options.timeout });
+    HttpCall call { .method = "DELETE", .target = std::move(target), .timeout = m_options.timeout };
+    co_return co_await write(std::move(call));
 }
 
 asio::awaitable<WriteResult> PlatformClient::putConfirmed(
@@ -170,7 +192,7 @@
         }
         if (const auto* conflict = std::get_if<WriteConflict>(&*result)) {
             if (attempt > 0 && conflict->current && isOwnWrite(*conflict->current))
-                co_return WriteStored { .version = conflict->current->version };
+                result = WriteStored { .version = conflict->current->version };
             co_return *result;
         }
         if (std::holds_alternative<WriteStored>(*result))
@@ -188,8 +210,9 @@
     auto sent = std::make_shared<bool>(false);
     Answer answer;
     try {
+        HttpSendGate gate = [sent] { return *sent = true; };
         const std::unique_ptr<HttpStream> stream
-            = co_await m_client.open(std::move(call), [sent] { return *sent = true; });
+            = co_await m_client.open(std::move(call), std::move(gate));
         answer.status = stream->status();
         if (answer.status == 429 || answer.status == 503)
             throw PlatformUnavailable("platform answered " + std::to_string(answer.status),
@@ -208,7 +231,8 @@
     std::string target, Milliseconds timeout)
 {
     try {
-        co_return co_await send({ .target = std::move(target), .timeout = timeout });
+        HttpCall call { .target = std::move(target), .timeout = timeout };
+        co_return co_await send(std::move(call));
     } catch (const LostAnswer& error) {
         throw PlatformUnavailable(error.what(), retryDefault);
     }
@@ -219,22 +243,10 @@
     const bool isDeletion = call.method == "DELETE";
     try {
         const Answer answer = co_await send(std::move(call));
-        if (answer.status == 409) {
-            co_return parseBody(answer.body, [](const json::value& value) {
-                if (value.is_null())
-                    return WriteConflict {};
-                return WriteConflict { .current = parseObject(value) };
-            });
-        }
-        if (answer.status != 200)
-            throw unexpectedStatus(answer.status);
-        if (isDeletion)
-            co_return WriteStored {};
-        co_return parseBody(answer.body, [](const json::value& value) {
-            return WriteStored { .version = value.at("version").to_number<ObjectVersion>() };
-        });
+        co_return parseWriteAnswer(answer.status, answer.body, isDeletion);
     } catch (const LostAnswer& error) {
-        co_return WriteUnknown { .detail = error.what() };
+        WriteResult unknown = WriteUnknown { .detail = error.what() };
+        co_return unknown;
     }
 }
 
--- /dev/null
+++ b/tests/unit/controlplanetest.cpp
@@ -0,0 +1,267 @@
+#include "dispatch/controlplane.h"
+#include "emulator/platform/platformserver.h"
+#include "libapricot/cataloguejson.h"
+#include "libnet/asyncevent.h"
+#include "libnet/controlfollower.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <exception>
+
+using namespace Apricot;
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr int serverCount = 8;
+constexpr Milliseconds waitLimit { 8000 };
+constexpr Milliseconds pollInterval { 10 };
+
+// Times of a cell at a tenth of their defaults.
+CellKeeperOptions fastMembership()
+{
+    return { .evidence = { .evidenceLease = Milliseconds(400), .configLease = Milliseconds(600) },
+        .renewInterval = Milliseconds(100),
+        .changeInterval = Milliseconds(25),
+        .successionStep = Milliseconds(50),
+        .readInterval = Milliseconds(100),
+        .removalTime = Milliseconds(500),
+        .yieldInterval = Milliseconds(6000) };
+}
+
+ControlPlaneOptions fastOptions(const std::string& host, std::uint16_t port, std::uint16_t platform)
+{
+    return { .host = HostId(host),
+        .failureDomain = FailureDomainId("zone-" + host),
+        .endpoint = { "127.0.0.1", port },
+        .platform = { "127.0.0.1", platform },
+        .membership = fastMembership(),
+        .config = { .watchTimeout = Milliseconds(100),
+            .retryInterval = Milliseconds(50),
+            .staleTime = Milliseconds(300) },
+        .heartbeatInterval = Milliseconds(50),
+        .heartbeatTimeout = Milliseconds(200),
+        .rejoinDelay = Milliseconds(300) };
+}
+
+// A dispatch daemon's control plane behind a port of its own. While it is deaf it answers nothing.
+class TestMember {
+public:
+    TestMember(asio::io_context& context, const std::string& host, std::uint16_t platform)
+        : m_server(context, {}, [this](std::shared_ptr<PeerStream> stream) { return serve(stream); })
+        , m_plane(context, fastOptions(host, m_server.port(), platform))
+    {
+        m_plane.start();
+    }
+
+    ControlPlane& plane() { return m_plane; }
+    std::uint16_t port() const { return m_server.port(); }
+    void setDeaf(bool isDeaf) { m_isDeaf = isDeaf; }
+    // Leaves the heartbeats of one host unanswered; an empty name ends that.
+    void setDeafTo(const std::string& host) { m_deafTo = HostId(host); }
+    std::shared_ptr<const ControlView> view() const { return m_plane.view(); }
+    bool permits() const { return view()->permits(RuntimeClock::now()); }
+
+private:
+    asio::awaitable<void> serve(std::shared_ptr<PeerStream> stream)
+    {
+        std::optional<Message> question = co_await stream->read();
+        if (!question || m_isDeaf)
+            co_return;
+        const auto* cell = std::get_if<CellQuestionMessage>(&*question);
+        if (cell && cell->question.asker.host == m_deafTo)
+            co_return;
+        std::optional<Message> answer = co_await m_plane.answer(std::move(*question));
+        if (answer)
+            co_await stream->write(std::move(*answer));
+    }
+
+    bool m_isDeaf = false;
+    HostId m_deafTo;
+    PeerServer m_server;
+    ControlPlane m_plane;
+};
+
+}
+
+TEST_GROUP(ControlPlane)
+{
+    asio::io_context context;
+    PlatformServer platform { context, {} };
+    PlatformClient operators { context, { .port = platform.port(), .host = HostId("ctl") } };
+    TestMember one { context, "one", platform.port() };
+    TestMember two { context, "two", platform.port() };
+    TestMember three { context, "three", platform.port() };
+
+    void run(std::function<asio::awaitable<void>()> body)
+    {
+        std::exception_ptr failure;
+        asio::co_spawn(context, std::move(body), [&](std::exception_ptr error) {
+            failure = error;
+            context.stop();
+        });
+        context.run();
+        if (failure)
+            std::rethrow_exception(failure);
+    }
+
+    asio::awaitable<void> waitUntil(std::string what, std::function<bool()> condition)
+    {
+        const TimePoint deadline = RuntimeClock::now() + waitLimit;
+        while (!condition() && RuntimeClock::now() < deadline)
+            co_await sleepFor(context.get_executor(), pollInterval);
+        if (!condition())
+            throw std::runtime_error("not seen in time: " + what);
+    }
+
+    bool areMembers(std::size_t count)
+    {
+        for (const TestMember* member : { &one, &two, &three }) {
+            if (member->view()->cell->members.size() != count)
+                return false;
+        }
+        return true;
+    }
+
+    bool allPermit() { return one.permits() && two.permits() && three.permits(); }
+
+    asio::awaitable<void> join()
+    {
+        co_await waitUntil("three members", [this] { return areMembers(3) && allPermit(); });
+    }
+
+    asio::awaitable<void> declareServers()
+    {
+        for (int index = 0; index < serverCount; ++index) {
+            const std::string id = "s" + std::to_string(index);
+            const BackendServer server { .id = BackendServerId(id),
+                .pool = PoolId("pool"),
+                .host = HostId("machine"),
+                .failureDomain = FailureDomainId("zone"),
+                .address = "127.0.0.1",
+                .port = 1 };
+            co_await operators.put("servers/" + id, toJson(server), 0);
+        }
+        co_await waitUntil("a home of each server at each member",
+            [this] { return hasHomes(one) && hasHomes(two) && hasHomes(three); });
+    }
+
+    static std::size_t countHomes(const TestMember& member, const std::string& host)
+    {
+        std::size_t count = 0;
+        for (const auto& [server, home] : member.view()->cell->homes) {
+            if (home.home == HostId(host))
+                ++count;
+        }
+        return count;
+    }
+
+    static bool hasHomes(const TestMember& member)
+    {
+        return member.view()->cell->homes.size() == serverCount && countHomes(member, "") == 0;
+    }
+
+    asio::awaitable<void> setFaults(std::string faults)
+    {
+        HttpClient client(context, { .port = platform.port() });
+        HttpCall call { .method = "POST", .target = "/faults", .body = std::move(faults) };
+        co_await client.send(std::move(call));
+    }
+};
+
+TEST(ControlPlane, membersJoinAndShareTheConfiguration)
+{
+    run([this]() -> asio::awaitable<void> {
+        co_await join();
+        co_await declareServers();
+        co_await operators.put("catalogue/bad", "no entry", 0);
+        std::optional<PlatformObject> status;
+        while (!status || status->value.at("invalid").as_array().empty()) {
+            co_await sleepFor(context.get_executor(), Milliseconds(50));
+            status = co_await operators.get("status/two");
+        }
+        STRCMP_EQUAL("catalogue/bad",
+            status->value.at("invalid").at(0).at("key").as_string().c_str());
+    });
+}
+
+TEST(ControlPlane, entryFollowsItsDispatchDaemon)
+{
+    ControlFollower follower(
+        context, { .host = HostId("one"), .dispatch = { "127.0.0.1", one.port() } });
+    run([&]() -> asio::awaitable<void> {
+        follower.start();
+        co_await join();
+        co_await declareServers();
+        co_await waitUntil("the server at the entry", [&] {
+            const auto view = follower.view();
+            return view->catalogue->servers.size() == serverCount && view->cell->members.size() == 3
+                && view->permits(RuntimeClock::now());
+        });
+        one.setDeaf(true);
+        co_await waitUntil("the permission's end",
+            [&] { return !follower.view()->permits(RuntimeClock::now()); });
+    });
+}
+
+TEST(ControlPlane, anOutageForAllStopsNobody)
+{
+    run([this]() -> asio::awaitable<void> {
+        co_await join();
+        co_await setFaults(R"({"outage":true})");
+        const TimePoint end = RuntimeClock::now() + Milliseconds(1500);
+        while (RuntimeClock::now() < end) {
+            CHECK(allPermit());
+            co_await sleepFor(context.get_executor(), pollInterval);
+        }
+    });
+}
+
+TEST(ControlPlane, aMemberCutOffAloneStopsAndComesBackUnderAnotherIncarnation)
+{
+    run([this]() -> asio::awaitable<void> {
+        co_await join();
+        co_await declareServers();
+        CHECK(countHomes(three, "three") > 0);
+        const std::string before = three.view()->incarnation;
+        // It hears nobody, nobody hears it, and it can't reach the platform.
+        one.setDeafTo("three");
+        two.setDeafTo("three");
+        three.setDeaf(true);
+        co_await setFaults(R"({"cut_hosts":["three"]})");
+        co_await waitUntil("the end of its permission", [this] { return !three.permits(); });
+        co_await waitUntil("its removal",
+            [this] { return one.view()->cell->members.size() == 2 && one.permits(); });
+        one.setDeafTo("");
+        two.setDeafTo("");
+        three.setDeaf(false);
+        co_await setFaults("{}");
+        co_await join();
+        CHECK(three.view()->incarnation != before);
+    });
+}
+
+TEST(ControlPlane, aLeavingMemberGivesItsReplicasAwayAndIsRemoved)
+{
+    run([this]() -> asio::awaitable<void> {
+        co_await join();
+        co_await declareServers();
+        CHECK(countHomes(one, "two") > 0);
+        two.plane().beginLeaving();
+        co_await waitUntil("other homes", [this] { return countHomes(two, "two") == 0; });
+        CHECK(two.view()->cell->findMember(HostId("two")));
+        co_await two.plane().finishLeaving(waitLimit);
+        CHECK(!two.view()->cell->findMember(HostId("two")));
+        co_await waitUntil("confirmed homes", [this] {
+            const auto view = one.view();
+            for (const auto& [server, home] : view->cell->homes) {
+                if (!home.unconfirmedHome.empty())
+                    return false;
+            }
+            return view->cell->members.size() == 2 && view->cell->removed.empty();
+        });
+    });
+}
