--- a/src/libnet/messages.h
+++ b/src/libnet/messages.h
@@ -5,6 +5,7 @@
 #include "libapricot/ownershare.h"
 #include "libapricot/refusal.h"
 #include "libapricot/stagecall.h"
+#include "libnet/controlmessages.h"
 #include "libnet/recordmessages.h"
 
 #include <cstdint>
@@ -150,7 +151,9 @@
 using Message = std::variant<SubmitMessage, TokenMessage, CompletedMessage, RefusedMessage,
     StageCallMessage, StageSentMessage, StageEndedMessage, TextMessage, ReleaseHomeMessage,
     HomeReleasedMessage, RelayedSubmitMessage, StoreCopyMessage, CopyStoredMessage, ClaimMessage,
-    ClaimedMessage, PoisonMessage, ShareRequestMessage, ShareAnswerMessage>;
+    ClaimedMessage, PoisonMessage, ShareRequestMessage, ShareAnswerMessage, CellQuestionMessage,
+    CellAnswerMessage, ConfigQuestionMessage, ConfigAnswerMessage, ViewQuestionMessage,
+    ViewAnswerMessage>;
 
 // Version of the encoding; a frame of another version closes its connection.
 constexpr std::uint8_t messageVersion = 1;
