--- a/src/dispatch/coordinator.cpp
+++ b/src/dispatch/coordinator.cpp
@@ -194,8 +194,9 @@
     bool answered = false;
     try {
         if (endpoint) {
+            Message relayed = RelayedSubmitMessage { .submit = submit };
             const std::shared_ptr<PeerStream> upstream = co_await m_services.peers.open(
-                *endpoint, RelayedSubmitMessage { .submit = submit }, relayTimeout);
+                *endpoint, std::move(relayed), relayTimeout);
             const auto ended
                 = co_await (passOn(upstream, stream, submit) || waitUntilGone(stream));
             answered = ended.index() == 1 || std::get<0>(ended);
@@ -217,7 +218,8 @@
     ++m_refused[refusal.reason];
     refusal = m_services.records.limitToKnown(
         std::move(refusal), opening, {}, RuntimeClock::now());
-    co_await stream->write(RefusedMessage { .refusal = refusal });
+    Message refused = RefusedMessage { .refusal = refusal };
+    co_await stream->write(std::move(refused));
     stream->finish();
 }
 
--- /dev/null
+++ b/src/dispatch/dispatchdaemon.cpp
@@ -0,0 +1,148 @@
+#include "dispatch/dispatchdaemon.h"
+
+#include "libapricot/portfile.h"
+#include "libnet/asyncevent.h"
+#include "libnet/log.h"
+#include "libnet/requestkey.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json/object.hpp>
+
+#include <future>
+
+namespace Apricot {
+
+namespace Asio = boost::asio;
+
+namespace {
+
+    constexpr Milliseconds maintenanceInterval { 1000 };
+    // Longest wait for the cell to drop a member that has stopped.
+    constexpr Milliseconds leaveTimeout { 5000 };
+
+    ControlPlaneOptions controlOptions(const DispatchSettings& settings, std::uint16_t peerPort)
+    {
+        ControlPlaneOptions options;
+        options.host = settings.process.host;
+        options.failureDomain = settings.process.failureDomain;
+        options.cell = settings.membership.cell;
+        options.endpoint = { settings.peer.address, peerPort };
+        options.platform = { settings.platform.address, settings.platform.port };
+        options.membership.evidence.evidenceLease = settings.membership.evidence;
+        options.membership.renewInterval = settings.membership.renewal;
+        options.membership.removalTime = settings.membership.removal;
+        return options;
+    }
+
+}
+
+DispatchDaemon::DispatchDaemon(const DispatchSettings& settings)
+    : m_settings(settings)
+    , m_server(m_daemon.traffic(),
+          { .address = settings.peer.address, .port = settings.peer.port },
+          [this](std::shared_ptr<PeerStream> stream) {
+              return m_dispatcher.serve(std::move(stream));
+          })
+    , m_controlPlane(m_daemon.control(), controlOptions(settings, m_server.port()))
+    , m_peers(m_daemon.traffic())
+    , m_link(m_peers)
+    , m_platform(m_daemon.traffic(),
+          { .address = settings.platform.address,
+              .port = settings.platform.port,
+              .host = settings.process.host })
+    , m_claimStore(m_platform)
+    , m_records({ .host = settings.process.host,
+          .incarnation = m_controlPlane.view()->incarnation })
+    , m_copies(m_controlPlane, m_link, m_records)
+    , m_claims(m_daemon.traffic(), m_controlPlane, m_link, m_claimStore)
+    , m_coordinator(makeRunnerServices())
+    , m_homes(m_daemon.traffic(), m_controlPlane,
+          { .tenure = { .evidenceTime = settings.membership.evidence,
+                .drainTime = settings.membership.drain } })
+    , m_dispatcher({ m_daemon.control(), m_controlPlane, m_coordinator, m_homes, m_copies, m_claims })
+    , m_admin(m_daemon.control(), m_metrics, makeAdminOptions())
+{
+    if (!settings.process.portFile.empty())
+        writePortFile(settings.process.portFile,
+            { { "peer", m_server.port() }, { "control", m_admin.port() } });
+}
+
+RunnerServices DispatchDaemon::makeRunnerServices()
+{
+    return {
+        .context = m_daemon.traffic(),
+        .views = m_controlPlane,
+        .peers = m_link,
+        .router = m_router,
+        .records = m_records,
+        .copies = m_copies,
+        .claims = m_claims,
+        .retries = m_retries,
+        .poison = m_poison,
+    };
+}
+
+AdminServerOptions DispatchDaemon::makeAdminOptions()
+{
+    return {
+        .address = m_settings.control.address,
+        .port = m_settings.control.port,
+        .state = [this] { return dump(); },
+        .health = [this]() -> HealthReport {
+            const auto view = m_controlPlane.view();
+            const bool permitted = view && view->permits(RuntimeClock::now());
+            return { .healthy = permitted && !view->stopping,
+                .detail = permitted ? "" : "no evidence of the newest epoch" };
+        },
+        .refreshMetrics = {},
+    };
+}
+
+void DispatchDaemon::run()
+{
+    m_controlPlane.start();
+    Asio::post(m_daemon.traffic(), [this] { m_homes.start(); });
+    Asio::co_spawn(m_daemon.traffic(), maintain(), Asio::detached);
+    m_daemon.run([this] { return shutDown(); },
+        [this] { return std::to_string(m_server.streamsInFlight()) + " peer streams"; });
+}
+
+Asio::awaitable<void> DispatchDaemon::maintain()
+{
+    while (true) {
+        m_coordinator.maintain();
+        co_await sleepFor(m_daemon.traffic().get_executor(), maintenanceInterval);
+    }
+}
+
+Asio::awaitable<void> DispatchDaemon::shutDown()
+{
+    m_controlPlane.beginLeaving();
+    co_await Asio::co_spawn(m_daemon.traffic(), drainTraffic(), Asio::use_awaitable);
+    co_await m_controlPlane.finishLeaving(leaveTimeout);
+    writeLog(LogLevel::Info, "shutdown_finished");
+    m_daemon.stop();
+}
+
+Asio::awaitable<void> DispatchDaemon::drainTraffic()
+{
+    co_await m_coordinator.drain();
+    co_await m_homes.drain();
+}
+
+boost::json::value DispatchDaemon::dump()
+{
+    boost::json::object state { { "control", m_controlPlane.dump() } };
+    std::promise<void> done;
+    Asio::post(m_daemon.traffic(), [&] {
+        state["coordinator"] = m_coordinator.dump();
+        state["homes"] = m_homes.dump();
+        state["claims"] = m_claims.dump();
+        done.set_value();
+    });
+    done.get_future().wait();
+    return state;
+}
+
+}
--- /dev/null
+++ b/src/dispatch/dispatchdaemon.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "dispatch/dispatcher.h"
+#include "dispatch/platformclaimstore.h"
+#include "libapricot/dispatchsettings.h"
+#include "libapricot/loadrouter.h"
+#include "libapricot/metrics.h"
+#include "libnet/adminserver.h"
+#include "libnet/daemon.h"
+
+namespace Apricot {
+
+// One dispatch daemon: the control plane on the control thread, and coordinator, homes, records and
+// claims on the traffic thread.
+class DispatchDaemon {
+public:
+    explicit DispatchDaemon(const DispatchSettings& settings);
+
+    // Runs until a graceful shutdown has ended.
+    void run();
+
+private:
+    AdminServerOptions makeAdminOptions();
+    RunnerServices makeRunnerServices();
+    // Calls the coordinator's upkeep about once a second.
+    boost::asio::awaitable<void> maintain();
+    boost::asio::awaitable<void> shutDown();
+    // Gives the replicas away, then waits until nothing is in flight.
+    boost::asio::awaitable<void> drainTraffic();
+    // The dump of the services of the traffic thread, taken on that thread.
+    boost::json::value dump();
+
+    DispatchSettings m_settings;
+    Daemon m_daemon;
+    MetricRegistry m_metrics;
+    PeerServer m_server;
+    ControlPlane m_controlPlane;
+    PeerClient m_peers;
+    ClientPeerLink m_link;
+    PlatformClient m_platform;
+    PlatformClaimStore m_claimStore;
+    LoadRouter m_router;
+    RetryBudget m_retries;
+    PoisonTable m_poison;
+    RecordTable m_records;
+    RecordService m_copies;
+    ClaimService m_claims;
+    Coordinator m_coordinator;
+    HomeService m_homes;
+    Dispatcher m_dispatcher;
+    AdminServer m_admin;
+};
+
+}
--- /dev/null
+++ b/src/dispatch/dispatcher.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "dispatch/claimservice.h"
+#include "dispatch/controlplane.h"
+#include "dispatch/coordinator.h"
+#include "dispatch/homeservice.h"
+#include "dispatch/recordservice.h"
+
+namespace Apricot {
+
+// The services of a dispatch daemon that take streams from peers.
+struct DispatchServices {
+    boost::asio::io_context& control;
+    ControlPlane& controlPlane;
+    Coordinator& coordinator;
+    HomeService& homes;
+    RecordService& records;
+    ClaimService& claims;
+};
+
+// Hands each stream from a peer to the service that its first message is for. Runs on the traffic
+// thread; questions about control are answered on the control thread.
+class Dispatcher {
+public:
+    explicit Dispatcher(DispatchServices services);
+
+    boost::asio::awaitable<void> serve(std::shared_ptr<PeerStream> stream);
+
+private:
+    boost::asio::awaitable<void> answerControl(
+        std::shared_ptr<PeerStream> stream, Message question);
+
+    DispatchServices m_services;
+};
+
+}
--- /dev/null
+++ b/src/dispatch/platformclaimstore.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "dispatch/claimstore.h"
+#include "libnet/platformclient.h"
+
+namespace Apricot {
+
+// Keeps claim objects in the platform's object API, as JSON objects of claim key and token.
+class PlatformClaimStore : public ClaimStore {
+public:
+    explicit PlatformClaimStore(PlatformClient& platform);
+
+    boost::asio::awaitable<ClaimObject> read(std::string objectKey) override;
+    boost::asio::awaitable<ClaimPutResult> compareAndPut(
+        std::string objectKey, ClaimObject object) override;
+    boost::asio::awaitable<void> remove(std::string objectKey) override;
+
+private:
+    PlatformClient& m_platform;
+};
+
+}
--- a/src/dispatch/recordservice.cpp
+++ b/src/dispatch/recordservice.cpp
@@ -44,8 +44,9 @@
     PeerEndpoint endpoint, const StoreCopyAction& action)
 {
     try {
-        const Message answer = co_await m_peers.ask(std::move(endpoint),
-            StoreCopyMessage { .copy = action.copy, .opening = action.opening }, storeTimeout);
+        Message question = StoreCopyMessage { .copy = action.copy, .opening = action.opening };
+        const Message answer = co_await m_peers.ask(
+            std::move(endpoint), std::move(question), storeTimeout);
         if (const auto* stored = std::get_if<CopyStoredMessage>(&answer))
             co_return stored->answer;
     } catch (const std::runtime_error&) {
@@ -59,7 +60,8 @@
 {
     const CopyAnswer answer
         = m_records.store(message.copy, message.opening, RuntimeClock::now());
-    co_await stream->write(CopyStoredMessage { .answer = answer });
+    Message stored = CopyStoredMessage { .answer = answer };
+    co_await stream->write(std::move(stored));
     stream->finish();
 }
 
--- a/src/dispatch/replicahome.cpp
+++ b/src/dispatch/replicahome.cpp
@@ -251,7 +251,7 @@
 
 boost::asio::awaitable<void> ReplicaHome::pollHealth()
 {
-    co_await probe({});
+    co_await probe(std::string());
 }
 
 boost::asio::awaitable<OrderResult> ReplicaHome::order(std::string text)
--- a/src/dispatch/statuswriter.cpp
+++ b/src/dispatch/statuswriter.cpp
@@ -54,7 +54,7 @@
             pause = writeInterval;
             try {
                 const DaemonStatus status = m_status;
-                const WriteResult result = co_await m_platform.put(m_key, toJson(status), {});
+                const WriteResult result = co_await m_platform.put(m_key, toJson(status), std::nullopt);
                 if (std::holds_alternative<WriteStored>(result))
                     m_written = status;
             } catch (const PlatformUnavailable& error) {
--- /dev/null
+++ b/src/entry/entryservice.cpp
@@ -0,0 +1,256 @@
+#include "entry/entryservice.h"
+
+#include "entry/submission.h"
+#include "libapricot/rendezvous.h"
+#include "libnet/asyncevent.h"
+
+#include <boost/json.hpp>
+
+namespace Apricot {
+
+namespace Asio = boost::asio;
+namespace Json = boost::json;
+
+namespace {
+
+    constexpr int statusOk = 200;
+    constexpr int statusNotFound = 404;
+    constexpr int statusMethodNotAllowed = 405;
+    constexpr int statusUnavailable = 503;
+    constexpr Milliseconds coordinatorConnectTimeout { 1000 };
+    constexpr Milliseconds failoverPause { 100 };
+    // How often each coordinator is tried before the caller is told to come back.
+    constexpr std::size_t coordinatorRounds = 2;
+    constexpr Milliseconds retryAfterNoEvidence { 1000 };
+    constexpr std::string_view jsonType = "application/json";
+
+    // Live members in order of preference for a key. The first is its coordinator.
+    std::vector<Member> rankCoordinators(const CellState& cell, const RequestKey& key)
+    {
+        std::vector<HostId> hosts;
+        hosts.reserve(cell.members.size());
+        for (const Member& member : cell.members) {
+            if (member.state == MemberState::Live)
+                hosts.push_back(member.host);
+        }
+        std::vector<Member> ranked;
+        ranked.reserve(hosts.size());
+        for (const HostId& host : rankHosts(key.value(), hosts))
+            ranked.push_back(*cell.findMember(host));
+        return ranked;
+    }
+
+    // Whether another coordinator may well take the request that one refused for this reason.
+    bool isAboutCoordinator(RefusalReason reason)
+    {
+        return reason == RefusalReason::NoEvidence || reason == RefusalReason::Stopping;
+    }
+
+    Refusal refuseWithoutCoordinator(const SubmitMessage& submission, RefusalReason reason)
+    {
+        return Refusal {
+            .reason = reason,
+            // A key that was made here and never left this host can't have run anywhere.
+            .ran = submission.keyFromCaller ? RanState::Unknown : RanState::NotRun,
+            .retryAfter = retryAfterNoEvidence,
+            .detail = "no coordinator can be reached; send the same key again",
+        };
+    }
+
+}
+
+void EntryService::Relay::noteAttempt()
+{
+    submission.keyFromCaller = true;
+    lastRefusal.ran = RanState::Unknown;
+}
+
+EntryService::EntryService(
+    Asio::io_context& context, const ControlViewSource& source, PeerClient& peers)
+    : m_context(context)
+    , m_source(source)
+    , m_peers(peers)
+{
+}
+
+Asio::awaitable<void> EntryService::serve(HttpExchange& exchange)
+{
+    if (exchange.request().path == "/health") {
+        co_await serveHealth(exchange);
+        co_return;
+    }
+    if (pipelineOfPath(exchange.request().path).empty()) {
+        co_await exchange.respond(
+            statusNotFound, std::string(jsonType), R"({"error":"no such path"})");
+        co_return;
+    }
+    if (exchange.request().method != "POST") {
+        co_await exchange.respond(
+            statusMethodNotAllowed, std::string(jsonType), R"({"error":"use POST"})");
+        co_return;
+    }
+    co_await serveSubmission(exchange);
+}
+
+bool EntryService::isReady() const
+{
+    const auto view = m_source.view();
+    return !m_stopping && view && view->catalogue && view->permits(RuntimeClock::now());
+}
+
+Asio::awaitable<void> EntryService::serveHealth(HttpExchange& exchange)
+{
+    const bool ready = isReady();
+    std::string body = ready ? R"({"ready":true})" : R"({"ready":false})";
+    co_await exchange.respond(
+        ready ? statusOk : statusUnavailable, std::string(jsonType), std::move(body));
+}
+
+Asio::awaitable<void> EntryService::serveSubmission(HttpExchange& exchange)
+{
+    ++m_counts.received;
+    const auto view = m_source.view();
+    SubmitMessage submission;
+    std::optional<Refusal> refusal;
+    try {
+        static const Catalogue noCatalogue;
+        submission = parseSubmission(
+            exchange.request(), view && view->catalogue ? *view->catalogue : noCatalogue);
+        if (!view || !view->permits(RuntimeClock::now()))
+            refusal = refuseWithoutCoordinator(submission, RefusalReason::NoEvidence);
+    } catch (const SubmissionError& error) {
+        const bool hasKey = !exchange.request().field("Idempotency-Key").empty();
+        refusal = Refusal { .reason = error.reason(),
+            .ran = hasKey ? RanState::Unknown : RanState::NotRun,
+            .detail = error.what() };
+        if (!view || !view->catalogue)
+            refusal = refuseWithoutCoordinator(submission, RefusalReason::NoEvidence);
+    }
+    if (refusal) {
+        ++m_counts.refused;
+        AnswerWriter writer(exchange, submission.key);
+        co_await writer.writeRefusal(*refusal);
+        co_return;
+    }
+    co_await relay(exchange, std::move(submission));
+}
+
+Asio::awaitable<void> EntryService::relay(HttpExchange& exchange, SubmitMessage submission)
+{
+    AnswerWriter writer(exchange, submission.key);
+    const TimePoint deadline = RuntimeClock::now() + submission.budget;
+    Relay state { .submission = std::move(submission), .deadline = deadline };
+    state.lastRefusal = refuseWithoutCoordinator(state.submission, RefusalReason::NoEvidence);
+    for (std::size_t failures = 0; !exchange.isPeerGone(); ++failures) {
+        const std::vector<Member> ranked
+            = rankCoordinators(*m_source.view()->cell, state.submission.key);
+        const Milliseconds left { millisecondsBetween(RuntimeClock::now(), state.deadline) };
+        if (left.count() <= 0 || failures >= coordinatorRounds * ranked.size())
+            break;
+        state.submission.budget = left;
+        if (co_await relayFrom(ranked[failures % ranked.size()], state, writer, exchange))
+            co_return;
+        ++m_counts.resumed;
+        if ((failures + 1) % ranked.size() == 0)
+            co_await sleepFor(m_context.get_executor(), failoverPause);
+    }
+    if (exchange.isPeerGone()) {
+        ++m_counts.abandoned;
+        co_return;
+    }
+    ++m_counts.refused;
+    co_await writer.writeRefusal(state.lastRefusal);
+}
+
+Asio::awaitable<bool> EntryService::relayFrom(const Member& coordinator,
+    Relay& state, AnswerWriter& writer, HttpExchange& exchange)
+{
+    const PeerEndpoint endpoint { coordinator.address, coordinator.port };
+    std::shared_ptr<PeerStream> stream;
+    try {
+        Message message = state.submission;
+        stream = co_await m_peers.open(endpoint, std::move(message), coordinatorConnectTimeout);
+    } catch (const PeerError& error) {
+        // A refused connection carried nothing; after any other failure an attempt may exist.
+        if (error.failure() != PeerFailure::Refused)
+            state.noteAttempt();
+        co_return false;
+    }
+    state.noteAttempt();
+    exchange.setPeerGoneHandler([stream] { stream->cancel(); });
+    bool answered = false;
+    try {
+        answered = co_await relayMessages(*stream, state, writer);
+    } catch (const PeerError&) {
+        answered = false;
+    }
+    exchange.setPeerGoneHandler(nullptr);
+    co_return answered;
+}
+
+Asio::awaitable<bool> EntryService::relayMessages(
+    PeerStream& stream, Relay& state, AnswerWriter& writer)
+{
+    while (std::optional<Message> message = co_await stream.read()) {
+        if (const auto* token = std::get_if<TokenMessage>(&*message)) {
+            if (token->index != state.submission.resumeFrom)
+                continue;
+            ++state.submission.resumeFrom;
+            co_await writer.writeToken(*token);
+        } else if (const auto* completed = std::get_if<CompletedMessage>(&*message)) {
+            // An answer with a gap is never marked whole; the rest is fetched again.
+            if (completed->tokens != state.submission.resumeFrom)
+                co_return false;
+            ++m_counts.completed;
+            co_await writer.writeCompleted(*completed);
+            co_return true;
+        } else if (const auto* refused = std::get_if<RefusedMessage>(&*message)) {
+            if (isAboutCoordinator(refused->refusal.reason)) {
+                state.lastRefusal = refused->refusal;
+                co_return false;
+            }
+            ++m_counts.refused;
+            co_await writer.writeRefusal(refused->refusal);
+            co_return true;
+        }
+    }
+    co_return false;
+}
+
+void EntryService::writeMetrics(MetricRegistry& metrics) const
+{
+    const auto set = [&metrics](const std::string& outcome, std::uint64_t count) {
+        metrics
+            .gauge("apricot_entry_requests", "Requests since the start, by outcome",
+                { { "outcome", outcome } })
+            .set(static_cast<double>(count));
+    };
+    set("received", m_counts.received.load());
+    set("completed", m_counts.completed.load());
+    set("refused", m_counts.refused.load());
+    set("resumed", m_counts.resumed.load());
+    set("abandoned", m_counts.abandoned.load());
+    metrics.gauge("apricot_entry_ready", "1 while new requests are taken")
+        .set(isReady() ? 1 : 0);
+}
+
+Json::value EntryService::dump() const
+{
+    const auto view = m_source.view();
+    Json::object state {
+        { "ready", isReady() },
+        { "stopping", m_stopping.load() },
+        { "received", m_counts.received.load() },
+        { "completed", m_counts.completed.load() },
+        { "refused", m_counts.refused.load() },
+        { "resumed", m_counts.resumed.load() },
+        { "abandoned", m_counts.abandoned.load() },
+    };
+    if (view && view->catalogue) {
+        state["catalogue_version"] = view->catalogue->version;
+        state["epoch"] = view->epoch;
+    }
+    return state;
+}
+
+}
--- /dev/null
+++ b/src/entry/entryservice.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "entry/answerwriter.h"
+#include "libapricot/controlview.h"
+#include "libapricot/metrics.h"
+#include "libnet/httpserver.h"
+#include "libnet/peerstream.h"
+
+#include <boost/json/value.hpp>
+
+#include <atomic>
+#include <cstdint>
+
+namespace Apricot {
+
+// Counts of one entry host since its start.
+struct EntryCounts {
+    std::atomic<std::uint64_t> received { 0 };
+    std::atomic<std::uint64_t> completed { 0 };
+    std::atomic<std::uint64_t> refused { 0 };
+    std::atomic<std::uint64_t> resumed { 0 };
+    std::atomic<std::uint64_t> abandoned { 0 };
+};
+
+// Serves callers: checks each request, routes it by its key to the coordinator, and relays the
+// answer token by token. When a coordinator is lost, the request goes on at the next one in order.
+class EntryService {
+public:
+    EntryService(
+        boost::asio::io_context& context, const ControlViewSource& source, PeerClient& peers);
+
+    boost::asio::awaitable<void> serve(HttpExchange& exchange);
+
+    // Makes the health check fail, so that the balancer sends no more callers here.
+    void beginShutdown() { m_stopping = true; }
+    // Whether the system takes new requests here. May be called on any thread, like the next two.
+    bool isReady() const;
+    void writeMetrics(MetricRegistry& metrics) const;
+    boost::json::value dump() const;
+
+private:
+    // A submission on its way from coordinator to coordinator.
+    struct Relay {
+        SubmitMessage submission;
+        TimePoint deadline {};
+        // What the caller is told when no coordinator takes the submission.
+        Refusal lastRefusal;
+
+        // Remembers that a coordinator may have begun to run the submission.
+        void noteAttempt();
+    };
+
+    boost::asio::awaitable<void> serveHealth(HttpExchange& exchange);
+    boost::asio::awaitable<void> serveSubmission(HttpExchange& exchange);
+    boost::asio::awaitable<void> relay(HttpExchange& exchange, SubmitMessage submission);
+    // Runs the submission at one coordinator; returns whether the caller has its final answer.
+    boost::asio::awaitable<bool> relayFrom(
+        const Member& coordinator, Relay& state, AnswerWriter& writer, HttpExchange& exchange);
+    boost::asio::awaitable<bool> relayMessages(
+        PeerStream& stream, Relay& state, AnswerWriter& writer);
+
+    boost::asio::io_context& m_context;
+    const ControlViewSource& m_source;
+    PeerClient& m_peers;
+    std::atomic<bool> m_stopping { false };
+    EntryCounts m_counts;
+};
+
+}
--- a/src/libnet/httpexchangeimpl.h
+++ b/src/libnet/httpexchangeimpl.h
@@ -18,7 +18,7 @@
 
     const HttpRequest& request() const override { return m_request; }
     boost::asio::awaitable<void> respond(int status, std::string contentType, std::string body,
-        std::vector<HttpField> fields) override;
+        std::vector<HttpField> fields = {}) override;
     boost::asio::awaitable<void> beginStream(
         int status, std::string contentType, std::vector<HttpField> fields) override;
     boost::asio::awaitable<void> writeChunk(std::string_view data) override;
--- a/src/libnet/httpserver.cpp
+++ b/src/libnet/httpserver.cpp
@@ -117,7 +117,7 @@
                 = R"({"refusal":{"reason":"malformed_request","ran":"unknown",)"
                   R"("retry_after_ms":0,"detail":")"
                 + error.message() + "\"}}";
-            co_await exchange.respond(status, "application/json", std::move(body), {});
+            co_await exchange.respond(status, "application/json", std::move(body));
         } catch (const std::exception&) {
             exchange.abort();
         }
--- a/tests/scenarios/fleet.py
+++ b/tests/scenarios/fleet.py
@@ -75,8 +75,15 @@
 
     def stop(self, seconds=15):
         """Asks for a graceful shutdown and gives the exit status."""
+        self.ask_to_stop()
+        return self.wait_stopped(seconds)
+
+    def ask_to_stop(self):
         self.signal(signal.SIGCONT)
         self.signal(signal.SIGTERM)
+
+    def wait_stopped(self, seconds=15):
+        """Gives the exit status, or nothing when the process had to be killed."""
         try:
             return self.popen.wait(seconds)
         except subprocess.TimeoutExpired:
@@ -238,12 +245,11 @@
             group = [name for name in order if name.startswith(prefix)]
             order = [name for name in order if name not in group]
             for name in group:
-                self.processes[name].signal(signal.SIGCONT)
-                self.processes[name].signal(signal.SIGTERM)
+                self.processes[name].ask_to_stop()
             for name in group:
                 if self.processes[name].popen is None:
                     continue
-                status = self.processes[name].stop()
+                status = self.processes[name].wait_stopped()
                 if status != 0:
                     failed[name] = status
         return failed
