--- /dev/null
+++ b/src/libapricot/dispatchmetrics.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "libapricot/metrics.h"
+
+#include <boost/json/value.hpp>
+
+namespace Apricot {
+
+// Sets the gauges of a dispatch daemon from its state dump, so that both show the same facts. Parts
+// that the dump lacks are left out.
+void setDispatchMetrics(MetricRegistry& registry, const boost::json::value& state);
+
+}
--- a/src/libapricot/metrics.cpp
+++ b/src/libapricot/metrics.cpp
@@ -218,6 +218,12 @@
     return findOrCreate<Histogram>(name, help, labels, bounds);
 }
 
+void MetricRegistry::remove(const std::string& name)
+{
+    const std::lock_guard lock(m_mutex);
+    m_families.erase(name);
+}
+
 std::string MetricRegistry::text() const
 {
     const std::lock_guard lock(m_mutex);
--- a/src/libapricot/metrics.h
+++ b/src/libapricot/metrics.h
@@ -78,6 +78,10 @@
     Histogram& histogram(const std::string& name, const std::string& help,
         const MetricLabels& labels = {}, const std::vector<double>& bounds = latencyBounds());
 
+    // Removes every metric of a name, such as gauges of things that have gone. References to them
+    // must not be used any more.
+    void remove(const std::string& name);
+
     // Every metric in the Prometheus text format, version 0.0.4.
     std::string text() const;
 
