Admit requests by prediction and limits in the coordinator

Cause: admission, limits and cost accounts stood beside the coordinator without being asked. LoadControl joins them; the coordinator asks it before a new record is opened, and each attempt's end feeds the latency histograms. Requests that attach to a running record are not admitted a second time.

Measured: unit tests pass as before; the daemon has still to be given one.

--- a/src/dispatch/coordinator.cpp
+++ b/src/dispatch/coordinator.cpp
@@ -50,6 +50,21 @@
             [](const StageSpec& stage) { return !stage.idempotent; });
     }
 
+    Milliseconds budgetOf(const SubmitMessage& submit, const CatalogueEntry& entry)
+    {
+        if (submit.budget <= Milliseconds(0))
+            return entry.deadline;
+        return std::min(submit.budget, entry.deadline);
+    }
+
+    int tokensOf(const std::vector<StageCost>& costs)
+    {
+        std::uint64_t tokens = 0;
+        for (const StageCost& cost : costs)
+            tokens += cost.tokens;
+        return static_cast<int>(tokens);
+    }
+
     // Passes messages on until the sender has finished. Returns whether an end was among them.
     Asio::awaitable<bool> passOn(
         std::shared_ptr<PeerStream> from, std::shared_ptr<PeerStream> to, SubmitMessage& submit)
@@ -121,8 +136,10 @@
             refusalOf(RefusalReason::UnknownPipeline, "no such pipeline", Milliseconds(0)));
         co_return;
     }
+    const TimePoint now = RuntimeClock::now();
+    const TimePoint deadline = now + budgetOf(submit, entry->second);
     if (isActive(submit.key)) {
-        co_await run(stream, std::move(submit), entry->second, passage);
+        co_await run(stream, std::move(submit), entry->second, deadline, passage);
         co_return;
     }
     const std::vector<Member> order = liveMembersFor(*view, submit.key.value());
@@ -134,10 +151,21 @@
     std::optional<Refusal> refusal = refusalOfNew(*view, entry->second);
     if (!isHome && !refusal)
         refusal = refusalElsewhere("this host is not home of the key");
-    if (refusal)
+    LoadControl* const load = m_services.load;
+    if (!refusal && load)
+        refusal = load->admit(entry->second, *view, deadline, now);
+    if (refusal) {
         co_await refuse(stream, submit, *refusal);
-    else
-        co_await run(stream, std::move(submit), entry->second, passage);
+        co_return;
+    }
+    std::optional<AdmittedRequest> admitted;
+    if (load)
+        admitted.emplace(*load, entry->second);
+    const RequestKey key = submit.key;
+    co_await run(stream, std::move(submit), entry->second, deadline, passage);
+    const std::shared_ptr<RequestRecord> record = m_services.records.find(key);
+    if (admitted && record)
+        admitted->setTokens(tokensOf(record->copy().costs));
 }
 
 std::optional<Refusal> Coordinator::refusalOfNew(
@@ -155,12 +183,9 @@
 }
 
 Asio::awaitable<void> Coordinator::run(std::shared_ptr<PeerStream> stream, SubmitMessage submit,
-    const CatalogueEntry& entry, Passage passage)
+    const CatalogueEntry& entry, TimePoint deadline, Passage passage)
 {
     const TimePoint now = RuntimeClock::now();
-    const Milliseconds budget
-        = submit.budget > Milliseconds(0) ? std::min(submit.budget, entry.deadline) : entry.deadline;
-    const TimePoint deadline = now + budget;
     const RequestOpening opening { .key = submit.key,
         .keyFromCaller = submit.keyFromCaller,
         .input = submit.input };
--- a/src/dispatch/coordinator.h
+++ b/src/dispatch/coordinator.h
@@ -38,7 +38,7 @@
     boost::asio::awaitable<void> serveSubmit(
         std::shared_ptr<PeerStream> stream, SubmitMessage submit, Passage passage);
     boost::asio::awaitable<void> run(std::shared_ptr<PeerStream> stream, SubmitMessage submit,
-        const CatalogueEntry& entry, Passage passage);
+        const CatalogueEntry& entry, TimePoint deadline, Passage passage);
     boost::asio::awaitable<void> relay(
         std::shared_ptr<PeerStream> stream, SubmitMessage submit, HostId host);
     boost::asio::awaitable<void> refuse(
--- a/src/dispatch/requestrunner.cpp
+++ b/src/dispatch/requestrunner.cpp
@@ -222,11 +222,15 @@
 Asio::awaitable<void> RequestRunner::runAttempt(StartAttemptAction action, BackendServerId server)
 {
     const std::shared_ptr<RequestRunner> self = shared_from_this();
+    const TimePoint asked = RuntimeClock::now();
     StageOutcome outcome = co_await callHome(action, server);
     if (m_attempts[action.attempt].cancelled && outcome.end == StageEnd::Failed)
         outcome.end = StageEnd::Cancelled;
     m_attempts.erase(action.attempt);
-    m_services.router.report(outcome, server, RuntimeClock::now());
+    const TimePoint now = RuntimeClock::now();
+    m_services.router.report(outcome, server, now);
+    if (m_services.load)
+        m_services.load->attemptEnded(m_record->entry(), outcome, now - asked, now);
     RequestActions actions;
     m_record->attemptEnded(outcome, context(), RuntimeClock::now(), actions);
     perform(std::move(actions));
--- a/src/dispatch/requestrunner.h
+++ b/src/dispatch/requestrunner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/claimgateway.h"
+#include "dispatch/loadcontrol.h"
 #include "dispatch/recordservice.h"
 #include "libapricot/recordtable.h"
 #include "libapricot/stagerouter.h"
@@ -22,6 +23,8 @@
     ClaimGateway& claims;
     RetryBudget& retries;
     PoisonTable& poison;
+    // Nothing admits every request and keeps no account.
+    LoadControl* load = nullptr;
 };
 
 // How a caller's turn at a runner ended.
