Add the load driver apricot-load

Cause: nothing sent an open-loop load through real entry hosts and checked what came back. The driver plans arrivals from a seed, counts delays from the planned moment, checks every answer for gaps, doubles, its end and its text, and prints attainment, goodput, delays, refusals and cost by stage as a table and as JSON.

Runs through entry hosts have not been made yet.

--- /dev/null
+++ b/src/load/workload.cpp
@@ -0,0 +1,86 @@
+#include "load/workload.h"
+
+#include "libapricot/cataloguejson.h"
+
+#include <boost/json/parse.hpp>
+
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+
+namespace Apricot {
+
+namespace {
+
+    double rateAt(const std::vector<RateStep>& schedule, Duration at)
+    {
+        double rate = 0;
+        for (const RateStep& step : schedule) {
+            if (step.from <= at)
+                rate = step.perSecond;
+        }
+        return rate;
+    }
+
+}
+
+Workload loadWorkload(const std::string& file)
+{
+    std::ifstream stream(file);
+    if (!stream)
+        throw std::runtime_error("can't read " + file);
+    std::stringstream text;
+    text << stream.rdbuf();
+    const boost::json::value json = boost::json::parse(text.str());
+    Workload workload;
+    for (const auto& [name, item] : json.at("pipelines").as_object())
+        workload.items.push_back(
+            { .entry = parseCatalogueEntry(PipelineId(std::string(name)), item.at("entry")),
+                .weight = item.at("weight").to_number<double>() });
+    if (workload.items.empty())
+        throw std::runtime_error(file + " names no pipeline");
+    return workload;
+}
+
+std::vector<RateStep> parseSchedule(const std::string& text)
+{
+    std::vector<RateStep> schedule;
+    std::stringstream steps(text);
+    for (std::string step; std::getline(steps, step, ',');) {
+        const std::size_t colon = step.find(':');
+        if (colon == std::string::npos)
+            throw std::runtime_error("not a step of a schedule: " + step);
+        schedule.push_back({ .from = Milliseconds(std::stoll(step.substr(0, colon))),
+            .perSecond = std::stod(step.substr(colon + 1)) });
+    }
+    return schedule;
+}
+
+std::vector<PlannedRequest> makePlan(const Workload& workload, const PlanOptions& options)
+{
+    std::mt19937_64 random(options.seed);
+    std::vector<double> weights;
+    for (const WorkloadItem& item : workload.items)
+        weights.push_back(item.weight);
+    std::discrete_distribution<std::size_t> items(weights.begin(), weights.end());
+    std::vector<PlannedRequest> plan;
+    Duration at {};
+    while (at < options.length && plan.size() < options.most) {
+        const double rate = rateAt(options.schedule, at);
+        if (rate <= 0) {
+            at += Milliseconds(1);
+            continue;
+        }
+        const double gap = std::exponential_distribution<double>(rate)(random);
+        at += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(gap));
+        const auto prefix = random() % static_cast<std::uint64_t>(std::max(1, options.prefixes));
+        std::string input = "instructions of kind " + std::to_string(prefix)
+            + " that many requests begin with, long enough to be kept, then request ";
+        input += std::to_string(random());
+        plan.push_back({ .at = at, .item = items(random), .input = std::move(input) });
+    }
+    return plan;
+}
+
+}
--- /dev/null
+++ b/tests/unit/loadtest.cpp
@@ -0,0 +1,85 @@
+#include "property.h"
+
+#include "load/answerreader.h"
+#include "load/loadreport.h"
+
+using namespace Apricot;
+
+namespace {
+
+std::string tokenEvent(std::size_t index)
+{
+    return "event: token\ndata: {\"i\":" + std::to_string(index) + R"(,"t":"x"})" + "\n\n";
+}
+
+std::string doneEvent(std::size_t tokens)
+{
+    return "event: done\ndata: {\"tokens\":" + std::to_string(tokens) + R"(,"costs":[]})" + "\n\n";
+}
+
+AnswerReader readAll(const std::string& stream, std::size_t pieceBytes)
+{
+    AnswerReader reader;
+    for (std::size_t at = 0; at < stream.size(); at += pieceBytes)
+        reader.feed(std::string_view(stream).substr(at, pieceBytes));
+    return reader;
+}
+
+}
+
+TEST_GROUP(Load) {};
+
+TEST(Load, readsAWholeAnswerInAnyPieces)
+{
+    checkProperty("pieces don't matter", [](std::uint8_t tokens, std::uint8_t piece) {
+        std::string stream;
+        for (std::size_t index = 0; index < tokens; ++index)
+            stream += tokenEvent(index);
+        const AnswerReader reader = readAll(stream + doneEvent(tokens), 1U + piece);
+        RC_ASSERT(reader.isWhole());
+        RC_ASSERT(reader.tokens().size() == tokens);
+    });
+}
+
+TEST(Load, findsGapsDoublesAndMissingEnds)
+{
+    CHECK_FALSE(readAll(tokenEvent(0) + tokenEvent(2) + doneEvent(2), 7).isWhole());
+    CHECK_FALSE(readAll(tokenEvent(0) + tokenEvent(0) + doneEvent(1), 7).isWhole());
+    LONGS_EQUAL(1, readAll(tokenEvent(0) + tokenEvent(0) + doneEvent(1), 7).doubled());
+    CHECK_FALSE(readAll(tokenEvent(0) + doneEvent(2), 7).isWhole());
+    CHECK_FALSE(readAll(tokenEvent(0), 7).isDone());
+}
+
+TEST(Load, readsARefusalInTheStream)
+{
+    const AnswerReader reader = readAll(
+        "event: refused\ndata: {\"reason\":\"overloaded\",\"ran\":\"not_run\",\"retry_after_ms\":70}"
+        "\n\n",
+        5);
+    CHECK_TRUE(reader.refusal() && reader.refusal()->retryAfter == Milliseconds(70));
+}
+
+TEST(Load, plansTheSameForASeed)
+{
+    Workload workload { .items = { { .weight = 1 }, { .weight = 3 } } };
+    const PlanOptions options { .schedule = parseSchedule("0:50,1000:200"),
+        .length = Milliseconds(2000) };
+    const auto plan = makePlan(workload, options);
+    const auto again = makePlan(workload, options);
+    LONGS_EQUAL(plan.size(), again.size());
+    CHECK_TRUE(plan.back().input == again.back().input);
+    CHECK_TRUE(plan.size() > 150 && plan.size() < 350);
+}
+
+TEST(Load, countsAttainmentAndPercentiles)
+{
+    DOUBLES_EQUAL(0, percentile({}, 0.5), 0);
+    DOUBLES_EQUAL(2, percentile({ Milliseconds(3), Milliseconds(1), Milliseconds(2) }, 0.5), 0.01);
+    const Workload workload { .items = { { .weight = 1 } } };
+    const std::vector<RequestResult> results { { .end = RequestEnd::InTime },
+        { .end = RequestEnd::Lost }, { .end = RequestEnd::Late }, { .end = RequestEnd::InTime } };
+    const auto report = makeReport(workload, results, std::chrono::seconds(1));
+    DOUBLES_EQUAL(0.5, report.at("all").at("attainment").as_double(), 1e-9);
+    LONGS_EQUAL(1, report.at("lost").as_int64());
+    CHECK_FALSE(formatReport(report).empty());
+}
