--- a/src/dispatch/recordservice.cpp
+++ b/src/dispatch/recordservice.cpp
@@ -22,22 +22,27 @@
 {
 }
 
-Asio::awaitable<std::optional<CopyAnswer>> RecordService::replicate(StoreCopyAction action)
+Asio::awaitable<std::vector<CopyAnswer>> RecordService::replicate(StoreCopyAction action)
 {
     const std::shared_ptr<const ControlView> view = m_views.view();
     std::vector<Member> members = liveMembersFor(*view, action.copy.key.value());
     std::erase_if(members, [&view](const Member& member) { return member.host == view->self; });
     if (members.empty())
-        co_return CopyAnswer {};
+        co_return std::vector<CopyAnswer> { CopyAnswer {} };
     if (members.size() > followerCandidates)
         members.resize(followerCandidates);
+    const bool asksAll
+        = action.opening && !m_records.isKnownHere(action.copy.key, RuntimeClock::now());
+    std::vector<CopyAnswer> answers;
     for (const Member& member : members) {
         const PeerEndpoint endpoint { .address = member.address, .port = member.port };
         std::optional<CopyAnswer> answer = co_await storeAt(endpoint, action);
         if (answer)
-            co_return answer;
+            answers.push_back(std::move(*answer));
+        if (!answers.empty() && !asksAll)
+            break;
     }
-    co_return std::nullopt;
+    co_return answers;
 }
 
 Asio::awaitable<std::optional<CopyAnswer>> RecordService::storeAt(
--- a/src/dispatch/recordservice.h
+++ b/src/dispatch/recordservice.h
@@ -5,6 +5,7 @@
 #include "libapricot/recordtable.h"
 
 #include <optional>
+#include <vector>
 
 namespace Apricot {
 
@@ -13,9 +14,10 @@
 public:
     RecordService(const ControlViewSource& views, PeerLink& peers, RecordTable& records);
 
-    // Puts a copy on the second or else the third host of its key. An empty answer when this
-    // process is the only member; nothing when no follower could be reached.
-    boost::asio::awaitable<std::optional<CopyAnswer>> replicate(StoreCopyAction action);
+    // Puts a copy on the second or else the third host of its key; on both when this process begins
+    // to run a request whose key it may not know all about. Gives the answers, which are none when
+    // no follower could be reached, and one empty answer when this process is the only member.
+    boost::asio::awaitable<std::vector<CopyAnswer>> replicate(StoreCopyAction action);
     // Serves a coordinator's copy.
     boost::asio::awaitable<void> serve(
         std::shared_ptr<PeerStream> stream, StoreCopyMessage message);
--- a/src/dispatch/requestrunner.cpp
+++ b/src/dispatch/requestrunner.cpp
@@ -195,17 +195,17 @@
 {
     const std::shared_ptr<RequestRunner> self = shared_from_this();
     const std::uint64_t revision = action.copy.revision;
-    std::optional<CopyAnswer> stored = co_await m_services.copies.replicate(action);
-    while (!stored && m_record->awaitsCopy(revision) && m_record->callerCount() > 0) {
+    std::vector<CopyAnswer> answers = co_await m_services.copies.replicate(action);
+    while (answers.empty() && m_record->awaitsCopy(revision) && m_record->callerCount() > 0) {
         co_await sleepFor(m_services.context.get_executor(), storeRetryInterval);
-        stored = co_await m_services.copies.replicate(action);
+        answers = co_await m_services.copies.replicate(action);
     }
-    if (stored && action.opening)
-        m_answers.push_back(*stored);
+    if (action.opening)
+        m_answers = answers;
     RequestActions actions;
-    if (stored || action.copy.finished)
-        m_record->copyStored(revision, stored.value_or(CopyAnswer {}), context(),
-            RuntimeClock::now(), actions);
+    if (!answers.empty() || action.copy.finished)
+        m_record->copyStored(
+            revision, mergedAnswer(answers), context(), RuntimeClock::now(), actions);
     perform(std::move(actions));
 }
 
--- a/src/libapricot/recordcopy.cpp
+++ b/src/libapricot/recordcopy.cpp
@@ -33,6 +33,28 @@
     return size;
 }
 
+CopyAnswer mergedAnswer(const std::vector<CopyAnswer>& answers)
+{
+    CopyAnswer merged;
+    for (const CopyAnswer& answer : answers) {
+        if (answer.running || merged.host.empty()) {
+            merged.host = answer.host;
+            merged.incarnation = answer.incarnation;
+        }
+        merged.superseded = merged.superseded || answer.superseded;
+        merged.running = merged.running || answer.running;
+        merged.complete = merged.complete || answer.complete;
+        if (!answer.found)
+            continue;
+        if (!merged.found)
+            merged.copy = answer.copy;
+        else if (merged.copy.hasSameBody(answer.copy))
+            merged.copy.absorb(answer.copy);
+        merged.found = true;
+    }
+    return merged;
+}
+
 Fingerprint fingerprintOf(const PipelineId& pipeline, const std::string& input)
 {
     return stableHash(input, stableHash(pipeline.value()));
--- a/src/libapricot/recordcopy.h
+++ b/src/libapricot/recordcopy.h
@@ -85,6 +85,9 @@
     }
 };
 
+// The answers of several followers about one key, as if one had given them.
+CopyAnswer mergedAnswer(const std::vector<CopyAnswer>& answers);
+
 // Hash of a request's pipeline and input, by which crashes are counted.
 using Fingerprint = std::uint64_t;
 Fingerprint fingerprintOf(const PipelineId& pipeline, const std::string& input);
--- a/src/libapricot/recordtable.cpp
+++ b/src/libapricot/recordtable.cpp
@@ -91,10 +91,7 @@
 CopyAnswer RecordTable::store(const RecordCopy& copy, bool opening, TimePoint now)
 {
     CopyAnswer answer { .host = m_options.host, .incarnation = m_options.incarnation };
-    const std::vector<RecordHolder> self {
-        { .host = m_options.host, .incarnation = m_options.incarnation }
-    };
-    answer.complete = m_knowledge.isComplete(copy.key, self, now);
+    answer.complete = isKnownHere(copy.key, now);
     if (const std::shared_ptr<RequestRecord> record = find(copy.key)) {
         answer.running = record->isRunning();
         if (answer.running)
@@ -127,6 +124,12 @@
     return answer;
 }
 
+bool RecordTable::isKnownHere(const RequestKey& key, TimePoint now) const
+{
+    const RecordHolder self { .host = m_options.host, .incarnation = m_options.incarnation };
+    return m_knowledge.isComplete(key, { self }, now);
+}
+
 RecordCopy RecordTable::mergedOf(const KeptCopy& kept)
 {
     RecordCopy merged = kept.copy;
--- a/src/libapricot/recordtable.h
+++ b/src/libapricot/recordtable.h
@@ -48,6 +48,9 @@
     CopyAnswer store(const RecordCopy& copy, bool opening, TimePoint now);
 
     PartitionKnowledge& knowledge() { return m_knowledge; }
+    // Whether this process by itself knows all that was sent for the key. If not, it asks both
+    // followers before it runs a request.
+    bool isKnownHere(const RequestKey& key, TimePoint now) const;
     // The refusal as it may be told: "not run" only where this process, with those that answered
     // about the key, knows all that was ever sent for it.
     Refusal limitToKnown(Refusal refusal, const RequestOpening& opening,
--- a/src/libapricot/requestrecord.cpp
+++ b/src/libapricot/requestrecord.cpp
@@ -38,6 +38,7 @@
     const CallerId caller = m_nextCaller++;
     m_callers[caller] = Caller { .position = resumeFrom, .deadline = deadline };
     m_lastUsed = now;
+    m_runningElsewhere = HostId();
     if (!isRunning() && !isFinished())
         begin(context, now, actions);
     return caller;
