Wait for a settled deployment before a scenario begins

Cause: bad-input failed with no_evidence right after the start: a daemon that is alone in a new cell is permitted at once, and needs up to a second of evidence when the second one joins. Ruled out: a loss of permission in a running cell. Before: bad-input failed. After: passed, 5.2 s.

--- a/tests/scenarios/fleet.py
+++ b/tests/scenarios/fleet.py
@@ -11,6 +11,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 START_SECONDS = 20
+SETTLED_SECONDS = 1.0
 
 
 def http_json(port, method, path, body=None, timeout=5):
@@ -205,11 +206,22 @@
     def entry_port(self, host):
         return self.processes[f"entry-{host}"].ports["http"]
 
+    def is_ready(self, host):
+        return http_json(self.entry_port(host), "GET", "/health")[0] == 200
+
     def wait_ready(self, hosts=None, seconds=START_SECONDS):
-        for host in hosts or self.hosts:
-            port = self.entry_port(host)
-            wait_until(lambda port=port: http_json(port, "GET", "/health")[0] == 200, seconds,
-                       f"{host} is ready")
+        """Waits until every host has been ready for SETTLED_SECONDS without a break."""
+        wanted = list(hosts or self.hosts)
+        since = None
+
+        def settled():
+            nonlocal since
+            if not all(self.is_ready(host) for host in wanted):
+                since = None
+                return False
+            since = since or time.monotonic()
+            return time.monotonic() - since >= SETTLED_SECONDS
+        wait_until(settled, seconds, f"{wanted} are ready")
 
     def wait_homes(self, seconds=START_SECONDS):
         """Waits until every declared server has a home."""
