--- a/src/dispatch/coordinator.cpp
+++ b/src/dispatch/coordinator.cpp
@@ -16,6 +16,8 @@
 namespace {
 
     constexpr Milliseconds relayTimeout { 500 };
+    constexpr Milliseconds observationInterval { 200 };
+    constexpr Milliseconds evictionInterval { 1000 };
     constexpr Milliseconds drainInterval { 20 };
     // Time to come back to a host that takes no new work, or to another one.
     constexpr Milliseconds unableRetryAfter { 1000 };
@@ -48,6 +50,21 @@
             [](const StageSpec& stage) { return !stage.idempotent; });
     }
 
+    Milliseconds budgetOf(const SubmitMessage& submit, const CatalogueEntry& entry)
+    {
+        if (submit.budget <= Milliseconds(0))
+            return entry.deadline;
+        return std::min(submit.budget, entry.deadline);
+    }
+
+    int tokensOf(const std::vector<StageCost>& costs)
+    {
+        std::uint64_t tokens = 0;
+        for (const StageCost& cost : costs)
+            tokens += cost.tokens;
+        return static_cast<int>(tokens);
+    }
+
     // Passes messages on until the sender has finished. Returns whether an end was among them.
     Asio::awaitable<bool> passOn(
         std::shared_ptr<PeerStream> from, std::shared_ptr<PeerStream> to, SubmitMessage& submit)
@@ -119,8 +136,10 @@
             refusalOf(RefusalReason::UnknownPipeline, "no such pipeline", Milliseconds(0)));
         co_return;
     }
+    const TimePoint now = RuntimeClock::now();
+    const TimePoint deadline = now + budgetOf(submit, entry->second);
     if (isActive(submit.key)) {
-        co_await run(stream, std::move(submit), entry->second, passage);
+        co_await run(stream, std::move(submit), entry->second, deadline, passage);
         co_return;
     }
     const std::vector<Member> order = liveMembersFor(*view, submit.key.value());
@@ -132,10 +151,21 @@
     std::optional<Refusal> refusal = refusalOfNew(*view, entry->second);
     if (!isHome && !refusal)
         refusal = refusalElsewhere("this host is not home of the key");
-    if (refusal)
+    LoadControl* const load = m_services.load;
+    if (!refusal && load)
+        refusal = load->admit(entry->second, *view, deadline, now);
+    if (refusal) {
         co_await refuse(stream, submit, *refusal);
-    else
-        co_await run(stream, std::move(submit), entry->second, passage);
+        co_return;
+    }
+    std::optional<AdmittedRequest> admitted;
+    if (load)
+        admitted.emplace(*load, entry->second);
+    const RequestKey key = submit.key;
+    co_await run(stream, std::move(submit), entry->second, deadline, passage);
+    const std::shared_ptr<RequestRecord> record = m_services.records.find(key);
+    if (admitted && record)
+        admitted->setTokens(tokensOf(record->copy().costs));
 }
 
 std::optional<Refusal> Coordinator::refusalOfNew(
@@ -153,12 +183,9 @@
 }
 
 Asio::awaitable<void> Coordinator::run(std::shared_ptr<PeerStream> stream, SubmitMessage submit,
-    const CatalogueEntry& entry, Passage passage)
+    const CatalogueEntry& entry, TimePoint deadline, Passage passage)
 {
     const TimePoint now = RuntimeClock::now();
-    const Milliseconds budget
-        = submit.budget > Milliseconds(0) ? std::min(submit.budget, entry.deadline) : entry.deadline;
-    const TimePoint deadline = now + budget;
     const RequestOpening opening { .key = submit.key,
         .keyFromCaller = submit.keyFromCaller,
         .input = submit.input };
@@ -192,8 +219,9 @@
     bool answered = false;
     try {
         if (endpoint) {
+            Message relayed = RelayedSubmitMessage { .submit = submit };
             const std::shared_ptr<PeerStream> upstream = co_await m_services.peers.open(
-                *endpoint, RelayedSubmitMessage { .submit = submit }, relayTimeout);
+                *endpoint, std::move(relayed), relayTimeout);
             const auto ended
                 = co_await (passOn(upstream, stream, submit) || waitUntilGone(stream));
             answered = ended.index() == 1 || std::get<0>(ended);
@@ -215,7 +243,8 @@
     ++m_refused[refusal.reason];
     refusal = m_services.records.limitToKnown(
         std::move(refusal), opening, {}, RuntimeClock::now());
-    co_await stream->write(RefusedMessage { .refusal = refusal });
+    Message refused = RefusedMessage { .refusal = refusal };
+    co_await stream->write(std::move(refused));
     stream->finish();
 }
 
@@ -240,10 +269,14 @@
 {
     const std::shared_ptr<const ControlView> view = m_services.views.view();
     const TimePoint now = RuntimeClock::now();
-    if (view->epoch == m_observedEpoch && m_observedEpoch != 0)
+    if (view->epoch == m_observedEpoch && now < m_observedAt + observationInterval)
         return;
     m_observedEpoch = view->epoch;
+    m_observedAt = now;
     m_services.records.knowledge().observe(liveMembersFor(*view, std::string()), now);
+    if (now < m_evictedAt + evictionInterval)
+        return;
+    m_evictedAt = now;
     m_services.records.evict(now);
     std::erase_if(m_runners, [](const auto& entry) { return entry.second.expired(); });
 }
--- a/src/libapricot/recordtable.h
+++ b/src/libapricot/recordtable.h
@@ -17,6 +17,9 @@
     std::string incarnation;
     // How long a record is kept after its last use.
     Milliseconds retention { 600'000 };
+    // Longest time between two observations of the members; below the time after which a silent
+    // member is removed.
+    Milliseconds longestGap { 2000 };
     std::size_t recordLimit = 50'000;
     std::size_t bytesLimit = 268'435'456;
     RequestRecordOptions record;
@@ -45,6 +48,9 @@
     CopyAnswer store(const RecordCopy& copy, bool opening, TimePoint now);
 
     PartitionKnowledge& knowledge() { return m_knowledge; }
+    // Whether this process by itself knows all that was sent for the key. If not, it asks both
+    // followers before it runs a request.
+    bool isKnownHere(const RequestKey& key, TimePoint now) const;
     // The refusal as it may be told: "not run" only where this process, with those that answered
     // about the key, knows all that was ever sent for it.
     Refusal limitToKnown(Refusal refusal, const RequestOpening& opening,
