--- a/tests/unit/cataloguejsontest.cpp
+++ b/tests/unit/cataloguejsontest.cpp
@@ -143,3 +143,24 @@
     CHECK_THROWS(CatalogueError, parse("10.0.0.1", 5));
     CHECK_THROWS(CatalogueError, parse("ledger-host", 1));
 }
+
+TEST(CatalogueJson, aDamagedEntryIsEitherReadOrRefused)
+{
+    checkProperty("replaced values", [] {
+        boost::json::value value = boost::json::parse(validEntry);
+        boost::json::value& stage = value.at("stages").as_array().front();
+        boost::json::object& target = *rc::gen::arbitrary<bool>() ? value.as_object()
+                                                                  : stage.as_object();
+        const auto key = *rc::gen::element<std::string>("owner", "class", "deadline_ms", "limits",
+            "stages", "name", "kind", "pool", "timeout_ms", "idempotent", "max_tokens", "other");
+        const char* json = *rc::gen::element("null", "-1", "0", "1e300", "18446744073709551615",
+            "\"\"", "\"bulk\"", "[]", "{}", "[[]]", "true", "9000");
+        target[key] = boost::json::parse(json);
+        try {
+            const CatalogueEntry entry = parseCatalogueEntry(PipelineId("sheets"), value);
+            RC_ASSERT(parseCatalogueEntry(entry.name, toJson(entry)) == entry);
+        } catch (const CatalogueError& error) {
+            RC_ASSERT(error.path().starts_with("$."));
+        }
+    });
+}
--- a/tests/unit/settingstest.cpp
+++ b/tests/unit/settingstest.cpp
@@ -122,3 +122,17 @@
         RC_ASSERT(!assignSetting(spec, &target, std::to_string(value) + "ms"));
     });
 }
+
+TEST(Settings, anyTextIsEitherReadOrRefused)
+{
+    checkProperty("arbitrary settings files", [] {
+        const auto fragment = rc::gen::element<std::string>("[process]", "[peer]\n", "host", " = ",
+            "\n", "port", "7", "\t", ";", "a-b", "]", ":", "\r\n", "host = h\n");
+        std::string text;
+        for (const std::string& piece : *rc::gen::container<std::vector<std::string>>(fragment))
+            text += piece;
+        DispatchSettings settings;
+        for (const SettingsProblem& problem : problemsOf(text, settings))
+            RC_ASSERT(problem.line >= 0 && !describe(problem).empty());
+    });
+}
