--- a/src/dispatch/dispatchdaemon.cpp
+++ b/src/dispatch/dispatchdaemon.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/dispatchdaemon.h"
 
+#include "libapricot/dispatchmetrics.h"
 #include "libapricot/portfile.h"
 #include "libnet/asyncevent.h"
 #include "libnet/log.h"
@@ -95,7 +96,7 @@
             return { .healthy = permitted && !view->stopping,
                 .detail = permitted ? "" : "no evidence of the newest epoch" };
         },
-        .refreshMetrics = {},
+        .refreshMetrics = [this] { setDispatchMetrics(m_metrics, dump()); },
     };
 }
 
--- a/src/entry/entryservice.cpp
+++ b/src/entry/entryservice.cpp
@@ -65,11 +65,21 @@
     lastRefusal.ran = RanState::Unknown;
 }
 
+RequestTiming EntryService::Relay::timing(TimePoint now) const
+{
+    RequestTiming timing { .elapsed = now - began, .deadline = deadline - began };
+    if (firstToken)
+        timing.firstToken = *firstToken - began;
+    return timing;
+}
+
 EntryService::EntryService(
-    Asio::io_context& context, const ControlViewSource& source, PeerClient& peers)
+    Asio::io_context& context, const ControlViewSource& source, PeerClient& peers,
+    MetricRegistry& metrics)
     : m_context(context)
     , m_source(source)
     , m_peers(peers)
+    , m_requestMetrics(metrics)
 {
 }
 
@@ -132,14 +142,21 @@
         co_await writer.writeRefusal(*refusal);
         co_return;
     }
-    co_await relay(exchange, std::move(submission));
+    std::shared_ptr<const CatalogueEntry> entry(
+        view->catalogue, &view->catalogue->entries.at(submission.pipeline));
+    co_await relay(exchange, std::move(submission), std::move(entry));
 }
 
-Asio::awaitable<void> EntryService::relay(HttpExchange& exchange, SubmitMessage submission)
+Asio::awaitable<void> EntryService::relay(HttpExchange& exchange, SubmitMessage submission,
+    std::shared_ptr<const CatalogueEntry> entry)
 {
     AnswerWriter writer(exchange, submission.key);
-    const TimePoint deadline = RuntimeClock::now() + submission.budget;
-    Relay state { .submission = std::move(submission), .deadline = deadline };
+    const TimePoint began = RuntimeClock::now();
+    const TimePoint deadline = began + submission.budget;
+    Relay state { .submission = std::move(submission),
+        .began = began,
+        .deadline = deadline,
+        .entry = std::move(entry) };
     state.lastRefusal = refuseWithoutCoordinator(state.submission, RefusalReason::NoEvidence);
     for (std::size_t failures = 0; !exchange.isPeerGone(); ++failures) {
         const std::vector<Member> ranked
@@ -156,9 +173,11 @@
     }
     if (exchange.isPeerGone()) {
         ++m_counts.abandoned;
+        m_requestMetrics.abandoned(*state.entry);
         co_return;
     }
     ++m_counts.refused;
+    m_requestMetrics.refused(*state.entry, state.lastRefusal);
     co_await writer.writeRefusal(state.lastRefusal);
 }
 
@@ -196,12 +215,16 @@
             if (token->index != state.submission.resumeFrom)
                 continue;
             ++state.submission.resumeFrom;
+            if (!state.firstToken)
+                state.firstToken = RuntimeClock::now();
             co_await writer.writeToken(*token);
         } else if (const auto* completed = std::get_if<CompletedMessage>(&*message)) {
             // An answer with a gap is never marked whole; the rest is fetched again.
             if (completed->tokens != state.submission.resumeFrom)
                 co_return false;
             ++m_counts.completed;
+            m_requestMetrics.completed(
+                *state.entry, state.timing(RuntimeClock::now()), completed->costs);
             co_await writer.writeCompleted(*completed);
             co_return true;
         } else if (const auto* refused = std::get_if<RefusedMessage>(&*message)) {
@@ -210,6 +233,7 @@
                 co_return false;
             }
             ++m_counts.refused;
+            m_requestMetrics.refused(*state.entry, refused->refusal);
             co_await writer.writeRefusal(refused->refusal);
             co_return true;
         }
--- a/src/entry/entryservice.h
+++ b/src/entry/entryservice.h
@@ -3,6 +3,7 @@
 #include "entry/answerwriter.h"
 #include "libapricot/controlview.h"
 #include "libapricot/metrics.h"
+#include "libapricot/requestmetrics.h"
 #include "libnet/httpserver.h"
 #include "libnet/peerstream.h"
 
@@ -27,7 +28,7 @@
 class EntryService {
 public:
     EntryService(
-        boost::asio::io_context& context, const ControlViewSource& source, PeerClient& peers);
+        boost::asio::io_context& context, const ControlViewSource& source, PeerClient& peers, MetricRegistry& metrics);
 
     boost::asio::awaitable<void> serve(HttpExchange& exchange);
 
@@ -42,17 +43,25 @@
     // A submission on its way from coordinator to coordinator.
     struct Relay {
         SubmitMessage submission;
+        TimePoint began {};
         TimePoint deadline {};
+        std::optional<TimePoint> firstToken;
+        // Catalogue entry as it stood when the submission came, for the metrics.
+        std::shared_ptr<const CatalogueEntry> entry;
         // What the caller is told when no coordinator takes the submission.
         Refusal lastRefusal;
 
         // Remembers that a coordinator may have begun to run the submission.
         void noteAttempt();
+        // How long the caller has waited so far.
+        RequestTiming timing(TimePoint now) const;
     };
 
     boost::asio::awaitable<void> serveHealth(HttpExchange& exchange);
     boost::asio::awaitable<void> serveSubmission(HttpExchange& exchange);
-    boost::asio::awaitable<void> relay(HttpExchange& exchange, SubmitMessage submission);
+    boost::asio::awaitable<void> relay(
+        HttpExchange& exchange, SubmitMessage submission,
+        std::shared_ptr<const CatalogueEntry> entry);
     // Runs the submission at one coordinator; returns whether the caller has its final answer.
     boost::asio::awaitable<bool> relayFrom(
         const Member& coordinator, Relay& state, AnswerWriter& writer, HttpExchange& exchange);
@@ -64,6 +73,7 @@
     PeerClient& m_peers;
     std::atomic<bool> m_stopping { false };
     EntryCounts m_counts;
+    RequestMetrics m_requestMetrics;
 };
 
 }
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -34,7 +34,7 @@
                   { .host = settings.process.host,
                       .failureDomain = settings.process.failureDomain,
                       .dispatch = { settings.dispatch.address, settings.dispatch.port } })
-            , m_service(m_daemon.traffic(), m_follower, m_peers)
+            , m_service(m_daemon.traffic(), m_follower, m_peers, m_metrics)
             , m_http(m_daemon.traffic(),
                   { .address = settings.http.address,
                       .port = settings.http.port,
