--- /dev/null
+++ b/src/bench/main.cpp
@@ -0,0 +1,33 @@
+#include "bench/subjects.h"
+
+#include <cstdio>
+
+namespace {
+
+using namespace Apricot;
+
+void print(const std::vector<Measurement>& measurements)
+{
+    for (const Measurement& measurement : measurements)
+        std::printf("| %s | %zu %s | %.2f | %.0f |\n", measurement.subject.c_str(),
+            measurement.size, measurement.unit.c_str(), measurement.microseconds,
+            measurement.bytes);
+    const Slope slope = slopeOf(measurements);
+    std::printf("| %s, slope | 1 %s | %.5f (+ %.2f) | %.1f (+ %.0f) |\n",
+        measurements.front().subject.c_str(), measurements.front().unit.c_str(),
+        slope.microsecondsPerUnit, slope.microsecondsBase, slope.bytesPerUnit, slope.bytesBase);
+}
+
+}
+
+int main()
+{
+    std::printf("| subject | size | microseconds | bytes |\n| --- | --- | ---: | ---: |\n");
+    print(measureRanking());
+    print(measureCellState());
+    print(measureCatalogue());
+    print(measureOwners());
+    print(measureRouter());
+    print(measureRecords());
+    return 0;
+}
--- /dev/null
+++ b/src/bench/subjects.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "bench/measurement.h"
+
+namespace Apricot {
+
+// Ranking all members of a cell for one key.
+std::vector<Measurement> measureRanking();
+// Writing the cell's object, with five replicas for each member. The bytes are those of its JSON.
+std::vector<Measurement> measureCellState();
+// A catalogue snapshot by its backend servers, with a pipeline for every 300 of them.
+std::vector<Measurement> measureCatalogue();
+// The table of owners of one host, and one round of requests for shares over a cell of 100 members.
+std::vector<Measurement> measureOwners();
+// One choice of a server by the replicas of the pool.
+std::vector<Measurement> measureRouter();
+// The records of finished requests of 200 tokens.
+std::vector<Measurement> measureRecords();
+
+}
--- a/src/libapricot/loadrouter.cpp
+++ b/src/libapricot/loadrouter.cpp
@@ -12,14 +12,10 @@
     constexpr std::size_t prefixBytes = 64;
     // Busy time in milliseconds assumed for a pool without any finished attempt.
     constexpr double unknownBusy = 20;
-
-    double expectedCost(const PowerOfTwoChoices& policy, double load, double cap, double meanBusy,
-        bool remote, bool holdsPrefix)
-    {
-        const double hop = std::chrono::duration<double, std::milli>(policy.remoteHop).count();
-        const auto prefill = static_cast<double>(policy.prefillSaved.count());
-        return meanBusy * (load + 1) / cap + (remote ? hop : 0) + (holdsPrefix ? 0 : prefill);
-    }
+    // How long a pool's eligible servers, their caps and mean times are used before a new look.
+    constexpr Milliseconds poolViewAge { 20 };
+    // Draws before every server is looked at, when most are excluded.
+    constexpr int drawLimit = 8;
 
 }
 
@@ -40,24 +36,17 @@
     const StageSpec& stage, const RequestKey& /*key*/, std::string_view input,
     const std::vector<BackendServerId>& excluded, TimePoint now)
 {
-    Candidates found = candidates(view, stage, excluded, now);
-    if (found.empty())
+    PoolView& pool = poolView(view, stage.pool, now);
+    const bool hasPrefix = stage.kind == StageKind::Generate;
+    const Choice choice { .excluded = excluded,
+        .prefix = hasPrefix ? input.substr(0, prefixBytes) : std::string_view(),
+        .now = now };
+    const Candidate* chosen = std::visit(
+        [&](const auto& policy) { return pick(policy, pool, choice); }, m_options.policy);
+    if (!chosen)
         return std::nullopt;
-    if (!input.empty() && stage.kind == StageKind::Generate) {
-        const std::uint64_t prefix = stableHash(input.substr(0, prefixBytes));
-        const auto score = [prefix](const Candidate& candidate) {
-            return stableHash(candidate.server->id.value(), prefix);
-        };
-        std::max_element(found.begin(), found.end(), [&score](const auto& left, const auto& right) {
-            return score(left) < score(right);
-        })->holdsPrefix
-            = true;
-    }
-    const Candidate& chosen = std::visit(
-        [&](const auto& policy) -> const Candidate& { return pick(policy, stage, found, now); },
-        m_options.policy);
-    m_loads[chosen.server->id].attemptChosen(now);
-    return chosen.server->id;
+    m_loads[chosen->server.id].attemptChosen(now);
+    return chosen->server.id;
 }
 
 void LoadRouter::report(const StageOutcome& outcome, const BackendServerId& server, TimePoint now)
@@ -72,15 +61,57 @@
 {
     double load = 0;
     double cap = 0;
-    for (const BackendServerId& id : poolInService(*view.catalogue, pool)) {
-        const BackendServer& server = view.catalogue->servers.at(id);
-        load += m_loads[id].load(now);
-        cap += std::min(m_loads[id].cap(server.coldCap), m_ramp.capOf(server, now));
+    for (const Candidate& candidate : poolView(view, pool, now).candidates) {
+        load += m_loads[candidate.server.id].load(now);
+        cap += candidate.cap;
     }
     return cap > 0 ? load / cap : 1;
 }
 
-std::vector<BackendServerId> LoadRouter::poolInService(
+LoadRouter::PoolView& LoadRouter::poolView(
+    const ControlView& view, const PoolId& pool, TimePoint now)
+{
+    PoolView& result = m_poolViews[pool];
+    const bool isFresh = result.version == view.catalogue->version && !result.candidates.empty()
+        && now - result.builtAt < poolViewAge;
+    if (!isFresh)
+        rebuild(result, view, pool, now);
+    return result;
+}
+
+void LoadRouter::rebuild(
+    PoolView& result, const ControlView& view, const PoolId& pool, TimePoint now)
+{
+    const Catalogue& catalogue = *view.catalogue;
+    m_ramp.observe(catalogue, now);
+    std::vector<BackendServerId> servers = poolInService(catalogue, pool);
+    if (followsReports())
+        servers = m_outliers.keep(servers, now);
+    result.version = catalogue.version;
+    result.builtAt = now;
+    result.candidates.clear();
+    result.capSums.clear();
+    DecayingMean poolBusy;
+    for (const BackendServerId& id : servers) {
+        if (const auto busy = m_loads[id].meanBusy())
+            poolBusy.add(*busy);
+    }
+    double capSum = 0;
+    for (const BackendServerId& id : servers) {
+        const BackendServer& server = catalogue.servers.at(id);
+        const ServerLoad& load = m_loads[id];
+        const double fallback = poolBusy.samples() > 0 ? poolBusy.value() : unknownBusy;
+        result.candidates.push_back({ .server = server,
+            .idHash = stableHash(id.value()),
+            .cap = std::min(load.cap(server.coldCap), m_ramp.capOf(server, now)),
+            .meanBusy = load.meanBusy().value_or(fallback),
+            .remote = server.failureDomain != view.failureDomain });
+        capSum += result.candidates.back().cap;
+        result.capSums.push_back(capSum);
+    }
+}
+
+const std::vector<BackendServerId>& LoadRouter::poolInService(
     const Catalogue& catalogue, const PoolId& pool)
 {
     if (m_poolsVersion != catalogue.version) {
@@ -94,100 +125,116 @@
         });
         m_poolsVersion = catalogue.version;
     }
-    const auto found = m_pools.find(pool);
-    return found == m_pools.end() ? std::vector<BackendServerId> {} : found->second;
+    return m_pools[pool];
 }
 
-LoadRouter::Candidates LoadRouter::candidates(const ControlView& view, const StageSpec& stage,
-    const std::vector<BackendServerId>& excluded, TimePoint now)
+bool LoadRouter::isEligible(const Candidate& candidate, const Choice& choice) const
+{
+    const BackendServerId& id = candidate.server.id;
+    if (std::find(choice.excluded.begin(), choice.excluded.end(), id) != choice.excluded.end())
+        return false;
+    const auto load = m_loads.find(id);
+    return !followsReports() || load == m_loads.end() || !load->second.isBackingOff(choice.now);
+}
+
+bool LoadRouter::followsReports() const
 {
-    const Catalogue& catalogue = *view.catalogue;
-    m_ramp.observe(catalogue, now);
-    std::vector<BackendServerId> pool = poolInService(catalogue, stage.pool);
     // The baselines know neither outliers nor requests to back off.
-    const bool followsReports = std::holds_alternative<PowerOfTwoChoices>(m_options.policy);
-    if (followsReports)
-        pool = m_outliers.keep(pool, now);
-    Candidates result;
-    double busySum = 0;
-    int busyCount = 0;
-    for (const BackendServerId& id : pool) {
-        const BackendServer& server = catalogue.servers.at(id);
-        ServerLoad& load = m_loads[id];
-        if (const auto busy = load.meanBusy()) {
-            busySum += *busy;
-            ++busyCount;
-        }
-        if (std::find(excluded.begin(), excluded.end(), id) != excluded.end())
-            continue;
-        if (followsReports && load.isBackingOff(now))
-            continue;
-        result.push_back({ .server = &server,
-            .load = load.load(now),
-            .cap = std::min(load.cap(server.coldCap), m_ramp.capOf(server, now)),
-            .remote = server.failureDomain != view.failureDomain });
-    }
-    for (Candidate& candidate : result) {
-        const double poolMean = busyCount > 0 ? busySum / busyCount : unknownBusy;
-        candidate.meanBusy = m_loads[candidate.server->id].meanBusy().value_or(poolMean);
-    }
-    return result;
+    return std::holds_alternative<PowerOfTwoChoices>(m_options.policy);
 }
 
-const LoadRouter::Candidate& LoadRouter::pick(const PowerOfTwoChoices& policy,
-    const StageSpec& /*stage*/, const Candidates& candidates, TimePoint /*now*/)
+const LoadRouter::Candidate* LoadRouter::pick(
+    const PowerOfTwoChoices& policy, PoolView& pool, const Choice& choice)
 {
-    const auto cost = [&policy](const Candidate& candidate) {
-        return expectedCost(policy, candidate.load, candidate.cap, candidate.meanBusy,
-            candidate.remote, candidate.holdsPrefix);
+    const Candidate* best = drawByCap(pool, choice, nullptr);
+    if (!best)
+        return nullptr;
+    const Candidate* holder = prefixHolder(pool, choice);
+    const auto costOf = [&](const Candidate* candidate) {
+        return cost(policy, *candidate, candidate == holder, choice.now);
     };
-    const Candidate* best = &drawByCap(candidates);
-    const Candidate* second = &drawByCap(candidates);
-    // A second draw of the same server would be no choice at all.
-    if (second == best)
-        second = &candidates[(static_cast<std::size_t>(best - candidates.data()) + 1) % candidates.size()];
-    if (cost(*second) < cost(*best))
+    const Candidate* second = drawByCap(pool, choice, best);
+    if (second && costOf(second) < costOf(best))
         best = second;
-    const auto holder = std::find_if(candidates.begin(), candidates.end(),
-        [](const Candidate& candidate) { return candidate.holdsPrefix; });
-    if (holder != candidates.end() && cost(*holder) <= cost(*best))
-        return *holder;
-    return *best;
+    if (holder && costOf(holder) <= costOf(best))
+        return holder;
+    return best;
 }
 
-const LoadRouter::Candidate& LoadRouter::pick(const RoundRobin& /*policy*/, const StageSpec& stage,
-    const Candidates& candidates, TimePoint /*now*/)
+const LoadRouter::Candidate* LoadRouter::pick(
+    const RoundRobin& /*policy*/, PoolView& pool, const Choice& choice)
 {
-    return candidates[m_turns[stage.pool]++ % candidates.size()];
+    for (std::size_t step = 0; step < pool.candidates.size(); ++step) {
+        const Candidate& next = pool.candidates[pool.turn++ % pool.candidates.size()];
+        if (isEligible(next, choice))
+            return &next;
+    }
+    return nullptr;
 }
 
-const LoadRouter::Candidate& LoadRouter::pick(const LeastReportedLoad& policy,
-    const StageSpec& /*stage*/, const Candidates& candidates, TimePoint now)
+const LoadRouter::Candidate* LoadRouter::pick(
+    const LeastReportedLoad& policy, PoolView& pool, const Choice& choice)
 {
     const Candidate* best = nullptr;
     double least = 0;
-    for (const Candidate& candidate : candidates) {
-        const double load = lastSeenLoad(policy, candidate.server->id, now);
-        if (best != nullptr && load >= least)
+    for (const Candidate& candidate : pool.candidates) {
+        if (!isEligible(candidate, choice))
+            continue;
+        const double load = lastSeenLoad(policy, candidate.server.id, choice.now);
+        if (best && load >= least)
             continue;
         best = &candidate;
         least = load;
     }
-    return *best;
+    return best;
 }
 
-const LoadRouter::Candidate& LoadRouter::drawByCap(const Candidates& candidates)
+const LoadRouter::Candidate* LoadRouter::drawByCap(
+    const PoolView& pool, const Choice& choice, const Candidate* other)
 {
-    double total = 0;
-    for (const Candidate& candidate : candidates)
-        total += candidate.cap;
-    double ticket = std::uniform_real_distribution<double>(0, total)(m_random);
-    for (const Candidate& candidate : candidates) {
-        ticket -= candidate.cap;
-        if (ticket < 0)
-            return candidate;
+    if (pool.candidates.empty())
+        return nullptr;
+    std::uniform_real_distribution<double> tickets(0, pool.capSums.back());
+    std::size_t drawn = 0;
+    for (int draw = 0; draw < drawLimit; ++draw) {
+        const auto sum
+            = std::upper_bound(pool.capSums.begin(), pool.capSums.end(), tickets(m_random));
+        drawn = std::min(static_cast<std::size_t>(sum - pool.capSums.begin()),
+            pool.candidates.size() - 1);
+        const Candidate& candidate = pool.candidates[drawn];
+        if (&candidate != other && isEligible(candidate, choice))
+            return &candidate;
+    }
+    for (std::size_t step = 1; step <= pool.candidates.size(); ++step) {
+        const Candidate& candidate = pool.candidates[(drawn + step) % pool.candidates.size()];
+        if (&candidate != other && isEligible(candidate, choice))
+            return &candidate;
     }
-    return candidates.back();
+    return nullptr;
+}
+
+const LoadRouter::Candidate* LoadRouter::prefixHolder(
+    const PoolView& pool, const Choice& choice) const
+{
+    if (choice.prefix.empty())
+        return nullptr;
+    const std::uint64_t prefix = stableHash(choice.prefix);
+    const auto score = [prefix](const Candidate& candidate) {
+        return stableHash({}, prefix ^ candidate.idHash);
+    };
+    const auto holder = std::max_element(pool.candidates.begin(), pool.candidates.end(),
+        [&score](const auto& left, const auto& right) { return score(left) < score(right); });
+    return isEligible(*holder, choice) ? &*holder : nullptr;
+}
+
+double LoadRouter::cost(const PowerOfTwoChoices& policy, const Candidate& candidate,
+    bool holdsPrefix, TimePoint now)
+{
+    const double load = m_loads[candidate.server.id].load(now);
+    const double hop = std::chrono::duration<double, std::milli>(policy.remoteHop).count();
+    const auto prefill = static_cast<double>(policy.prefillSaved.count());
+    return candidate.meanBusy * (load + 1) / candidate.cap + (candidate.remote ? hop : 0)
+        + (holdsPrefix ? 0 : prefill);
 }
 
 double LoadRouter::lastSeenLoad(
--- a/src/libapricot/loadrouter.h
+++ b/src/libapricot/loadrouter.h
@@ -36,42 +36,59 @@
     double utilisation(const ControlView& view, const PoolId& pool, TimePoint now);
 
 private:
+    // One server of a pool, with what changes slowly.
     struct Candidate {
-        const BackendServer* server = nullptr;
-        double load = 0;
+        BackendServer server;
+        std::uint64_t idHash = 0;
         double cap = 1;
         double meanBusy = 0;
         bool remote = false;
-        bool holdsPrefix = false;
     };
-    using Candidates = std::vector<Candidate>;
-
-    std::vector<BackendServerId> poolInService(const Catalogue& catalogue, const PoolId& pool);
-    Candidates candidates(const ControlView& view, const StageSpec& stage,
-        const std::vector<BackendServerId>& excluded, TimePoint now);
-    const Candidate& pick(const PowerOfTwoChoices& policy, const StageSpec& stage,
-        const Candidates& candidates, TimePoint now);
-    const Candidate& pick(const RoundRobin& policy, const StageSpec& stage,
-        const Candidates& candidates, TimePoint now);
-    const Candidate& pick(const LeastReportedLoad& policy, const StageSpec& stage,
-        const Candidates& candidates, TimePoint now);
-    const Candidate& drawByCap(const Candidates& candidates);
-    double lastSeenLoad(
-        const LeastReportedLoad& policy, const BackendServerId& server, TimePoint now);
-
+    // The servers of a pool that may get work, rebuilt now and then, so that a choice looks closely
+    // at two of them only.
+    struct PoolView {
+        ObjectVersion version = 0;
+        TimePoint builtAt {};
+        std::vector<Candidate> candidates;
+        // Sums of the caps up to and with each candidate, for drawing by cap.
+        std::vector<double> capSums;
+        std::size_t turn = 0;
+    };
+    // What a choice must keep to.
+    struct Choice {
+        const std::vector<BackendServerId>& excluded;
+        std::string_view prefix;
+        TimePoint now;
+    };
     struct LaggingReport {
         int load = 0;
         int seenLoad = 0;
         TimePoint seenAt {};
     };
 
+    PoolView& poolView(const ControlView& view, const PoolId& pool, TimePoint now);
+    void rebuild(PoolView& result, const ControlView& view, const PoolId& pool, TimePoint now);
+    const std::vector<BackendServerId>& poolInService(const Catalogue& catalogue, const PoolId& pool);
+    bool isEligible(const Candidate& candidate, const Choice& choice) const;
+    bool followsReports() const;
+
+    const Candidate* pick(const PowerOfTwoChoices& policy, PoolView& pool, const Choice& choice);
+    const Candidate* pick(const RoundRobin& policy, PoolView& pool, const Choice& choice);
+    const Candidate* pick(const LeastReportedLoad& policy, PoolView& pool, const Choice& choice);
+    const Candidate* drawByCap(const PoolView& pool, const Choice& choice, const Candidate* other);
+    const Candidate* prefixHolder(const PoolView& pool, const Choice& choice) const;
+    double cost(const PowerOfTwoChoices& policy, const Candidate& candidate, bool holdsPrefix,
+        TimePoint now);
+    double lastSeenLoad(
+        const LeastReportedLoad& policy, const BackendServerId& server, TimePoint now);
+
     LoadRouterOptions m_options;
     std::mt19937_64 m_random;
     OutlierDetector m_outliers;
     DomainRamp m_ramp;
     std::map<BackendServerId, ServerLoad> m_loads;
-    std::map<PoolId, std::size_t> m_turns;
     std::map<BackendServerId, LaggingReport> m_laggingReports;
+    std::map<PoolId, PoolView> m_poolViews;
     // Servers by pool of one catalogue version, so that a choice doesn't read the whole catalogue.
     std::map<PoolId, std::vector<BackendServerId>> m_pools;
     std::optional<ObjectVersion> m_poolsVersion;
--- a/src/libapricot/ownerlimiter.cpp
+++ b/src/libapricot/ownerlimiter.cpp
@@ -90,10 +90,17 @@
     std::erase_if(m_records, [this, now](const auto& entry) { return isIdle(entry.second, now); });
     std::erase_if(m_askedAt,
         [this, now](const auto& entry) { return now - entry.second > m_options.lifetime; });
+    // Ranking the members for every owner in every round would cost more than all the rest.
+    const bool isNewCell = m_rankedCell != view.cell;
+    m_rankedCell = view.cell;
     std::map<HostId, ShareRequest> requests;
     for (auto& [owner, record] : m_records) {
-        const HostId home = ownerHome(owner, *view.cell);
-        if (home.empty() || record.limits == OwnerLimits {})
+        if (record.limits == OwnerLimits {})
+            continue;
+        if (isNewCell || record.askedHome.empty())
+            changeHome(record, ownerHome(owner, *view.cell));
+        const HostId& home = record.askedHome;
+        if (home.empty())
             continue;
         const auto [request, isNew] = requests.try_emplace(home);
         if (isNew) {
@@ -102,9 +109,6 @@
                 .number = ++m_number };
             m_askedAt[m_number] = now;
         }
-        if (record.askedHome != home)
-            record.firstAsked = request->second.number;
-        record.askedHome = home;
         request->second.asks.push_back(makeAsk(owner, record, now));
     }
     return requests;
@@ -218,6 +222,13 @@
     return ask;
 }
 
+void OwnerLimiter::changeHome(Record& record, HostId home)
+{
+    if (record.askedHome != home)
+        record.firstAsked = m_number + 1;
+    record.askedHome = std::move(home);
+}
+
 void OwnerLimiter::updateHosts(const ControlView& view, TimePoint now)
 {
     // Other hosts may still divide by an older number, so the largest recent one counts.
--- a/src/libapricot/ownerlimiter.h
+++ b/src/libapricot/ownerlimiter.h
@@ -66,11 +66,14 @@
     static void countDemand(Record& record, int expectedTokens, TimePoint now);
     bool isIdle(const Record& record, TimePoint now) const;
     ShareAsk makeAsk(const OwnerId& owner, const Record& record, TimePoint now) const;
+    void changeHome(Record& record, HostId home);
     void updateHosts(const ControlView& view, TimePoint now);
 
     OwnerShareOptions m_options;
     std::map<OwnerId, Record> m_records;
     std::uint64_t m_number = 0;
+    // The cell for which the owners' homes were ranked.
+    std::shared_ptr<const CellState> m_rankedCell;
     // Instants at which recent questions were asked.
     std::map<std::uint64_t, TimePoint> m_askedAt;
     // Most hosts that the reserve may be divided between, lately and now.
