--- a/tests/scenarios/fleet.py
+++ b/tests/scenarios/fleet.py
@@ -11,6 +11,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 START_SECONDS = 20
+SETTLED_SECONDS = 1.0
 
 
 def http_json(port, method, path, body=None, timeout=5):
@@ -75,8 +76,15 @@
 
     def stop(self, seconds=15):
         """Asks for a graceful shutdown and gives the exit status."""
+        self.ask_to_stop()
+        return self.wait_stopped(seconds)
+
+    def ask_to_stop(self):
         self.signal(signal.SIGCONT)
         self.signal(signal.SIGTERM)
+
+    def wait_stopped(self, seconds=15):
+        """Gives the exit status, or nothing when the process had to be killed."""
         try:
             return self.popen.wait(seconds)
         except subprocess.TimeoutExpired:
@@ -198,11 +206,22 @@
     def entry_port(self, host):
         return self.processes[f"entry-{host}"].ports["http"]
 
+    def is_ready(self, host):
+        return http_json(self.entry_port(host), "GET", "/health")[0] == 200
+
     def wait_ready(self, hosts=None, seconds=START_SECONDS):
-        for host in hosts or self.hosts:
-            port = self.entry_port(host)
-            wait_until(lambda port=port: http_json(port, "GET", "/health")[0] == 200, seconds,
-                       f"{host} is ready")
+        """Waits until every host has been ready for SETTLED_SECONDS without a break."""
+        wanted = list(hosts or self.hosts)
+        since = None
+
+        def settled():
+            nonlocal since
+            if not all(self.is_ready(host) for host in wanted):
+                since = None
+                return False
+            since = since or time.monotonic()
+            return time.monotonic() - since >= SETTLED_SECONDS
+        wait_until(settled, seconds, f"{wanted} are ready")
 
     def wait_homes(self, seconds=START_SECONDS):
         """Waits until every declared server has a home."""
@@ -238,12 +257,11 @@
             group = [name for name in order if name.startswith(prefix)]
             order = [name for name in order if name not in group]
             for name in group:
-                self.processes[name].signal(signal.SIGCONT)
-                self.processes[name].signal(signal.SIGTERM)
+                self.processes[name].ask_to_stop()
             for name in group:
                 if self.processes[name].popen is None:
                     continue
-                status = self.processes[name].stop()
+                status = self.processes[name].wait_stopped()
                 if status != 0:
                     failed[name] = status
         return failed
