Test the coordinator on streams in memory, and claim through the platform

Its first run freed memory twice: g++ 12 destroys an aggregate that is initialised inside an awaited call's arguments twice. Such messages are now named before the call. ruled out: a lifetime fault of the records, as the test that failed runs none. PlatformClaimStore keeps claims in the platform's objects.

--- a/src/dispatch/claimservice.cpp
+++ b/src/dispatch/claimservice.cpp
@@ -50,8 +50,9 @@
         const PeerEndpoint endpoint { .address = order.front().address,
             .port = order.front().port };
         try {
-            const Message message = co_await m_peers.ask(
-                endpoint, ClaimMessage { .claim = action, .budget = budget }, budget);
+            Message question = ClaimMessage { .claim = action, .budget = budget };
+            const Message message
+                = co_await m_peers.ask(endpoint, std::move(question), budget);
             if (const auto* claimed = std::get_if<ClaimedMessage>(&message))
                 answer = claimed->answer;
         } catch (const std::runtime_error&) {
@@ -137,7 +138,8 @@
     std::shared_ptr<PeerStream> stream, ClaimMessage message)
 {
     const ClaimAnswer answer = co_await claimHere(std::move(message.claim), message.budget);
-    co_await stream->write(ClaimedMessage { .answer = answer });
+    Message claimed = ClaimedMessage { .answer = answer };
+    co_await stream->write(std::move(claimed));
     stream->finish();
 }
 
--- a/src/dispatch/coordinator.cpp
+++ b/src/dispatch/coordinator.cpp
@@ -117,8 +117,9 @@
     const std::shared_ptr<const ControlView> view = m_services.views.view();
     const auto entry = view->catalogue->entries.find(submit.pipeline);
     if (entry == view->catalogue->entries.end()) {
-        co_await refuse(stream, submit,
-            refusalOf(RefusalReason::UnknownPipeline, "no such pipeline", Milliseconds(0)));
+        Refusal refusal
+            = refusalOf(RefusalReason::UnknownPipeline, "no such pipeline", Milliseconds(0));
+        co_await refuse(stream, submit, std::move(refusal));
         co_return;
     }
     if (isActive(submit.key)) {
@@ -182,7 +183,8 @@
         co_await relay(stream, std::move(submit), host);
         co_return;
     }
-    co_await refuse(stream, submit, refusalElsewhere("another host runs the request"));
+    Refusal refusal = refusalElsewhere("another host runs the request");
+    co_await refuse(stream, submit, std::move(refusal));
 }
 
 Asio::awaitable<void> Coordinator::relay(
@@ -194,8 +196,9 @@
     bool answered = false;
     try {
         if (endpoint) {
-            const std::shared_ptr<PeerStream> upstream = co_await m_services.peers.open(
-                *endpoint, RelayedSubmitMessage { .submit = submit }, relayTimeout);
+            Message first = RelayedSubmitMessage { .submit = submit };
+            const std::shared_ptr<PeerStream> upstream
+                = co_await m_services.peers.open(*endpoint, std::move(first), relayTimeout);
             const auto ended
                 = co_await (passOn(upstream, stream, submit) || waitUntilGone(stream));
             answered = ended.index() == 1 || std::get<0>(ended);
@@ -207,7 +210,8 @@
         stream->finish();
         co_return;
     }
-    co_await refuse(stream, submit, refusalElsewhere("the host of the request's key is gone"));
+    Refusal refusal = refusalElsewhere("the host of the request's key is gone");
+    co_await refuse(stream, submit, std::move(refusal));
 }
 
 Asio::awaitable<void> Coordinator::refuse(
@@ -215,9 +219,9 @@
 {
     const RequestOpening opening { .key = submit.key, .keyFromCaller = submit.keyFromCaller };
     ++m_refused[refusal.reason];
-    refusal = m_services.records.limitToKnown(
-        std::move(refusal), opening, {}, RuntimeClock::now());
-    co_await stream->write(RefusedMessage { .refusal = refusal });
+    Message answer = RefusedMessage { .refusal
+        = m_services.records.limitToKnown(refusal, opening, {}, RuntimeClock::now()) };
+    co_await stream->write(std::move(answer));
     stream->finish();
 }
 
--- /dev/null
+++ b/src/dispatch/platformclaimstore.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "dispatch/claimstore.h"
+#include "libnet/platformclient.h"
+
+namespace Apricot {
+
+// Keeps claims in the platform's objects, as {"keys": {claim key: token}}.
+class PlatformClaimStore : public ClaimStore {
+public:
+    explicit PlatformClaimStore(PlatformClient& platform)
+        : m_platform(platform)
+    {
+    }
+
+    boost::asio::awaitable<ClaimObject> read(std::string objectKey) override;
+    boost::asio::awaitable<ClaimPutResult> compareAndPut(
+        std::string objectKey, ClaimObject object) override;
+    boost::asio::awaitable<void> remove(std::string objectKey) override;
+
+private:
+    PlatformClient& m_platform;
+};
+
+}
--- a/src/dispatch/recordservice.cpp
+++ b/src/dispatch/recordservice.cpp
@@ -49,8 +49,9 @@
     PeerEndpoint endpoint, const StoreCopyAction& action)
 {
     try {
-        const Message answer = co_await m_peers.ask(std::move(endpoint),
-            StoreCopyMessage { .copy = action.copy, .opening = action.opening }, storeTimeout);
+        Message question = StoreCopyMessage { .copy = action.copy, .opening = action.opening };
+        const Message answer
+            = co_await m_peers.ask(std::move(endpoint), std::move(question), storeTimeout);
         if (const auto* stored = std::get_if<CopyStoredMessage>(&answer))
             co_return stored->answer;
     } catch (const std::runtime_error&) {
@@ -62,9 +63,10 @@
 Asio::awaitable<void> RecordService::serve(
     std::shared_ptr<PeerStream> stream, StoreCopyMessage message)
 {
-    const CopyAnswer answer
-        = m_records.store(message.copy, message.opening, RuntimeClock::now());
-    co_await stream->write(CopyStoredMessage { .answer = answer });
+    Message answer = CopyStoredMessage {
+        .answer = m_records.store(message.copy, message.opening, RuntimeClock::now())
+    };
+    co_await stream->write(std::move(answer));
     stream->finish();
 }
 
--- /dev/null
+++ b/tests/unit/coordinatortest.cpp
@@ -0,0 +1,302 @@
+#include "dispatch/coordinator.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <deque>
+
+using namespace Apricot;
+namespace Asio = boost::asio;
+
+namespace {
+
+// One end of a stream in memory.
+class MemoryStream : public PeerStream {
+public:
+    MemoryStream(Asio::io_context& context)
+        : m_changed(context.get_executor())
+    {
+    }
+
+    Asio::awaitable<std::optional<Message>> read() override
+    {
+        while (m_inbox.empty()) {
+            if (m_broken)
+                throw PeerError(PeerFailure::Unreachable, "broken");
+            if (m_finished)
+                co_return std::nullopt;
+            co_await m_changed.wait();
+        }
+        Message message = std::move(m_inbox.front());
+        m_inbox.pop_front();
+        co_return message;
+    }
+    Asio::awaitable<void> write(Message message) override
+    {
+        if (m_broken)
+            throw PeerError(PeerFailure::Unreachable, "broken");
+        written.push_back(std::move(message));
+        co_return;
+    }
+    void finish() override { isFinished = true; }
+    void cancel() override { breakOff(); }
+
+    void receive(Message message)
+    {
+        m_inbox.push_back(std::move(message));
+        m_changed.notifyAll();
+    }
+    void breakOff()
+    {
+        m_broken = true;
+        m_changed.notifyAll();
+    }
+
+    bool isBroken() const { return m_broken; }
+
+    std::vector<Message> written;
+    bool isFinished = false;
+
+private:
+    AsyncEvent m_changed;
+    std::deque<Message> m_inbox;
+    bool m_broken = false;
+    bool m_finished = false;
+};
+
+// A home that answers each attempt with two tokens, or breaks its stream after the first.
+class FakePeers : public PeerLink {
+public:
+    explicit FakePeers(Asio::io_context& context)
+        : m_context(context)
+    {
+    }
+
+    Asio::awaitable<std::shared_ptr<PeerStream>> open(
+        PeerEndpoint /*endpoint*/, Message first, Milliseconds /*timeout*/) override
+    {
+        auto stream = std::make_shared<MemoryStream>(m_context);
+        const StageCall call = std::get<StageCallMessage>(first).call;
+        calls.push_back(call);
+        streams.push_back(stream);
+        if (isSilent)
+            co_return stream;
+        const bool breaks = failures-- > 0;
+        for (std::uint64_t index = call.resumeFrom; index < (breaks ? 1U : 2U); ++index)
+            stream->receive(TokenMessage { .index = index, .text = std::to_string(index) });
+        if (breaks)
+            stream->breakOff();
+        else
+            stream->receive(StageEndedMessage {
+                .outcome = { .attempt = call.attempt, .sent = true, .tokens = 2 } });
+        co_return stream;
+    }
+    Asio::awaitable<Message> ask(
+        PeerEndpoint /*endpoint*/, Message /*question*/, Milliseconds /*timeout*/) override
+    {
+        throw PeerError(PeerFailure::Refused, "refused");
+        co_return Message {};
+    }
+
+    std::vector<StageCall> calls;
+    std::vector<std::shared_ptr<MemoryStream>> streams;
+    int failures = 0;
+    bool isSilent = false;
+
+private:
+    Asio::io_context& m_context;
+};
+
+class FakeViews : public ControlViewSource {
+public:
+    FakeViews()
+    {
+        Catalogue catalogue;
+        const BackendServerId server("server-1");
+        catalogue.servers[server] = { .id = server, .pool = PoolId("pool") };
+        CatalogueEntry entry { .name = PipelineId("sheets") };
+        entry.stages = { { .name = "encode", .kind = StageKind::Encode, .pool = PoolId("pool") },
+            { .name = "generate", .pool = PoolId("pool") } };
+        catalogue.entries[entry.name] = entry;
+        CellState cell;
+        cell.members = { { .host = HostId("host-1"), .incarnation = "1" } };
+        cell.homes[server] = { .home = HostId("host-1") };
+        current.self = HostId("host-1");
+        current.incarnation = "1";
+        current.catalogue = std::make_shared<const Catalogue>(catalogue);
+        current.cell = std::make_shared<const CellState>(cell);
+        current.epoch = 1;
+        current.permittedUntil = TimePoint::max();
+    }
+    std::shared_ptr<const ControlView> view() const override
+    {
+        return std::make_shared<const ControlView>(current);
+    }
+
+    ControlView current;
+};
+
+class FirstServer : public StageRouter {
+public:
+    std::optional<BackendServerId> choose(const ControlView& view, const StageSpec& /*stage*/,
+        const RequestKey& /*key*/, const std::vector<BackendServerId>& /*excluded*/,
+        TimePoint /*now*/) override
+    {
+        return view.catalogue->servers.begin()->first;
+    }
+    void report(const StageOutcome& /*outcome*/, const BackendServerId& /*server*/,
+        TimePoint /*now*/) override
+    {
+    }
+};
+
+class NoClaims : public ClaimGateway {
+public:
+    Asio::awaitable<ClaimAnswer> claim(ClaimAction /*action*/, Milliseconds /*budget*/) override
+    {
+        co_return ClaimAnswer {};
+    }
+    bool isUnavailable() const override { return false; }
+};
+
+}
+
+TEST_GROUP(Coordinator)
+{
+    Asio::io_context context;
+    FakeViews views;
+    FakePeers peers { context };
+    FirstServer router;
+    RecordTable records { { .host = HostId("host-1"), .incarnation = "1" } };
+    RecordService copies { views, peers, records };
+    NoClaims claims;
+    RetryBudget retries;
+    PoisonTable poison;
+    Coordinator coordinator { { context, views, peers, router, records, copies, claims, retries,
+        poison } };
+
+    void setup() override { RuntimeClock::pause(); }
+    void teardown() override { RuntimeClock::resume(); }
+
+    std::shared_ptr<MemoryStream> submit(std::uint64_t resumeFrom = 0)
+    {
+        auto stream = std::make_shared<MemoryStream>(context);
+        const SubmitMessage message { .key = RequestKey("key"),
+            .pipeline = PipelineId("sheets"),
+            .input = "soup",
+            .resumeFrom = resumeFrom };
+        Asio::co_spawn(context, coordinator.serve(stream, message), Asio::detached);
+        poll(Milliseconds(0));
+        return stream;
+    }
+    void poll(Milliseconds time)
+    {
+        RuntimeClock::advance(time);
+        // A timer that is due makes the context look at all the others.
+        RuntimeTimer due(context, RuntimeClock::now());
+        bool isDue = false;
+        due.async_wait([&isDue](boost::system::error_code) { isDue = true; });
+        while (!isDue) {
+            context.restart();
+            context.run_one();
+        }
+        context.restart();
+        context.poll();
+    }
+    static std::size_t tokensOf(const MemoryStream& stream)
+    {
+        std::uint64_t count = 0;
+        for (const Message& message : stream.written) {
+            const auto* token = std::get_if<TokenMessage>(&message);
+            count += token ? 1 : 0;
+        }
+        return count;
+    }
+};
+
+TEST(Coordinator, stagesRunInOrderAndTheLastStreams)
+{
+    const auto stream = submit();
+    LONGS_EQUAL(2, peers.calls.size());
+    STRCMP_EQUAL("soup", peers.calls[0].input.c_str());
+    STRCMP_EQUAL("01", peers.calls[1].input.c_str());
+    LONGS_EQUAL(2, tokensOf(*stream));
+    CHECK_TRUE(std::holds_alternative<CompletedMessage>(stream->written.back()));
+    CHECK_TRUE(stream->isFinished);
+    LONGS_EQUAL(0, coordinator.callersInFlight());
+}
+
+TEST(Coordinator, aFinishedRequestIsReplayedFromTheTokenThatIsNeeded)
+{
+    submit();
+    const auto again = submit(1);
+    LONGS_EQUAL(2, peers.calls.size());
+    LONGS_EQUAL(1, tokensOf(*again));
+    CHECK_TRUE(std::holds_alternative<CompletedMessage>(again->written.back()));
+}
+
+TEST(Coordinator, aBrokenAttemptIsResumed)
+{
+    peers.failures = 1;
+    const auto stream = submit();
+    poll(Milliseconds(100));
+    LONGS_EQUAL(3, peers.calls.size());
+    LONGS_EQUAL(2, tokensOf(*stream));
+    CHECK_TRUE(std::holds_alternative<CompletedMessage>(stream->written.back()));
+}
+
+TEST(Coordinator, aPassedDeadlineIsAnsweredAndTheAttemptCancelled)
+{
+    peers.isSilent = true;
+    const auto stream = submit();
+    poll(Milliseconds(4000));
+    LONGS_EQUAL(0, stream->written.size());
+    poll(Milliseconds(5000));
+    LONGS_EQUAL(1, stream->written.size());
+    const auto& refusal = std::get<RefusedMessage>(stream->written.back()).refusal;
+    CHECK_TRUE(refusal.reason == RefusalReason::DeadlinePassed);
+    CHECK_TRUE(refusal.ran == RanState::Unknown);
+    CHECK_TRUE(peers.streams.back()->isBroken());
+}
+
+TEST(Coordinator, aCallerThatLeavesCancelsItsRequest)
+{
+    peers.isSilent = true;
+    const auto stream = submit();
+    LONGS_EQUAL(1, coordinator.callersInFlight());
+    stream->breakOff();
+    poll(Milliseconds(0));
+    LONGS_EQUAL(0, coordinator.callersInFlight());
+    CHECK_FALSE(records.find(RequestKey("key"))->isRunning());
+}
+
+TEST(Coordinator, aHostWithoutEvidenceOrStoppingTakesNoNewRequest)
+{
+    views.current.permittedUntil = TimePoint {};
+    const auto first = submit();
+    CHECK_TRUE(std::get<RefusedMessage>(first->written.back()).refusal.reason
+        == RefusalReason::NoEvidence);
+    CHECK_TRUE(
+        std::get<RefusedMessage>(first->written.back()).refusal.ran == RanState::NotRun);
+    views.current.permittedUntil = TimePoint::max();
+    views.current.stopping = true;
+    const auto second = submit();
+    CHECK_TRUE(std::get<RefusedMessage>(second->written.back()).refusal.reason
+        == RefusalReason::Stopping);
+    LONGS_EQUAL(0, peers.calls.size());
+}
+
+TEST(Coordinator, anEarlierCoordinatorOfALowerEpochIsSuperseded)
+{
+    const TimePoint now = RuntimeClock::now();
+    RecordCopy copy { .key = RequestKey("other"), .coordinator = "new", .epoch = 5, .revision = 1 };
+    CHECK_FALSE(records.store(copy, true, now).superseded);
+    copy.coordinator = "old";
+    copy.epoch = 4;
+    CHECK_TRUE(records.store(copy, true, now).superseded);
+    copy.epoch = 6;
+    CHECK_TRUE(records.store(copy, false, now).superseded);
+    CHECK_FALSE(records.store(copy, true, now).superseded);
+}
