--- a/src/dispatch/coordinator.cpp
+++ b/src/dispatch/coordinator.cpp
@@ -132,8 +132,9 @@
     const std::shared_ptr<const ControlView> view = m_services.views.view();
     const auto entry = view->catalogue->entries.find(submit.pipeline);
     if (entry == view->catalogue->entries.end()) {
-        co_await refuse(stream, submit,
-            refusalOf(RefusalReason::UnknownPipeline, "no such pipeline", Milliseconds(0)));
+        Refusal refusal
+            = refusalOf(RefusalReason::UnknownPipeline, "no such pipeline", Milliseconds(0));
+        co_await refuse(stream, submit, std::move(refusal));
         co_return;
     }
     const TimePoint now = RuntimeClock::now();
@@ -207,7 +208,8 @@
         co_await relay(stream, std::move(submit), host);
         co_return;
     }
-    co_await refuse(stream, submit, refusalElsewhere("another host runs the request"));
+    Refusal refusal = refusalElsewhere("another host runs the request");
+    co_await refuse(stream, submit, std::move(refusal));
 }
 
 Asio::awaitable<void> Coordinator::relay(
@@ -219,9 +221,9 @@
     bool answered = false;
     try {
         if (endpoint) {
-            Message relayed = RelayedSubmitMessage { .submit = submit };
-            const std::shared_ptr<PeerStream> upstream = co_await m_services.peers.open(
-                *endpoint, std::move(relayed), relayTimeout);
+            Message first = RelayedSubmitMessage { .submit = submit };
+            const std::shared_ptr<PeerStream> upstream
+                = co_await m_services.peers.open(*endpoint, std::move(first), relayTimeout);
             const auto ended
                 = co_await (passOn(upstream, stream, submit) || waitUntilGone(stream));
             answered = ended.index() == 1 || std::get<0>(ended);
@@ -233,7 +235,8 @@
         stream->finish();
         co_return;
     }
-    co_await refuse(stream, submit, refusalElsewhere("the host of the request's key is gone"));
+    Refusal refusal = refusalElsewhere("the host of the request's key is gone");
+    co_await refuse(stream, submit, std::move(refusal));
 }
 
 Asio::awaitable<void> Coordinator::refuse(
@@ -241,10 +244,9 @@
 {
     const RequestOpening opening { .key = submit.key, .keyFromCaller = submit.keyFromCaller };
     ++m_refused[refusal.reason];
-    refusal = m_services.records.limitToKnown(
-        std::move(refusal), opening, {}, RuntimeClock::now());
-    Message refused = RefusedMessage { .refusal = refusal };
-    co_await stream->write(std::move(refused));
+    Message answer = RefusedMessage { .refusal
+        = m_services.records.limitToKnown(refusal, opening, {}, RuntimeClock::now()) };
+    co_await stream->write(std::move(answer));
     stream->finish();
 }
 
