Spread homes over the members and let the next host run a lost coordinator's requests

Cause, found by the scenario entry-killed: the first daemon of a cell was home of every replica, since a home stayed where it was, and its death took them all away; and a request whose coordinator had died was refused by every other host until the dead member was removed (no_evidence after 0.2 s). Change: each write of the cell's object moves at most one replica and an eighth of them to the host that comes first for them, by hand-over; the planner clears an unconfirmed home that is home again. A submission names the hosts that could not be reached for it, and the next in order, which holds the copy, runs it. The control plane is told which replicas are busy. Ruled out: the entry's failover, which tried each host in order.

--- a/src/dispatch/coordinator.cpp
+++ b/src/dispatch/coordinator.cpp
@@ -81,6 +81,17 @@
         co_return false;
     }
 
+    // First host in order for a request among those that were not found unreachable for it.
+    HostId homeOf(const ControlView& view, const SubmitMessage& submit)
+    {
+        const std::vector<HostId>& skipped = submit.unreachable;
+        for (const Member& member : liveMembersFor(view, submit.key.value())) {
+            if (std::find(skipped.begin(), skipped.end(), member.host) == skipped.end())
+                return member.host;
+        }
+        return {};
+    }
+
     // Counts a caller for as long as it is served.
     class CallerCount {
     public:
@@ -143,10 +154,10 @@
         co_await run(stream, std::move(submit), entry->second, deadline, passage);
         co_return;
     }
-    const std::vector<Member> order = liveMembersFor(*view, submit.key.value());
-    const bool isHome = !order.empty() && order.front().host == view->self;
-    if (!isHome && !order.empty() && passage == Passage::Direct) {
-        co_await relay(stream, std::move(submit), order.front().host);
+    const HostId home = homeOf(*view, submit);
+    const bool isHome = home == view->self;
+    if (!isHome && !home.empty() && passage == Passage::Direct) {
+        co_await relay(stream, std::move(submit), home);
         co_return;
     }
     std::optional<Refusal> refusal = refusalOfNew(*view, entry->second);
@@ -217,6 +228,7 @@
 {
     using namespace Asio::experimental::awaitable_operators;
     ++m_relayed;
+    const TimePoint begunAt = RuntimeClock::now();
     const std::optional<PeerEndpoint> endpoint = endpointOf(*m_services.views.view(), host);
     bool answered = false;
     try {
@@ -229,12 +241,20 @@
             answered = ended.index() == 1 || std::get<0>(ended);
         }
     } catch (const std::runtime_error&) {
-        // The other host could not be reached or has gone; the caller is told so below.
+        // The other host could not be reached or has gone; the next one runs the request.
     }
     if (answered) {
         stream->finish();
         co_return;
     }
+    // The next host in order holds the copy of the record; it may be this one.
+    submit.unreachable.push_back(host);
+    submit.keyFromCaller = true;
+    submit.budget -= std::chrono::ceil<Milliseconds>(RuntimeClock::now() - begunAt);
+    if (submit.budget > Milliseconds(0)) {
+        co_await serveSubmit(std::move(stream), std::move(submit), Passage::Direct);
+        co_return;
+    }
     Refusal refusal = refusalElsewhere("the host of the request's key is gone");
     co_await refuse(stream, submit, std::move(refusal));
 }
--- a/src/dispatch/dispatchdaemon.cpp
+++ b/src/dispatch/dispatchdaemon.cpp
@@ -45,7 +45,7 @@
           [this](std::shared_ptr<PeerStream> stream) {
               return m_dispatcher.serve(std::move(stream));
           })
-    , m_controlPlane(m_daemon.control(), controlOptions(settings, m_server.port()))
+    , m_controlPlane(m_daemon.control(), makeControlOptions())
     , m_peers(m_daemon.traffic())
     , m_link(m_peers)
     , m_platform(m_daemon.traffic(),
@@ -69,6 +69,21 @@
             { { "peer", m_server.port() }, { "control", m_admin.port() } });
 }
 
+ControlPlaneOptions DispatchDaemon::makeControlOptions()
+{
+    ControlPlaneOptions options = controlOptions(m_settings, m_server.port());
+    options.homeReporter = [this] {
+        return Asio::co_spawn(m_daemon.traffic(), reportHomes(), Asio::use_awaitable);
+    };
+    return options;
+}
+
+Asio::awaitable<HomeReport> DispatchDaemon::reportHomes()
+{
+    co_return HomeReport { .appliedEpoch = m_homes.appliedEpoch(),
+        .busyServers = m_homes.busyServers() };
+}
+
 RunnerServices DispatchDaemon::makeRunnerServices()
 {
     return {
--- a/src/dispatch/dispatchdaemon.h
+++ b/src/dispatch/dispatchdaemon.h
@@ -20,6 +20,8 @@
     void run();
 
 private:
+    ControlPlaneOptions makeControlOptions();
+    boost::asio::awaitable<HomeReport> reportHomes();
     AdminServerOptions makeAdminOptions();
     RunnerServices makeRunnerServices();
     // Calls the coordinator's upkeep about once a second.
--- a/src/entry/entryservice.cpp
+++ b/src/entry/entryservice.cpp
@@ -168,8 +168,10 @@
         if (co_await relayFrom(ranked[failures % ranked.size()], state, writer, exchange))
             co_return;
         ++m_counts.resumed;
-        if ((failures + 1) % ranked.size() == 0)
-            co_await sleepFor(m_context.get_executor(), failoverPause);
+        if ((failures + 1) % ranked.size() != 0)
+            continue;
+        state.submission.unreachable.clear();
+        co_await sleepFor(m_context.get_executor(), failoverPause);
     }
     if (exchange.isPeerGone()) {
         ++m_counts.abandoned;
@@ -193,6 +195,7 @@
         // A refused connection carried nothing; after any other failure an attempt may exist.
         if (error.failure() != PeerFailure::Refused)
             state.noteAttempt();
+        state.submission.unreachable.push_back(coordinator.host);
         co_return false;
     }
     state.noteAttempt();
@@ -201,7 +204,7 @@
     try {
         answered = co_await relayMessages(*stream, state, writer);
     } catch (const PeerError&) {
-        answered = false;
+        state.submission.unreachable.push_back(coordinator.host);
     }
     exchange.setPeerGoneHandler(nullptr);
     co_return answered;
--- a/src/libapricot/cellplanner.cpp
+++ b/src/libapricot/cellplanner.cpp
@@ -6,6 +6,13 @@
 
 namespace Apricot {
 
+namespace {
+
+    // One replica in so many is moved at most by one write, beside one.
+    constexpr std::size_t rebalanceShare = 8;
+
+}
+
 CellPlanner::CellPlanner(const CellPlanInputs& inputs)
     : m_inputs(inputs)
     , m_next(inputs.current)
@@ -168,6 +175,26 @@
         if (!isKept)
             assignHome(server, home, candidates);
     }
+    rebalanceHomes(candidates);
+}
+
+// Moves a few replicas to the hosts that come first for them, so that a host that joins takes its
+// share and no host stays home of everything. Each move is a hand-over by a live home.
+void CellPlanner::rebalanceHomes(const std::vector<HostId>& candidates)
+{
+    const auto knows = [this](const Member& member) { return knowsLastChange(member); };
+    if (candidates.empty() || !isMajority(m_next.members, knows))
+        return;
+    std::size_t moves = 1 + m_next.homes.size() / rebalanceShare;
+    for (auto& [server, home] : m_next.homes) {
+        const bool isSettled = !home.home.empty() && home.unconfirmedHome.empty()
+            && home.since <= m_inputs.epoch && m_next.findProcess(home.home, home.incarnation);
+        if (!isSettled || rankHosts(server.value(), candidates).front() == home.home)
+            continue;
+        assignHome(server, home, candidates);
+        if (--moves == 0)
+            return;
+    }
 }
 
 void CellPlanner::assignHome(const BackendServerId& server, HomeAssignment& home,
@@ -191,6 +218,11 @@
     home.home = chosen;
     home.incarnation = m_next.findMember(chosen)->incarnation;
     home.since = m_inputs.epoch + 1;
+    // A process that becomes home again counts its own work in flight.
+    if (home.unconfirmedHome == home.home && home.unconfirmedIncarnation == home.incarnation) {
+        home.unconfirmedHome = HostId();
+        home.unconfirmedIncarnation.clear();
+    }
     if (isStopped)
         return;
     home.unconfirmedHome = previous.host;
--- a/src/libapricot/cellplanner.h
+++ b/src/libapricot/cellplanner.h
@@ -37,7 +37,8 @@
 // Makes the next state of a cell. Members that are known gone or have left are dropped at once. Joins
 // and removals of silent members come one in a write, and only when more than half of the members
 // know the last one, so that the majorities of any two successive member sets share a member. A
-// replica keeps its home while that process is a live member.
+// replica keeps its home while that process is a live member, but for a few in each write that move to
+// the host that comes first for them.
 class CellPlanner {
 public:
     explicit CellPlanner(const CellPlanInputs& inputs);
@@ -62,6 +63,7 @@
     void removeSilentMember();
 
     void assignHomes();
+    void rebalanceHomes(const std::vector<HostId>& candidates);
     void assignHome(const BackendServerId& server, HomeAssignment& home,
         const std::vector<HostId>& candidates) const;
     std::vector<HostId> listCandidates() const;
--- a/src/libnet/messages.h
+++ b/src/libnet/messages.h
@@ -28,11 +28,13 @@
     // First token of the answer that the caller still needs.
     std::uint64_t resumeFrom = 0;
     ServiceClass serviceClass = ServiceClass::Standard;
+    // Hosts that could not be reached for this request; the next in order runs it instead.
+    std::vector<HostId> unreachable;
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(key, keyFromCaller, pipeline, input, budget, resumeFrom, serviceClass);
+        archive(key, keyFromCaller, pipeline, input, budget, resumeFrom, serviceClass, unreachable);
     }
 };
 
--- a/tests/scenarios/fleet.py
+++ b/tests/scenarios/fleet.py
@@ -51,8 +51,11 @@
         self.log_file = log_file
         self.popen = None
         self.ports = {}
+        # Whether the process was ended by kill(), so that its exit status says nothing.
+        self.is_killed = False
 
     def start(self):
+        self.is_killed = False
         self.port_file.unlink(missing_ok=True)
         with open(self.log_file, "ab") as log:
             self.popen = subprocess.Popen(self.command, stdout=log, stderr=log)
@@ -95,6 +98,7 @@
     def kill(self):
         if self.popen and self.popen.poll() is None:
             self.popen.kill()
+            self.is_killed = True
         if self.popen:
             self.popen.wait()
 
@@ -144,7 +148,7 @@
         command += [f"--{flag}={value}" for flag, value in flags.items()]
         self._add(name, command)
         self.backends[name] = {"pool": pool, "host": host, "failure_domain": domain,
-                               "cold_cap": flags["cold_cap"], "warm_cap": flags["warm_cap"],
+                               "cold_cap": int(flags["cold_cap"]), "warm_cap": int(flags["warm_cap"]),
                                "checks_orders": flags["checks_orders"] == "true"}
 
     def declare_backends(self):
@@ -223,16 +227,25 @@
             return time.monotonic() - since >= SETTLED_SECONDS
         wait_until(settled, seconds, f"{wanted} are ready")
 
+    def homes(self):
+        _, cell = self.platform("GET", "/objects/cells/cell-1")
+        return cell["value"]["homes"]
+
     def wait_homes(self, seconds=START_SECONDS):
-        """Waits until every declared server has a home."""
-        def assigned():
-            _, cell = self.platform("GET", "/objects/cells/cell-1")
-            return set(self.backends) <= set(cell["value"]["homes"])
-        wait_until(assigned, seconds, "every replica has a home")
+        """Waits until every server has a home and no home has moved for SETTLED_SECONDS."""
+        seen = {"homes": None, "since": 0.0}
+
+        def settled():
+            homes = self.homes()
+            if homes != seen["homes"]:
+                seen.update(homes=homes, since=time.monotonic())
+            return set(self.backends) <= set(homes) \
+                and not any("unconfirmed_home" in home for home in homes.values()) \
+                and time.monotonic() - seen["since"] >= SETTLED_SECONDS
+        wait_until(settled, seconds, "every replica has a home")
 
     def home_of(self, server):
-        _, cell = self.platform("GET", "/objects/cells/cell-1")
-        return cell["value"]["homes"][server]["home"]
+        return self.homes()[server]["home"]
 
     def state(self, name):
         return http_json(self.processes[name].ports["control"], "GET", "/state")[1]
@@ -259,7 +272,7 @@
             for name in group:
                 self.processes[name].ask_to_stop()
             for name in group:
-                if self.processes[name].popen is None:
+                if self.processes[name].popen is None or self.processes[name].is_killed:
                     continue
                 status = self.processes[name].wait_stopped()
                 if status != 0:
--- a/tests/scenarios/scenario.py
+++ b/tests/scenarios/scenario.py
@@ -3,7 +3,7 @@
     fleet hosts N domains N               servers POOL KIND COUNT [flag=value ...]
     pipeline NAME owner=O class=C deadline_ms=N [limits.KEY=N ...] KIND@POOL[!][:MAX_TOKENS] ...
     start
-    submit NAME PIPELINE via HOST [key=K] [deadline_ms=N] [times=N] [every_ms=N] TEXT...
+    submit NAME PIPELINE via HOST [key=K[@HOST]] [deadline_ms=N] [times=N] [every_ms=N] TEXT...
     raw NAME PIPELINE via HOST BODY...
     expect NAME whole|refused [REASON] [ran=STATE] [status=N] [retry] within SECONDS
     kill|freeze|resume|stop|restart PROCESS       kill_home|freeze_home SERVER
@@ -15,7 +15,7 @@
     check whole|cold_caps|at_most_once|not_run|same_answer NAME...
     expect_config KEY within SECONDS              expect_ready HOST|none HOST within SECONDS
 
-A ! after a pool marks a stage that is not idempotent. Text after # is a comment.
+A ! after a pool marks a stage that is not idempotent; key=K@HOST makes a key whose coordinator is HOST. Text after # is a comment.
 """
 
 import json
@@ -162,12 +162,28 @@
                 time.sleep(int(options["every_ms"]) / 1000)
 
     def _key(self, name, pipeline, submission, index):
-        """Key of a submission: a name in the scenario stands for one UUID of version 7."""
-        name = name or f"{submission}/{time.monotonic_ns()}"
+        """Key of a submission; a pipeline with a stage that is not idempotent needs a UUID."""
+        name = name or f"{submission}/{len(self.keys)}"
         if index is not None:
             name = f"{name}/{index}"
-        del pipeline
-        return self.keys.setdefault(name, make_uuid7())
+        name, _, host = name.partition("@")
+        stages = self.fleet.pipelines.get(pipeline, {}).get("stages", [])
+        if all(stage.get("idempotent", True) for stage in stages):
+            return self.keys.setdefault(name, name)
+        if name not in self.keys:
+            self.keys[name] = self._make_key_at(host)
+        return self.keys[name]
+
+    def _make_key_at(self, host):
+        """A UUID of version 7 whose coordinator is a certain host, or any host."""
+        while True:
+            key = make_uuid7()
+            if not host or self._rank(key) == host:
+                return key
+
+    def _rank(self, key):
+        key_hash = answers.stable_hash(key)
+        return max(self.hosts, key=lambda host: answers.stable_hash(host, key_hash))
 
     def do_raw(self, rest):
         name, pipeline, _via, host, body = rest.split(maxsplit=4)
@@ -251,9 +267,7 @@
         self.do_freeze(f"dispatch-{self.fleet.home_of(rest)}")
 
     def _coordinator(self, key_name):
-        key = self.keys[key_name]
-        key_hash = answers.stable_hash(key)
-        return max(self.hosts, key=lambda host: answers.stable_hash(host, key_hash))
+        return self._rank(self.keys[key_name])
 
     def do_kill_coordinator(self, rest):
         self.do_kill(f"dispatch-{self._coordinator(rest)}")
--- a/tests/unit/cellsimulation.cpp
+++ b/tests/unit/cellsimulation.cpp
@@ -435,7 +435,8 @@
             if (!node.keeper->state().findProcess(home.home, home.incarnation))
                 return violate(server.value() + " has no home");
             if (!home.unconfirmedHome.empty())
-                return violate(server.value() + " has an unconfirmed home");
+                return violate(server.value() + " has an unconfirmed home: "
+                    + boost::json::serialize(cellStateToJson(node.keeper->state())));
         }
     }
 }
