Tell what apply wrote before a conflict, and errors without source lines

Cause: when the second object of an apply met a conflict, the tool did not say that the first had been written; and Boost puts source locations into the text of system errors, which operators can't use.

--- a/src/ctl/cataloguecommands.cpp
+++ b/src/ctl/cataloguecommands.cpp
@@ -122,6 +122,17 @@
         return { current ? "changed" : "created", version };
     }
 
+    void addApplied(
+        CommandResult& result, const CatalogueObject& object, const Applied& applied)
+    {
+        boost::json::object line = describeObject(object);
+        line["action"] = applied.action;
+        line["version"] = applied.version;
+        result.json.as_array().push_back(std::move(line));
+        result.text += title(object) + " " + applied.action;
+        result.text += ", version " + std::to_string(applied.version) + "\n";
+    }
+
     std::string differenceText(const CatalogueObject& object,
         const std::vector<JsonDifference>& differences)
     {
@@ -197,13 +208,12 @@
     PlatformStore store = context.store();
     CommandResult result { .json = boost::json::array() };
     for (const CatalogueObject& object : objects) {
-        const Applied applied = applyObject(store, object);
-        boost::json::object line = describeObject(object);
-        line["action"] = applied.action;
-        line["version"] = applied.version;
-        result.json.as_array().push_back(std::move(line));
-        result.text += title(object) + " " + applied.action + ", version "
-            + std::to_string(applied.version) + "\n";
+        try {
+            addApplied(result, object, applyObject(store, object));
+        } catch (const CommandError& error) {
+            // What was written before the error is told with it.
+            throw CommandError(error.code(), result.text + error.what());
+        }
     }
     return result;
 }
--- a/src/ctl/servicecommands.cpp
+++ b/src/ctl/servicecommands.cpp
@@ -128,9 +128,9 @@
         HttpClient client(context, options);
         try {
             return runBlocking(context, client.send(call));
-        } catch (const std::exception& error) {
+        } catch (const boost::system::system_error& error) {
             std::string text = options.address + ":" + std::to_string(options.port);
-            throw CommandError(ExitCode::Failed, text + ": " + error.what());
+            throw CommandError(ExitCode::Failed, text + ": " + error.code().message());
         }
     }
 
--- a/src/libnet/platformclient.cpp
+++ b/src/libnet/platformclient.cpp
@@ -221,8 +221,8 @@
             answer.body += *piece;
     } catch (const boost::system::system_error& error) {
         if (*sent)
-            throw LostAnswer(error.what());
-        throw PlatformUnavailable(error.what(), retryDefault);
+            throw LostAnswer(error.code().message());
+        throw PlatformUnavailable(error.code().message(), retryDefault);
     }
     co_return answer;
 }
--- a/tests/unit/ctltest.cpp
+++ b/tests/unit/ctltest.cpp
@@ -118,6 +118,10 @@
     LONGS_EQUAL(5, bench.code({ "diff", file }));
     LONGS_EQUAL(3, bench.code({ "apply", file }, &message));
     CHECK_TRUE(contains(message, "based on version 1, but version 2 by bo stands"));
+    const std::string other
+        = bench.file("zone.json", R"({"kind":"domain","name":"zone-a","spec":{"state":"in"}})");
+    LONGS_EQUAL(3, bench.code({ "apply", other, file }, &message));
+    CHECK_TRUE(contains(message, "domain zone-a created, version 3\ncatalogue/sheets: conflict"));
     CHECK_TRUE(contains(bench.run({ "get", "pipeline", "sheets" }).text, "7000"));
     LONGS_EQUAL(3, bench.code({ "delete", "pipeline", "sheets", "1" }));
 }
