--- a/tests/unit/settingsreferencetest.cpp
+++ b/tests/unit/operatorspagetest.cpp
@@ -3,6 +3,7 @@
 
 #include "libapricot/dispatchsettings.h"
 #include "libapricot/entrysettings.h"
+#include "libapricot/refusal.h"
 
 using namespace Apricot;
 
@@ -28,12 +29,24 @@
 
 }
 
-TEST_GROUP(SettingsReference) {};
+TEST_GROUP(OperatorsPage) {};
 
-TEST(SettingsReference, theOperatorsPageShowsEverySetting)
+TEST(OperatorsPage, showsEverySetting)
 {
     STRCMP_EQUAL(
         reference<EntrySettings>().c_str(), documentedReference("entry").c_str());
     STRCMP_EQUAL(
         reference<DispatchSettings>().c_str(), documentedReference("dispatch").c_str());
 }
+
+TEST(OperatorsPage, explainsEveryRefusalWithItsStatus)
+{
+    const std::string page = readSourceFile("docs/OPERATORS.md");
+    const int last = static_cast<int>(RefusalReason::OutcomeUnknown);
+    for (int index = 0; index <= last; ++index) {
+        const auto reason = static_cast<RefusalReason>(index);
+        const std::string row = "| `" + std::string(refusalReasonName(reason)) + "` | "
+            + std::to_string(httpStatusOf(reason)) + " |";
+        CHECK_TRUE_TEXT(page.find(row) != std::string::npos, row.c_str());
+    }
+}
