--- a/src/dispatch/platformclaimstore.h
+++ b/src/dispatch/platformclaimstore.h
@@ -5,10 +5,13 @@
 
 namespace Apricot {
 
-// Keeps claim objects in the platform's object API, as JSON objects of claim key and token.
+// Keeps claims in the platform's objects, as {"keys": {claim key: token}}.
 class PlatformClaimStore : public ClaimStore {
 public:
-    explicit PlatformClaimStore(PlatformClient& platform);
+    explicit PlatformClaimStore(PlatformClient& platform)
+        : m_platform(platform)
+    {
+    }
 
     boost::asio::awaitable<ClaimObject> read(std::string objectKey) override;
     boost::asio::awaitable<ClaimPutResult> compareAndPut(
--- a/src/dispatch/recordservice.cpp
+++ b/src/dispatch/recordservice.cpp
@@ -50,8 +50,8 @@
 {
     try {
         Message question = StoreCopyMessage { .copy = action.copy, .opening = action.opening };
-        const Message answer = co_await m_peers.ask(
-            std::move(endpoint), std::move(question), storeTimeout);
+        const Message answer
+            = co_await m_peers.ask(std::move(endpoint), std::move(question), storeTimeout);
         if (const auto* stored = std::get_if<CopyStoredMessage>(&answer))
             co_return stored->answer;
     } catch (const std::runtime_error&) {
@@ -63,10 +63,10 @@
 Asio::awaitable<void> RecordService::serve(
     std::shared_ptr<PeerStream> stream, StoreCopyMessage message)
 {
-    const CopyAnswer answer
-        = m_records.store(message.copy, message.opening, RuntimeClock::now());
-    Message stored = CopyStoredMessage { .answer = answer };
-    co_await stream->write(std::move(stored));
+    Message answer = CopyStoredMessage {
+        .answer = m_records.store(message.copy, message.opening, RuntimeClock::now())
+    };
+    co_await stream->write(std::move(answer));
     stream->finish();
 }
 
