--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -39,6 +39,17 @@
         std::cout << result.text;
 }
 
+// Prints an error to standard error, in the form of the output, and returns the exit status.
+int fail(ExitCode code, const std::string& what)
+{
+    const int status = static_cast<int>(code);
+    if (FLAGS_output == "json")
+        std::cerr << prettyJson({ { "error", what }, { "exit_code", status } }) << "\n";
+    else
+        std::cerr << what << "\n";
+    return status;
+}
+
 int run(const std::vector<std::string>& words)
 {
     try {
@@ -48,11 +59,9 @@
         print(result);
         return static_cast<int>(result.code);
     } catch (const CommandError& error) {
-        std::cerr << error.what() << "\n";
-        return static_cast<int>(error.code());
+        return fail(error.code(), error.what());
     } catch (const std::exception& error) {
-        std::cerr << error.what() << "\n";
-        return static_cast<int>(ExitCode::Failed);
+        return fail(ExitCode::Failed, error.what());
     }
 }
 
