--- a/tests/unit/ctltest.cpp
+++ b/tests/unit/ctltest.cpp
@@ -1,5 +1,6 @@
 #include "property.h"
 
+#include "ctl/blockingcall.h"
 #include "ctl/commandline.h"
 #include "ctl/jsontext.h"
 #include "emulator/platform/platformserver.h"
@@ -73,6 +74,14 @@
         store.put(key, boost::json::parse(json), 0);
     }
 
+    void setFaults(const std::string& json) const
+    {
+        boost::asio::io_context context;
+        HttpClient client(context, { .port = m_server.port() });
+        const HttpCall call { .method = "PUT", .target = "/faults", .body = json };
+        LONGS_EQUAL(200, runBlocking(context, client.send(call)).status);
+    }
+
 private:
     std::filesystem::path m_folder = std::filesystem::temp_directory_path()
         / ("apricot-ctl-" + std::to_string(getpid()));
@@ -126,6 +135,47 @@
     LONGS_EQUAL(3, bench.code({ "delete", "pipeline", "sheets", "1" }));
 }
 
+TEST(Ctl, ofTwoOperatorsWhoRaceOneWins)
+{
+    const Bench bench;
+    for (const char* deadline : { "8000", "7000", "6000", "5000" }) {
+        std::string first = sheets;
+        first.replace(first.find("9000"), 4, deadline);
+        // Both changes are based on what stands before either is written.
+        const bool isNew = bench.code({ "get", "pipeline", "sheets" }) == 4;
+        const std::string version
+            = isNew ? "0" : std::to_string(bench.run({ "list" }).json.at(0).at("version").as_uint64());
+        first.insert(1, "\"version\":" + version + ",");
+        std::string second = first;
+        second.replace(second.find("urgent"), 6, "bulk");
+        const std::string files[] { bench.file("1.json", first), bench.file("2.json", second) };
+        int codes[] { -1, -1 };
+        std::thread other([&] { codes[1] = bench.code({ "apply", files[1] }); });
+        codes[0] = bench.code({ "apply", files[0] });
+        other.join();
+        LONGS_EQUAL(3, codes[0] + codes[1]);
+        CHECK_TRUE(codes[0] == 0 || codes[1] == 0);
+        LONGS_EQUAL(0, bench.code({ "diff", files[codes[0] == 0 ? 0 : 1] }));
+    }
+}
+
+TEST(Ctl, aLostAnswerIsNeverTakenForAConflict)
+{
+    const Bench bench;
+    int done = 0;
+    for (int round = 0; round < 20; ++round) {
+        bench.setFaults(R"({"lose_answers":0.5,"seed":)" + std::to_string(round) + "}");
+        std::string changed = sheets;
+        changed.replace(changed.find("9000"), 4, std::to_string(5000 + round));
+        const std::string file = bench.file("sheets.json", changed);
+        const int code = bench.code({ "apply", file });
+        CHECK_TRUE(code == 0 || code == 1);
+        done += code == 0 ? 1 : 0;
+        LONGS_EQUAL(0, bench.code({ "diff", file }));
+    }
+    CHECK_TRUE(done > 10);
+}
+
 TEST(Ctl, nothingIsWrittenWhenOneFileIsNotValid)
 {
     const Bench bench;
