Bound relayed requests and let records correct early refusals

Cause: a refusal before a record was attached (stopping, no evidence, platform unavailable) said that nothing ran although a stage of the key had been sent; and a relay to a frozen home waited without end.

limitToKnown() now looks into this host's record or copy of the key first; a relay ends with the caller's budget. Answers of followers no longer outlive a new opening of the key. The cluster of the tests lets only some hosts reject, and frozen hosts miss epochs.

--- a/src/dispatch/coordinator.cpp
+++ b/src/dispatch/coordinator.cpp
@@ -44,6 +44,13 @@
         return std::chrono::floor<Milliseconds>(std::chrono::system_clock::now());
     }
 
+    Milliseconds budgetOf(const SubmitMessage& submit, const CatalogueEntry& entry)
+    {
+        if (submit.budget <= Milliseconds(0))
+            return entry.deadline;
+        return std::min(submit.budget, entry.deadline);
+    }
+
     bool needsClaim(const CatalogueEntry& entry)
     {
         return std::any_of(entry.stages.begin(), entry.stages.end(),
@@ -122,6 +129,7 @@
         co_await refuse(stream, submit, std::move(refusal));
         co_return;
     }
+    submit.budget = budgetOf(submit, entry->second);
     if (isActive(submit.key)) {
         co_await run(stream, std::move(submit), entry->second, passage);
         co_return;
@@ -159,9 +167,7 @@
     const CatalogueEntry& entry, Passage passage)
 {
     const TimePoint now = RuntimeClock::now();
-    const Milliseconds budget
-        = submit.budget > Milliseconds(0) ? std::min(submit.budget, entry.deadline) : entry.deadline;
-    const TimePoint deadline = now + budget;
+    const TimePoint deadline = now + submit.budget;
     const RequestOpening opening { .key = submit.key,
         .keyFromCaller = submit.keyFromCaller,
         .input = submit.input };
@@ -190,19 +196,10 @@
 Asio::awaitable<void> Coordinator::relay(
     std::shared_ptr<PeerStream> stream, SubmitMessage submit, HostId host)
 {
-    using namespace Asio::experimental::awaitable_operators;
     ++m_relayed;
-    const std::optional<PeerEndpoint> endpoint = endpointOf(*m_services.views.view(), host);
     bool answered = false;
     try {
-        if (endpoint) {
-            Message first = RelayedSubmitMessage { .submit = submit };
-            const std::shared_ptr<PeerStream> upstream
-                = co_await m_services.peers.open(*endpoint, std::move(first), relayTimeout);
-            const auto ended
-                = co_await (passOn(upstream, stream, submit) || waitUntilGone(stream));
-            answered = ended.index() == 1 || std::get<0>(ended);
-        }
+        answered = co_await relayUntilEnd(stream, submit, host);
     } catch (const std::runtime_error&) {
         // The other host could not be reached or has gone; the caller is told so below.
     }
@@ -210,10 +207,27 @@
         stream->finish();
         co_return;
     }
-    Refusal refusal = refusalElsewhere("the host of the request's key is gone");
+    Refusal refusal = refusalElsewhere("the host of the request's key does not answer");
     co_await refuse(stream, submit, std::move(refusal));
 }
 
+Asio::awaitable<bool> Coordinator::relayUntilEnd(
+    std::shared_ptr<PeerStream> stream, SubmitMessage& submit, const HostId& host)
+{
+    using namespace Asio::experimental::awaitable_operators;
+    const std::optional<PeerEndpoint> endpoint = endpointOf(*m_services.views.view(), host);
+    if (!endpoint)
+        co_return false;
+    Message first = RelayedSubmitMessage { .submit = submit };
+    const std::shared_ptr<PeerStream> upstream
+        = co_await m_services.peers.open(*endpoint, std::move(first), relayTimeout);
+    const auto ended = co_await (passOn(upstream, stream, submit) || waitUntilGone(stream)
+        || sleepFor(m_services.context.get_executor(), submit.budget));
+    if (ended.index() == 0)
+        co_return std::get<0>(ended);
+    co_return ended.index() == 1;
+}
+
 Asio::awaitable<void> Coordinator::refuse(
     std::shared_ptr<PeerStream> stream, const SubmitMessage& submit, Refusal refusal)
 {
--- a/src/dispatch/coordinator.h
+++ b/src/dispatch/coordinator.h
@@ -41,6 +41,9 @@
         const CatalogueEntry& entry, Passage passage);
     boost::asio::awaitable<void> relay(
         std::shared_ptr<PeerStream> stream, SubmitMessage submit, HostId host);
+    // Whether the other host answered the caller, or the caller has gone.
+    boost::asio::awaitable<bool> relayUntilEnd(
+        std::shared_ptr<PeerStream> stream, SubmitMessage& submit, const HostId& host);
     boost::asio::awaitable<void> refuse(
         std::shared_ptr<PeerStream> stream, const SubmitMessage& submit, Refusal refusal);
     // Why a new request can't be taken at this moment.
--- a/src/dispatch/requestrunner.cpp
+++ b/src/dispatch/requestrunner.cpp
@@ -146,6 +146,8 @@
 
 void RequestRunner::performOne(const StoreCopyAction& action)
 {
+    if (action.opening)
+        m_answers.clear();
     Asio::co_spawn(m_services.context, storeCopy(action), Asio::detached);
 }
 
--- a/src/libapricot/recordtable.cpp
+++ b/src/libapricot/recordtable.cpp
@@ -138,9 +138,24 @@
     return merged;
 }
 
+RanState RecordTable::ranStateHere(const RequestKey& key) const
+{
+    if (const std::shared_ptr<RequestRecord> record = find(key))
+        return record->ranState();
+    const auto kept = m_copies.find(key);
+    if (kept == m_copies.end())
+        return RanState::NotRun;
+    const RecordCopy known = mergedOf(kept->second);
+    if (!known.results.empty())
+        return RanState::RanInPart;
+    return known.maybeSent ? RanState::Unknown : RanState::NotRun;
+}
+
 Refusal RecordTable::limitToKnown(Refusal refusal, const RequestOpening& opening,
     const std::vector<CopyAnswer>& answers, TimePoint now) const
 {
+    if (refusal.ran == RanState::NotRun)
+        refusal.ran = ranStateHere(opening.key);
     if (refusal.ran != RanState::NotRun || !opening.keyFromCaller)
         return refusal;
     std::vector<RecordHolder> holders {
--- a/src/libapricot/recordtable.h
+++ b/src/libapricot/recordtable.h
@@ -71,6 +71,7 @@
         TimePoint storedAt {};
     };
 
+    RanState ranStateHere(const RequestKey& key) const;
     // All that is known of a key from its present and earlier coordinators.
     static RecordCopy mergedOf(const KeptCopy& kept);
     std::size_t sizeBytes() const;
--- a/src/libapricot/requestrecord.h
+++ b/src/libapricot/requestrecord.h
@@ -108,6 +108,8 @@
     // How long a claim is of use: until the last caller's deadline.
     Milliseconds claimBudget(TimePoint now) const;
     const CatalogueEntry& entry() const { return m_options.entry; }
+    // What is known here to have run. NotRun as far as this record goes.
+    RanState ranState() const;
     const RecordCopy& copy() const { return m_copy; }
     // Takes over a copy that an earlier coordinator left on this host.
     void inherit(const RecordCopy& copy);
@@ -154,7 +156,6 @@
     const std::string& stageInput() const;
     bool hasResultsOfEntry() const;
     TimePoint latestDeadline() const;
-    RanState ranState() const;
 
     void begin(const RequestContext& context, TimePoint now, RequestActions& actions);
     void proceed(const RequestContext& context, TimePoint now, RequestActions& actions);
--- a/tests/unit/coordinatortest.cpp
+++ b/tests/unit/coordinatortest.cpp
@@ -288,6 +288,19 @@
     LONGS_EQUAL(0, peers.calls.size());
 }
 
+TEST(Coordinator, aRefusalOfAKeyWhoseStageWasSentIsNotNotRun)
+{
+    peers.isSilent = true;
+    const auto first = submit();
+    first->breakOff();
+    poll(Milliseconds(0));
+    views.current.stopping = true;
+    const auto second = submit();
+    const auto& refusal = std::get<RefusedMessage>(second->written.back()).refusal;
+    CHECK_TRUE(refusal.reason == RefusalReason::Stopping);
+    CHECK_TRUE(refusal.ran == RanState::Unknown);
+}
+
 TEST(Coordinator, anEarlierCoordinatorOfALowerEpochIsSuperseded)
 {
     const TimePoint now = RuntimeClock::now();
--- a/tests/unit/requestcluster.h
+++ b/tests/unit/requestcluster.h
@@ -15,6 +15,8 @@
     int callerCut = 0;
     int attemptFailure = 0;
     int rejection = 0;
+    // Hosts before this one meet rejections.
+    std::size_t rejectingHosts = 100;
     int duplicate = 0;
     int platformLoss = 0;
     // An answer between hosts that comes too late.
@@ -86,6 +88,8 @@
         Apricot::RetryBudget retries;
         Apricot::PoisonTable poison;
         Apricot::ObjectVersion epoch = 0;
+        // Newest epoch that began and ended unseen while the host was frozen.
+        Apricot::ObjectVersion missedEpoch = 0;
         std::vector<Apricot::Member> members;
         std::map<Apricot::RequestKey, std::vector<Apricot::CopyAnswer>> answers;
         std::map<Apricot::RequestKey, int> begunAt;
