Test evidence, planning, configuration and the platform's client

Cause: each mechanism of the cell needs a test that fails without it. Found and mended: a late event could bring a deleted object back when the deletion was known by an older tombstone than the list that confirmed it; what a known revision covers is now dropped.

--- a/src/dispatch/controlplane.cpp
+++ b/src/dispatch/controlplane.cpp
@@ -18,6 +18,7 @@
 
 namespace {
 
+    constexpr Milliseconds platformTimeout { 1200 };
     constexpr Milliseconds tickInterval { 100 };
     constexpr Milliseconds leavingCheckInterval { 100 };
     // Longest wait of the entry daemon's question, so that it renews its permission in time.
@@ -67,7 +68,8 @@
     , m_platform(context,
           { .address = m_options.platform.address,
               .port = m_options.platform.port,
-              .host = m_options.host })
+              .host = m_options.host,
+              .timeout = platformTimeout })
     , m_peers(context)
     , m_keeper(keeperOptions(m_options), RuntimeClock::now())
     , m_config(context, m_platform, m_peers, m_options.config)
--- a/src/libapricot/cellkeeper.cpp
+++ b/src/libapricot/cellkeeper.cpp
@@ -75,8 +75,9 @@
         [&](const CellWriteUnknown&) {
             if (!m_unsettledSince)
                 m_unsettledSince = begunAt;
+            m_lease.recordPlatformFailure(begunAt);
         },
-        [](const CellWriteRefused&) {},
+        [&](const CellWriteRefused&) { m_lease.recordPlatformFailure(begunAt); },
     };
     std::visit(visitor, outcome);
 }
--- a/src/libapricot/configstore.cpp
+++ b/src/libapricot/configstore.cpp
@@ -74,21 +74,21 @@
 bool ConfigStore::take(const ConfigDelta& delta)
 {
     Prefix& prefix = m_prefixes[delta.prefix];
-    if (delta.isWhole && delta.revision < prefix.revision)
+    const bool isTooOld = delta.isWhole && delta.revision < prefix.revision;
+    const bool leavesGap = !delta.isWhole && delta.since > prefix.revision;
+    if (isTooOld || leavesGap)
         return false;
     bool isChanged = false;
     for (const ConfigObject& object : delta.objects) {
-        // What the known revision covers and this store does not hold has been deleted since.
-        const bool isCovered = object.version <= prefix.revision && !m_objects.contains(object.key);
-        if (!isCovered && object.key.starts_with(delta.prefix))
+        // What the known revision covers is in the store, or has been superseded or deleted since.
+        if (object.version > prefix.revision && object.key.starts_with(delta.prefix))
             isChanged = takeObject(object) || isChanged;
     }
     if (delta.isWhole) {
         isChanged = deleteMissing(delta) || isChanged;
         prefix.knownSince = delta.revision;
     }
-    if (delta.isWhole || delta.since <= prefix.revision)
-        prefix.revision = std::max(prefix.revision, delta.revision);
+    prefix.revision = std::max(prefix.revision, delta.revision);
     if (isChanged)
         buildCatalogue();
     return isChanged;
--- a/src/libapricot/evidence.cpp
+++ b/src/libapricot/evidence.cpp
@@ -19,6 +19,11 @@
     record({ .version = proof.version, .provenAt = askedAt - proof.age });
 }
 
+void EvidenceLease::recordPlatformFailure(TimePoint begunAt)
+{
+    m_platformFailedAt = std::max(m_platformFailedAt, begunAt);
+}
+
 std::optional<EvidenceProof> EvidenceLease::proof(TimePoint now) const
 {
     if (m_evidence.empty() || now >= m_evidence.back().provenAt + m_options.evidenceLease)
@@ -67,10 +72,13 @@
 
 TimePoint EvidenceLease::majorityUntil(const KnownState& known, const PeerContacts& contacts) const
 {
+    // Nobody joins a cell of one before its member has acknowledged them, so it is no risk that this
+    // daemon is cut off; but that it was running lately has to be shown.
+    const bool isAlone = known.cell.members.size() == 1;
     std::vector<TimePoint> heardAt;
     for (const Member& member : known.cell.members) {
         if (member.host == known.self) {
-            heardAt.push_back(TimePoint::max());
+            heardAt.push_back(isAlone ? m_platformFailedAt : TimePoint::max());
             continue;
         }
         const PeerContact* contact = contacts.find(member);
@@ -80,10 +88,7 @@
     }
     std::sort(heardAt.begin(), heardAt.end(), std::greater<>());
     const TimePoint weakest = heardAt.at(known.cell.members.size() / 2);
-    if (weakest == TimePoint {})
-        return {};
-    // A daemon alone in its cell is all of it: nobody joins before it has acknowledged them.
-    return weakest == TimePoint::max() ? weakest : weakest + m_options.evidenceLease;
+    return weakest == TimePoint {} ? weakest : weakest + m_options.evidenceLease;
 }
 
 }
--- a/src/libapricot/evidence.h
+++ b/src/libapricot/evidence.h
@@ -48,6 +48,10 @@
     // Takes a peer's proof; its age counts from before the question was asked.
     void recordProof(const EvidenceProof& proof, TimePoint askedAt);
 
+    // Takes a call that the platform did not answer, counted from when the call began. A daemon that
+    // is alone in its cell goes on only while it sees the platform down.
+    void recordPlatformFailure(TimePoint begunAt);
+
     // Newest proof, with its age rounded up, while it lasts.
     std::optional<EvidenceProof> proof(TimePoint now) const;
     // Until when the daemon may start new work: while it has evidence of the cell and of the
@@ -64,6 +68,7 @@
     EvidenceOptions m_options;
     // Rising in version and in time.
     std::deque<Evidence> m_evidence;
+    TimePoint m_platformFailedAt {};
 };
 
 }
--- /dev/null
+++ b/tests/unit/cellplannertest.cpp
@@ -0,0 +1,120 @@
+#include "libapricot/cellplanner.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace Apricot;
+
+namespace {
+
+const TimePoint start { std::chrono::hours(1) };
+
+Member memberNamed(const std::string& host)
+{
+    return { .host = HostId(host), .incarnation = "1" };
+}
+
+}
+
+// The writer is "a"; all five members know the last change.
+TEST_GROUP(CellPlanner)
+{
+    CellState cell { .members = { memberNamed("a"), memberNamed("b"), memberNamed("c"),
+                         memberNamed("d"), memberNamed("e") },
+        .membersSince = 5 };
+    Member self = memberNamed("a");
+    PeerContacts contacts;
+    std::map<HostId, ReceivedQuestion> questions;
+    std::shared_ptr<Catalogue> catalogue = std::make_shared<Catalogue>();
+    TimePoint now = start + Milliseconds(10000);
+
+    void hear(const std::string& host, TimePoint askedAt)
+    {
+        contacts.recordAnswer(
+            { HostId(host), "1" }, { .incarnation = "1", .askedAt = askedAt, .epoch = 5 });
+    }
+
+    CellState plan() const
+    {
+        const CellPlanInputs inputs { .current = cell,
+            .epoch = 7,
+            .self = self,
+            .contacts = contacts,
+            .questions = questions,
+            .catalogue = catalogue,
+            .now = now,
+            .askingSince = start };
+        return CellPlanner(inputs).plan();
+    }
+
+    void assign(const std::string& server, const std::string& host)
+    {
+        const BackendServerId id(server);
+        catalogue->servers[id] = { .id = id };
+        cell.homes[id] = { .home = HostId(host), .incarnation = "1", .since = 6 };
+    }
+};
+
+TEST(CellPlanner, removesSilentMembersOnlyWhileItHearsMoreThanHalf)
+{
+    for (const char* host : { "b", "c", "d", "e" })
+        hear(host, start);
+    hear("b", now);
+    LONGS_EQUAL(5, plan().members.size());
+    hear("c", now);
+    const CellState next = plan();
+    LONGS_EQUAL(4, next.members.size());
+    LONGS_EQUAL(8, next.membersSince);
+}
+
+TEST(CellPlanner, makesNoChangeBeforeMoreThanHalfKnowTheLastOne)
+{
+    cell.membersSince = 6;
+    for (const char* host : { "b", "c", "d" })
+        hear(host, now);
+    questions[HostId("f")] = { .question = { .asker = memberNamed("f") }, .receivedAt = now };
+    LONGS_EQUAL(5, plan().members.size());
+    cell.membersSince = 5;
+    CHECK(plan().findMember(HostId("f")));
+}
+
+TEST(CellPlanner, recordsAHomeThatWasTakenOverUntilItIsKnownGone)
+{
+    for (const char* host : { "b", "c", "d" })
+        hear(host, now);
+    assign("s", "e");
+    cell = plan();
+    const HomeAssignment& home = cell.homes.at(BackendServerId("s"));
+    CHECK(home.home != HostId("e"));
+    LONGS_EQUAL(8, home.since);
+    CHECK(home.unconfirmedHome == HostId("e"));
+    LONGS_EQUAL(1, cell.removed.size());
+    contacts.recordGone({ HostId("e"), "1" });
+    cell = plan();
+    CHECK(cell.homes.at(BackendServerId("s")).unconfirmedHome.empty());
+    LONGS_EQUAL(0, cell.removed.size());
+}
+
+TEST(CellPlanner, keepsHomesAndGivesAwayThoseOfMembersThatAreOutOfService)
+{
+    for (const char* host : { "b", "c", "d", "e" })
+        hear(host, now);
+    assign("s", "b");
+    assign("t", "c");
+    catalogue->hosts[HostId("c")] = ServiceState::Out;
+    const CellState next = plan();
+    CHECK(next.homes.at(BackendServerId("s")) == cell.homes.at(BackendServerId("s")));
+    CHECK(next.homes.at(BackendServerId("t")).home != HostId("c"));
+    CHECK(next.findMember(HostId("c")));
+}
+
+TEST(CellPlanner, givesASilentHostUpOnceItsOperatorsTookItOut)
+{
+    for (const char* host : { "b", "c", "d", "e" })
+        hear(host, start);
+    assign("s", "e");
+    catalogue->hosts[HostId("e")] = ServiceState::Out;
+    const CellState next = plan();
+    CHECK(!next.findMember(HostId("e")));
+    CHECK(next.homes.at(BackendServerId("s")).home != HostId("e"));
+    CHECK(next.homes.at(BackendServerId("s")).unconfirmedHome.empty());
+}
--- /dev/null
+++ b/tests/unit/configstoretest.cpp
@@ -0,0 +1,115 @@
+#include "libapricot/configstore.h"
+#include "emulator/platform/objectstore.h"
+#include "libapricot/cataloguejson.h"
+
+#include "property.h"
+
+#include <boost/json/serialize.hpp>
+
+#include <random>
+
+using namespace Apricot;
+
+namespace {
+
+const std::string prefix = "hosts/";
+
+std::string textOf(const boost::json::value& value) { return boost::json::serialize(value); }
+
+ConfigDelta listDelta(const ObjectStore& store, ObjectVersion revision)
+{
+    ConfigDelta delta { .prefix = prefix, .isWhole = true, .revision = revision };
+    for (const StoreObject& object : store.list(prefix, revision).objects)
+        delta.objects.push_back({ object.key, object.version, textOf(object.value) });
+    return delta;
+}
+
+ConfigDelta watchDelta(const ObjectStore& store, ObjectVersion since, ObjectVersion revision)
+{
+    ConfigDelta delta { .prefix = prefix, .since = since, .revision = revision };
+    for (const StoreEvent& event : store.eventsSince(prefix, since, revision).events)
+        delta.objects.push_back(
+            { event.key, event.version, event.value ? textOf(*event.value) : std::string() });
+    return delta;
+}
+
+void changeAtRandom(ObjectStore& store, std::mt19937_64& random)
+{
+    const std::string key = prefix + std::to_string(random() % 4);
+    if (random() % 3 == 0)
+        store.remove(key);
+    else
+        store.put(key, toJson(random() % 2 == 0 ? ServiceState::In : ServiceState::Out));
+}
+
+// What one reader may be given at some moment: an old list, a late watch answer in any order, or
+// what a peer knows.
+ConfigDelta anyDelta(const ObjectStore& store, const ConfigStore& peer, std::mt19937_64& random)
+{
+    const ObjectVersion revision = random() % (store.revision() + 1);
+    if (random() % 3 == 0)
+        return listDelta(store, revision);
+    if (random() % 2 == 0)
+        return peer.delta(prefix, random() % (store.revision() + 1));
+    ConfigDelta watched = watchDelta(store, random() % (revision + 1), revision);
+    std::shuffle(watched.objects.begin(), watched.objects.end(), random);
+    return watched;
+}
+
+std::map<HostId, ServiceState> statesIn(const ObjectStore& store, ObjectVersion revision)
+{
+    std::map<HostId, ServiceState> states;
+    for (const StoreObject& object : store.list(prefix, revision).objects)
+        states.emplace(object.key.substr(prefix.size()), parseServiceState(object.value));
+    return states;
+}
+
+}
+
+TEST_GROUP(ConfigStore) {};
+
+TEST(ConfigStore, neverRevertsWhateverItIsGiven)
+{
+    checkProperty("versions only rise, and no state is shown that is older than the revision",
+        [](std::uint64_t seed) {
+            std::mt19937_64 random(seed);
+            ObjectStore platform;
+            std::vector<ConfigStore> readers(2);
+            for (int step = 0; step < 60; ++step) {
+                if (random() % 2 == 0)
+                    changeAtRandom(platform, random);
+                const std::size_t index = random() % 2;
+                ConfigStore& reader = readers[index];
+                const ObjectVersion revision = reader.revision(prefix);
+                const ObjectVersion version = reader.catalogue()->version;
+                reader.take(anyDelta(platform, readers[1 - index], random));
+                RC_ASSERT(reader.revision(prefix) >= revision);
+                RC_ASSERT(reader.catalogue()->version >= version);
+                bool isSomeState = false;
+                for (ObjectVersion at = reader.revision(prefix); at <= platform.revision(); ++at)
+                    isSomeState = isSomeState || statesIn(platform, at) == reader.catalogue()->hosts;
+                RC_ASSERT(isSomeState);
+            }
+            readers.front().take(listDelta(platform, platform.revision()));
+            RC_ASSERT(
+                readers.front().catalogue()->hosts == statesIn(platform, platform.revision()));
+        });
+}
+
+TEST(ConfigStore, keepsTheLastValidValueAndReportsAnInvalidOne)
+{
+    ConfigStore store;
+    store.take({ .prefix = prefix,
+        .isWhole = true,
+        .revision = 3,
+        .objects = { { "hosts/a", 3, textOf(toJson(ServiceState::Out)) } } });
+    store.take({ .prefix = prefix,
+        .since = 3,
+        .revision = 4,
+        .objects = { { "hosts/a", 4, R"({"state":"sideways"})" } } });
+    CHECK(store.catalogue()->isOut(HostId("a")));
+    LONGS_EQUAL(4, store.invalidObjects().at("hosts/a").version);
+    store.take({ .prefix = prefix, .since = 4, .revision = 5, .objects = { { "hosts/a", 5, "" } } });
+    CHECK(!store.catalogue()->isOut(HostId("a")));
+    LONGS_EQUAL(0, store.invalidObjects().size());
+}
--- a/tests/unit/controlplanetest.cpp
+++ b/tests/unit/controlplanetest.cpp
@@ -1,16 +1,12 @@
+#include "platformfixture.h"
+
 #include "dispatch/controlplane.h"
-#include "emulator/platform/platformserver.h"
 #include "libapricot/cataloguejson.h"
 #include "libnet/asyncevent.h"
 #include "libnet/controlfollower.h"
 
 #include <CppUTest/TestHarness.h>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
-#include <exception>
-
 using namespace Apricot;
 namespace asio = boost::asio;
 
@@ -85,29 +81,16 @@
     ControlPlane m_plane;
 };
 
+class ControlPlaneTestBase : public Utest, public PlatformFixture { };
+
 }
 
-TEST_GROUP(ControlPlane)
+TEST_GROUP_BASE(ControlPlane, ControlPlaneTestBase)
 {
-    asio::io_context context;
-    PlatformServer platform { context, {} };
-    PlatformClient operators { context, { .port = platform.port(), .host = HostId("ctl") } };
     TestMember one { context, "one", platform.port() };
     TestMember two { context, "two", platform.port() };
     TestMember three { context, "three", platform.port() };
 
-    void run(std::function<asio::awaitable<void>()> body)
-    {
-        std::exception_ptr failure;
-        asio::co_spawn(context, std::move(body), [&](std::exception_ptr error) {
-            failure = error;
-            context.stop();
-        });
-        context.run();
-        if (failure)
-            std::rethrow_exception(failure);
-    }
-
     asio::awaitable<void> waitUntil(std::string what, std::function<bool()> condition)
     {
         const TimePoint deadline = RuntimeClock::now() + waitLimit;
@@ -143,7 +126,7 @@
                 .failureDomain = FailureDomainId("zone"),
                 .address = "127.0.0.1",
                 .port = 1 };
-            co_await operators.put("servers/" + id, toJson(server), 0);
+            co_await client.put("servers/" + id, toJson(server), 0);
         }
         co_await waitUntil("a home of each server at each member",
             [this] { return hasHomes(one) && hasHomes(two) && hasHomes(three); });
@@ -163,25 +146,18 @@
     {
         return member.view()->cell->homes.size() == serverCount && countHomes(member, "") == 0;
     }
-
-    asio::awaitable<void> setFaults(std::string faults)
-    {
-        HttpClient client(context, { .port = platform.port() });
-        HttpCall call { .method = "POST", .target = "/faults", .body = std::move(faults) };
-        co_await client.send(std::move(call));
-    }
 };
 
 TEST(ControlPlane, membersJoinAndShareTheConfiguration)
 {
-    run([this]() -> asio::awaitable<void> {
+    runToEnd([this]() -> asio::awaitable<void> {
         co_await join();
         co_await declareServers();
-        co_await operators.put("catalogue/bad", "no entry", 0);
+        co_await client.put("catalogue/bad", "no entry", 0);
         std::optional<PlatformObject> status;
         while (!status || status->value.at("invalid").as_array().empty()) {
             co_await sleepFor(context.get_executor(), Milliseconds(50));
-            status = co_await operators.get("status/two");
+            status = co_await client.get("status/two");
         }
         STRCMP_EQUAL("catalogue/bad",
             status->value.at("invalid").at(0).at("key").as_string().c_str());
@@ -192,7 +168,7 @@
 {
     ControlFollower follower(
         context, { .host = HostId("one"), .dispatch = { "127.0.0.1", one.port() } });
-    run([&]() -> asio::awaitable<void> {
+    runToEnd([&]() -> asio::awaitable<void> {
         follower.start();
         co_await join();
         co_await declareServers();
@@ -209,7 +185,7 @@
 
 TEST(ControlPlane, anOutageForAllStopsNobody)
 {
-    run([this]() -> asio::awaitable<void> {
+    runToEnd([this]() -> asio::awaitable<void> {
         co_await join();
         co_await setFaults(R"({"outage":true})");
         const TimePoint end = RuntimeClock::now() + Milliseconds(1500);
@@ -222,7 +198,7 @@
 
 TEST(ControlPlane, aMemberCutOffAloneStopsAndComesBackUnderAnotherIncarnation)
 {
-    run([this]() -> asio::awaitable<void> {
+    runToEnd([this]() -> asio::awaitable<void> {
         co_await join();
         co_await declareServers();
         CHECK(countHomes(three, "three") > 0);
@@ -246,7 +222,7 @@
 
 TEST(ControlPlane, aLeavingMemberGivesItsReplicasAwayAndIsRemoved)
 {
-    run([this]() -> asio::awaitable<void> {
+    runToEnd([this]() -> asio::awaitable<void> {
         co_await join();
         co_await declareServers();
         CHECK(countHomes(one, "two") > 0);
