--- a/src/dispatch/controlplane.cpp
+++ b/src/dispatch/controlplane.cpp
@@ -274,10 +274,11 @@
     const TimePoint now = RuntimeClock::now();
     if (!m_removedAt) {
         m_removedAt = now;
+        m_removedEpoch = m_keeper.epoch();
         writeLog(LogLevel::Warning, "removed_from_cell");
     }
     const bool isStopped = m_options.homeReporter
-        ? m_homeReport.appliedEpoch >= m_keeper.epoch() && m_homeReport.busyServers.empty()
+        ? m_homeReport.appliedEpoch >= m_removedEpoch && m_homeReport.busyServers.empty()
         : now - *m_removedAt >= m_options.rejoinDelay;
     if (isStopped)
         m_keeper.rejoin(makeIncarnation());
--- a/src/dispatch/controlplane.h
+++ b/src/dispatch/controlplane.h
@@ -79,6 +79,8 @@
     std::set<ProcessId> m_asked;
     HomeReport m_homeReport;
     std::optional<TimePoint> m_removedAt;
+    // Epoch in which this daemon learned of its removal.
+    ObjectVersion m_removedEpoch = 0;
     bool m_isStopping = false;
     mutable std::mutex m_viewMutex;
     std::shared_ptr<const ControlView> m_view;
--- a/src/dispatch/dispatchdaemon.h
+++ b/src/dispatch/dispatchdaemon.h
@@ -23,6 +23,8 @@
     AdminServerOptions makeAdminOptions();
     RunnerServices makeRunnerServices();
     // Calls the coordinator's upkeep about once a second.
+    boost::asio::awaitable<HomeReport> reportHomes();
+    boost::asio::awaitable<HomeReport> readHomes();
     boost::asio::awaitable<void> maintain();
     boost::asio::awaitable<void> shutDown();
     // Gives the replicas away, then waits until nothing is in flight.
