--- a/src/dispatch/dispatchdaemon.h
+++ b/src/dispatch/dispatchdaemon.h
@@ -20,10 +20,10 @@
     void run();
 
 private:
-    ControlPlaneOptions makeControlOptions();
-    boost::asio::awaitable<HomeReport> reportHomes();
     AdminServerOptions makeAdminOptions();
     RunnerServices makeRunnerServices();
+    boost::asio::awaitable<HomeReport> reportHomes();
+    boost::asio::awaitable<HomeReport> readHomes();
     // Calls the coordinator's upkeep about once a second.
     boost::asio::awaitable<void> maintain();
     boost::asio::awaitable<void> shutDown();
