--- a/src/dispatch/dispatchdaemon.cpp
+++ b/src/dispatch/dispatchdaemon.cpp
@@ -22,7 +22,8 @@
     // Longest wait for the cell to drop a member that has stopped.
     constexpr Milliseconds leaveTimeout { 5000 };
 
-    ControlPlaneOptions controlOptions(const DispatchSettings& settings, std::uint16_t peerPort)
+    ControlPlaneOptions controlOptions(
+        const DispatchSettings& settings, std::uint16_t peerPort, HomeReporter reporter)
     {
         ControlPlaneOptions options;
         options.host = settings.process.host;
@@ -33,6 +34,7 @@
         options.membership.evidence.evidenceLease = settings.membership.evidence;
         options.membership.renewInterval = settings.membership.renewal;
         options.membership.removalTime = settings.membership.removal;
+        options.homeReporter = std::move(reporter);
         return options;
     }
 
@@ -45,7 +47,7 @@
           [this](std::shared_ptr<PeerStream> stream) {
               return m_dispatcher.serve(std::move(stream));
           })
-    , m_controlPlane(m_daemon.control(), controlOptions(settings, m_server.port()))
+    , m_controlPlane(m_daemon.control(), controlOptions(settings, m_server.port(), [this] { return reportHomes(); }))
     , m_peers(m_daemon.traffic())
     , m_link(m_peers)
     , m_platform(m_daemon.traffic(),
@@ -132,6 +134,19 @@
     co_await m_homes.drain();
 }
 
+Asio::awaitable<HomeReport> DispatchDaemon::reportHomes()
+{
+    co_return co_await Asio::co_spawn(m_daemon.traffic(), readHomes(), Asio::use_awaitable);
+}
+
+Asio::awaitable<HomeReport> DispatchDaemon::readHomes()
+{
+    HomeReport report;
+    report.appliedEpoch = m_homes.appliedEpoch();
+    report.busyServers = m_homes.busyServers();
+    co_return report;
+}
+
 boost::json::value DispatchDaemon::dump()
 {
     boost::json::object state { { "control", m_controlPlane.dump() } };
--- a/src/dispatch/dispatchdaemon.h
+++ b/src/dispatch/dispatchdaemon.h
@@ -27,6 +27,9 @@
     boost::asio::awaitable<void> shutDown();
     // Gives the replicas away, then waits until nothing is in flight.
     boost::asio::awaitable<void> drainTraffic();
+    // What the homes act on and have in flight, read on the traffic thread.
+    boost::asio::awaitable<HomeReport> reportHomes();
+    boost::asio::awaitable<HomeReport> readHomes();
     // The dump of the services of the traffic thread, taken on that thread.
     boost::json::value dump();
 
