--- a/src/bench/subjects.cpp
+++ b/src/bench/subjects.cpp
@@ -111,7 +111,7 @@
     for (const std::size_t size : { 100U, 1000U, 5000U, 10000U }) {
         Catalogue catalogue;
         const double bytes = heapGrowth([&] { catalogue = makeCatalogue(size); });
-        const double time = timeOf([&catalogue] { const Catalogue copy = catalogue; });
+        const double time = timeOf([&catalogue] { std::make_shared<Catalogue>(catalogue); });
         result.push_back({ "catalogue snapshot", "servers", size, time, bytes });
     }
     return result;
--- a/src/dispatch/dispatchdaemon.cpp
+++ b/src/dispatch/dispatchdaemon.cpp
@@ -52,6 +52,10 @@
               .port = settings.platform.port,
               .host = settings.process.host })
     , m_claimStore(m_platform)
+    , m_router({ .policy = routingPolicyNamed(settings.load.routing) })
+    , m_limits(m_daemon.traffic(), m_controlPlane,
+          { .shares = { .evidence = settings.membership.evidence } })
+    , m_load(m_router, m_limits, { .enabled = settings.load.admission })
     , m_records({ .host = settings.process.host,
           .incarnation = m_controlPlane.view()->incarnation })
     , m_copies(m_controlPlane, m_link, m_records)
@@ -60,7 +64,8 @@
     , m_homes(m_daemon.traffic(), m_controlPlane,
           { .tenure = { .evidenceTime = settings.membership.evidence,
                 .drainTime = settings.membership.drain } })
-    , m_dispatcher({ m_daemon.control(), m_controlPlane, m_coordinator, m_homes, m_copies, m_claims })
+    , m_dispatcher({ m_daemon.control(), m_controlPlane, m_coordinator, m_homes, m_copies, m_claims,
+          m_limits })
     , m_admin(m_daemon.control(), m_metrics, makeAdminOptions())
 {
     if (!settings.process.portFile.empty())
@@ -80,6 +85,7 @@
         .claims = m_claims,
         .retries = m_retries,
         .poison = m_poison,
+        .load = &m_load,
     };
 }
 
@@ -102,7 +108,10 @@
 void DispatchDaemon::run()
 {
     m_controlPlane.start();
-    Asio::post(m_daemon.traffic(), [this] { m_homes.start(); });
+    Asio::post(m_daemon.traffic(), [this] {
+        m_homes.start();
+        m_limits.start();
+    });
     Asio::co_spawn(m_daemon.traffic(), maintain(), Asio::detached);
     m_daemon.run([this] { return shutDown(); },
         [this] { return std::to_string(m_server.streamsInFlight()) + " peer streams"; });
@@ -128,6 +137,7 @@
 Asio::awaitable<void> DispatchDaemon::drainTraffic()
 {
     co_await m_coordinator.drain();
+    m_limits.stop();
     co_await m_homes.drain();
 }
 
@@ -139,6 +149,7 @@
         state["coordinator"] = m_coordinator.dump();
         state["homes"] = m_homes.dump();
         state["claims"] = m_claims.dump();
+        state["load"] = m_load.dump(RuntimeClock::now());
         done.set_value();
     });
     done.get_future().wait();
--- a/src/dispatch/dispatchdaemon.h
+++ b/src/dispatch/dispatchdaemon.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "dispatch/dispatcher.h"
+#include "dispatch/loadcontrol.h"
 #include "dispatch/platformclaimstore.h"
 #include "libapricot/dispatchsettings.h"
-#include "libapricot/loadrouter.h"
 #include "libapricot/metrics.h"
 #include "libnet/adminserver.h"
 #include "libnet/daemon.h"
@@ -40,6 +40,8 @@
     PlatformClient m_platform;
     PlatformClaimStore m_claimStore;
     LoadRouter m_router;
+    LimitService m_limits;
+    LoadControl m_load;
     RetryBudget m_retries;
     PoisonTable m_poison;
     RecordTable m_records;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -35,8 +35,8 @@
         [&](RelayedSubmitMessage& message) {
             return m_services.coordinator.serve(stream, std::move(message));
         },
-        [&](PoisonMessage& message) {
-            return m_services.coordinator.serve(stream, std::move(message));
+        [&](const PoisonMessage& message) {
+            return m_services.coordinator.serve(stream, message);
         },
         [&](StageCallMessage& message) {
             return m_services.homes.serve(stream, std::move(message));
@@ -50,6 +50,9 @@
         [&](ClaimMessage& message) {
             return m_services.claims.serve(stream, std::move(message));
         },
+        [&](ShareRequestMessage& message) {
+            return m_services.limits.serve(stream, std::move(message));
+        },
         [&](auto& /*other*/) { return answerControl(stream, std::move(*first)); },
     };
     co_await std::visit(choose, *first);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -4,6 +4,7 @@
 #include "dispatch/controlplane.h"
 #include "dispatch/coordinator.h"
 #include "dispatch/homeservice.h"
+#include "dispatch/limitservice.h"
 #include "dispatch/recordservice.h"
 
 namespace Apricot {
@@ -16,6 +17,7 @@
     HomeService& homes;
     RecordService& records;
     ClaimService& claims;
+    LimitService& limits;
 };
 
 // Hands each stream from a peer to the service that its first message is for. Runs on the traffic
--- a/src/libapricot/admission.cpp
+++ b/src/libapricot/admission.cpp
@@ -32,7 +32,7 @@
             return std::nullopt;
         return refusal;
     }
-    return refuseByUtilisation(query, path);
+    return refuseByUtilisation(query, path, left);
 }
 
 std::optional<Refusal> Admission::refuseByPrediction(
@@ -44,7 +44,8 @@
             .ran = query.ran,
             .detail = "needs " + std::to_string(toMilliseconds(path.service).count()) + " ms" };
     }
-    if (path.total <= left)
+    // Queueing times are of the past; with room on the servers now they say nothing.
+    if (path.total <= left || query.utilisation <= 1)
         return std::nullopt;
     return Refusal { .reason = RefusalReason::Overloaded,
         .ran = query.ran,
@@ -53,16 +54,19 @@
 }
 
 std::optional<Refusal> Admission::refuseByUtilisation(
-    const AdmissionQuery& query, const PathPrediction& path) const
+    const AdmissionQuery& query, const PathPrediction& path, Duration left) const
 {
-    const double limit = utilisationLimit(query.entry.serviceClass);
-    if (query.utilisation <= limit)
+    if (query.utilisation <= 1)
+        return std::nullopt;
+    // What is beyond the caps waits for as long as the work before it takes.
+    const Duration wait = std::chrono::duration_cast<Duration>(path.service * (query.utilisation - 1));
+    const Duration allowed
+        = std::chrono::duration_cast<Duration>(left * shareOf(query.entry.serviceClass));
+    if (path.service + wait <= allowed)
         return std::nullopt;
-    const auto excess
-        = std::chrono::duration_cast<Duration>(path.service * (query.utilisation - limit));
     return Refusal { .reason = RefusalReason::Overloaded,
         .ran = query.ran,
-        .retryAfter = retryAfter(excess),
+        .retryAfter = retryAfter(path.service + wait - allowed),
         .detail = "backend servers are full for this class" };
 }
 
@@ -91,17 +95,17 @@
     return deadline - m_model.predictFrom(entry.stages, nextStage, now).service;
 }
 
-double Admission::utilisationLimit(ServiceClass serviceClass) const
+double Admission::shareOf(ServiceClass serviceClass) const
 {
     switch (serviceClass) {
     case ServiceClass::Urgent:
-        return m_options.urgentUtilisation;
+        return m_options.urgentShare;
     case ServiceClass::Standard:
-        return m_options.standardUtilisation;
+        return m_options.standardShare;
     case ServiceClass::Bulk:
-        return m_options.bulkUtilisation;
+        return m_options.bulkShare;
     }
-    return m_options.standardUtilisation;
+    return m_options.standardShare;
 }
 
 Milliseconds Admission::retryAfter(Duration wait) const
--- a/src/libapricot/admission.h
+++ b/src/libapricot/admission.h
@@ -23,13 +23,13 @@
 struct AdmissionOptions {
     // Off only for the baseline that admits everything.
     bool enabled = true;
-    // Use of the tightest pool above which bulk, standard and urgent work is turned away. The steps
-    // keep room for the more urgent classes.
-    double bulkUtilisation = 1.0;
-    double standardUtilisation = 1.5;
-    double urgentUtilisation = 2.0;
+    // Share of the time left that service and the present queues may fill. The less urgent classes
+    // are turned away first, which keeps room for the others.
+    double bulkShare = 0.4;
+    double standardShare = 0.6;
+    double urgentShare = 0.8;
     // Shortest time that a caller is asked to stay away.
-    Milliseconds leastRetryAfter { 50 };
+    Milliseconds leastRetryAfter { 200 };
     Milliseconds mostRetryAfter { 5000 };
     // A request that looks hopeless is let through this often for each pipeline, since a prediction
     // that refuses everything would never be corrected.
@@ -56,9 +56,9 @@
     std::optional<Refusal> refuseByPrediction(
         const AdmissionQuery& query, const PathPrediction& path, Duration left) const;
     std::optional<Refusal> refuseByUtilisation(
-        const AdmissionQuery& query, const PathPrediction& path) const;
+        const AdmissionQuery& query, const PathPrediction& path, Duration left) const;
     bool takeProbe(const PipelineId& pipeline, TimePoint now);
-    double utilisationLimit(ServiceClass serviceClass) const;
+    double shareOf(ServiceClass serviceClass) const;
     Milliseconds retryAfter(Duration wait) const;
 
     const LatencyModel& m_model;
--- a/src/libapricot/dispatchsettings.cpp
+++ b/src/libapricot/dispatchsettings.cpp
@@ -1,5 +1,7 @@
 #include "libapricot/dispatchsettings.h"
 
+#include "libapricot/routingpolicy.h"
+
 namespace Apricot {
 
 namespace {
@@ -43,6 +45,22 @@
         .allowed = "at least twice renewal_ms" });
 }
 
+void describe(LoadSettings& settings, SettingsTable& table)
+{
+    table.add({ .section = "load",
+                  .key = "routing",
+                  .effect = "How a server is chosen: power_of_two, or round_robin and "
+                            "least_reported for comparison." },
+        &settings.routing);
+    table.add({ .section = "load",
+                  .key = "admission",
+                  .effect = "Whether a request that can't finish in time is refused at once." },
+        &settings.admission);
+    table.addRule({ .name = "load.routing",
+        .holds = [&settings] { return isRoutingPolicyName(settings.routing); },
+        .allowed = "power_of_two, round_robin or least_reported" });
+}
+
 void describe(DispatchSettings& settings, SettingsTable& table)
 {
     describe(settings.process, table);
@@ -50,6 +68,7 @@
     describeServer(settings.platform, table, "platform", "the platform's object API");
     describeListener(settings.control, table, "control", "metrics, health and the state dump");
     describe(settings.membership, table);
+    describe(settings.load, table);
 }
 
 }
--- a/src/libapricot/dispatchsettings.h
+++ b/src/libapricot/dispatchsettings.h
@@ -18,6 +18,14 @@
     auto operator<=>(const MembershipSettings&) const = default;
 };
 
+// Decisions under load; the values other than the defaults are baselines to compare with.
+struct LoadSettings {
+    std::string routing = "power_of_two";
+    bool admission = true;
+
+    auto operator<=>(const LoadSettings&) const = default;
+};
+
 // Settings of apricot-dispatch.
 struct DispatchSettings {
     ProcessSettings process;
@@ -25,12 +33,15 @@
     EndpointSettings platform;
     EndpointSettings control { .port = 7071 };
     MembershipSettings membership;
+    LoadSettings load;
 
     auto operator<=>(const DispatchSettings&) const = default;
 };
 
 // Declares the section [membership] and the rules between its times.
 void describe(MembershipSettings& settings, SettingsTable& table);
+// Declares the section [load].
+void describe(LoadSettings& settings, SettingsTable& table);
 // Declares every setting of apricot-dispatch with its present value as default.
 void describe(DispatchSettings& settings, SettingsTable& table);
 
--- a/src/libapricot/routingpolicy.h
+++ b/src/libapricot/routingpolicy.h
@@ -35,5 +35,6 @@
 // The policy with a name from the settings: "power_of_two", "round_robin" or "least_reported".
 // Throws std::invalid_argument for any other.
 RoutingPolicy routingPolicyNamed(std::string_view name);
+bool isRoutingPolicyName(std::string_view name);
 
 }
--- a/src/load/loadreport.cpp
+++ b/src/load/loadreport.cpp
@@ -91,11 +91,9 @@
         std::map<std::string, int> reasons;
         std::vector<Duration> times;
         for (const RequestResult& result : results) {
-            if (result.end != RequestEnd::Refused)
-                continue;
-            ++reasons[result.refusalReason + "/" + result.ran];
-            if (result.sends == 1)
-                times.push_back(result.total);
+            times.insert(times.end(), result.refusalTimes.begin(), result.refusalTimes.end());
+            if (result.end == RequestEnd::Refused)
+                ++reasons[result.refusalReason + "/" + result.ran];
         }
         Json::object byReason;
         for (const auto& [reason, count] : reasons)
--- a/src/load/loadresult.h
+++ b/src/load/loadresult.h
@@ -29,6 +29,8 @@
     Duration total {};
     Duration firstToken {};
     std::vector<Duration> tokenGaps;
+    // Time from each send to its refusal.
+    std::vector<Duration> refusalTimes;
     int doubled = 0;
     int sends = 0;
     std::string refusalReason;
--- a/src/load/loadrunner.cpp
+++ b/src/load/loadrunner.cpp
@@ -125,6 +125,7 @@
     const Duration left = entry.deadline - (RuntimeClock::now() - start);
     const auto leftRounded = std::max(
         Milliseconds(1), std::chrono::duration_cast<Milliseconds>(left));
+    const TimePoint sent = RuntimeClock::now();
     ++result.sends;
     AnswerReader reader;
     TimePoint last {};
@@ -144,6 +145,7 @@
             refusal = parseRefusal(body);
         if (refusal) {
             noteRefusal(result, *refusal);
+            result.refusalTimes.push_back(RuntimeClock::now() - sent);
             retryAfter = refusal->retryAfter;
         } else {
             const bool isInTime = RuntimeClock::now() - start <= entry.deadline;
