--- a/src/bench/main.cpp
+++ b/src/bench/main.cpp
@@ -27,6 +27,7 @@
     print(measureCellState());
     print(measureCatalogue());
     print(measureOwners());
+    print(measureShareRequest());
     print(measureRouter());
     print(measureRecords());
     return 0;
--- a/src/bench/subjects.cpp
+++ b/src/bench/subjects.cpp
@@ -5,6 +5,8 @@
 #include "libapricot/recordcopy.h"
 #include "libapricot/rendezvous.h"
 
+#include "libnet/messages.h"
+
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/map.hpp>
 #include <cereal/types/string.hpp>
@@ -135,6 +137,24 @@
     return result;
 }
 
+std::vector<Measurement> measureShareRequest()
+{
+    std::vector<Measurement> result;
+    for (const std::size_t size : { 1U, 7U, 50U }) {
+        ShareRequest request { .host = HostId(numbered("entry-host", 0)),
+            .incarnation = "0193b5a2-6f1c-7b1e-9f7a-2d0c8a5e4b11" };
+        for (std::size_t number = 0; number < size; ++number)
+            request.asks.push_back({ .owner = OwnerId(numbered("owner", number)),
+                .grantedBy = request.incarnation });
+        const Message message = ShareRequestMessage { request };
+        std::string encoded;
+        const double time = timeOf([&] { encoded = encodeMessage(message); });
+        result.push_back({ "share request, encoded", "owners", size, time,
+            static_cast<double>(encoded.size()) });
+    }
+    return result;
+}
+
 std::vector<Measurement> measureRouter()
 {
     std::vector<Measurement> result;
--- a/src/bench/subjects.h
+++ b/src/bench/subjects.h
@@ -12,6 +12,8 @@
 std::vector<Measurement> measureCatalogue();
 // The table of owners of one host, and one round of requests for shares over a cell of 100 members.
 std::vector<Measurement> measureOwners();
+// Writing one request for shares to a home, by the owners in it. The bytes are those of the message.
+std::vector<Measurement> measureShareRequest();
 // One choice of a server by the replicas of the pool.
 std::vector<Measurement> measureRouter();
 // The records of finished requests of 200 tokens.
