--- a/src/dispatch/dispatchdaemon.cpp
+++ b/src/dispatch/dispatchdaemon.cpp
@@ -159,19 +159,6 @@
     co_await m_homes.drain();
 }
 
-Asio::awaitable<HomeReport> DispatchDaemon::reportHomes()
-{
-    co_return co_await Asio::co_spawn(m_daemon.traffic(), readHomes(), Asio::use_awaitable);
-}
-
-Asio::awaitable<HomeReport> DispatchDaemon::readHomes()
-{
-    HomeReport report;
-    report.appliedEpoch = m_homes.appliedEpoch();
-    report.busyServers = m_homes.busyServers();
-    co_return report;
-}
-
 boost::json::value DispatchDaemon::dump()
 {
     boost::json::object state { { "control", m_controlPlane.dump() } };
--- a/src/dispatch/dispatchdaemon.h
+++ b/src/dispatch/dispatchdaemon.h
@@ -22,6 +22,7 @@
 private:
     AdminServerOptions makeAdminOptions();
     RunnerServices makeRunnerServices();
+    // What the homes act on and have in flight, read on the traffic thread.
     boost::asio::awaitable<HomeReport> reportHomes();
     boost::asio::awaitable<HomeReport> readHomes();
     // Calls the coordinator's upkeep about once a second.
@@ -29,9 +30,6 @@
     boost::asio::awaitable<void> shutDown();
     // Gives the replicas away, then waits until nothing is in flight.
     boost::asio::awaitable<void> drainTraffic();
-    // What the homes act on and have in flight, read on the traffic thread.
-    boost::asio::awaitable<HomeReport> reportHomes();
-    boost::asio::awaitable<HomeReport> readHomes();
     // The dump of the services of the traffic thread, taken on that thread.
     boost::json::value dump();
 
