--- a/tests/unit/platformclienttest.cpp
+++ b/tests/unit/platformclienttest.cpp
@@ -58,13 +58,13 @@
         co_await setFaults(R"({"outage":true})");
         bool isUnavailable = false;
         try {
-            co_await client.put("a", 1, {});
+            co_await client.put("a", 1, std::nullopt);
         } catch (const PlatformUnavailable& error) {
             isUnavailable = error.retryAfter() == Milliseconds(1000);
         }
         CHECK(isUnavailable);
         co_await setFaults(R"({"cut_hosts":["h1"]})");
-        CHECK(std::holds_alternative<WriteUnknown>(co_await client.put("a", 1, {})));
+        CHECK(std::holds_alternative<WriteUnknown>(co_await client.put("a", 1, std::nullopt)));
         co_await setFaults("{}");
         CHECK(!(co_await client.get("a")));
     });
