Know a key's records by two of its first three hosts

Cause: the earlier rule took the first host's word alone. That is untrue as soon as a request may be opened on the second host while the first can't be reached.

A record stands on two of the key's first three hosts before anything is sent, so any two of the three know of it; opening a key asks followers until two are known. Keeping the rule and forbidding the second host to open keys was ruled out: a frozen home would then stop its keys until it is removed.

--- a/src/dispatch/recordservice.cpp
+++ b/src/dispatch/recordservice.cpp
@@ -31,15 +31,15 @@
         co_return std::vector<CopyAnswer> { CopyAnswer {} };
     if (members.size() > followerCandidates)
         members.resize(followerCandidates);
-    const bool asksAll
-        = action.opening && !m_records.isKnownHere(action.copy.key, RuntimeClock::now());
     std::vector<CopyAnswer> answers;
     for (const Member& member : members) {
         const PeerEndpoint endpoint { .address = member.address, .port = member.port };
         std::optional<CopyAnswer> answer = co_await storeAt(endpoint, action);
         if (answer)
             answers.push_back(std::move(*answer));
-        if (!answers.empty() && !asksAll)
+        const bool isKnown = !action.opening
+            || m_records.isKnown(action.copy.key, answers, RuntimeClock::now());
+        if (!answers.empty() && isKnown)
             break;
     }
     co_return answers;
--- a/src/libapricot/partitionknowledge.cpp
+++ b/src/libapricot/partitionknowledge.cpp
@@ -8,26 +8,29 @@
 
 namespace {
 
-    bool isKnown(const std::vector<RecordHolder>& members, const RequestKey& key,
+    constexpr std::size_t holdersOfKey = 3;
+
+    // How many of the first three hosts of a key, or of all when they are fewer, are among those that
+    // answered.
+    std::size_t answeringHolders(const std::vector<RecordHolder>& members, const RequestKey& key,
         const std::vector<RecordHolder>& answered)
     {
-        std::vector<HostId> hosts;
-        hosts.reserve(members.size());
+        std::vector<HostId> order;
+        order.reserve(members.size());
         for (const RecordHolder& member : members)
-            hosts.push_back(member.host);
-        const std::vector<HostId> order = rankHosts(key.value(), hosts);
-        const auto answers = [&](const HostId& host) {
-            const auto member = std::find_if(members.begin(), members.end(),
-                [&host](const RecordHolder& candidate) { return candidate.host == host; });
-            return std::find(answered.begin(), answered.end(), *member) != answered.end();
-        };
-        if (order.empty() || answers(order[0]))
-            return true;
-        if (order.size() < 2)
-            return false;
-        return answers(order[1]) && (order.size() < 3 || answers(order[2]));
+            order.push_back(member.host);
+        order = rankHosts(key.value(), order);
+        order.resize(std::min(order.size(), holdersOfKey));
+        return static_cast<std::size_t>(
+            std::count_if(members.begin(), members.end(), [&](const RecordHolder& member) {
+                return std::find(order.begin(), order.end(), member.host) != order.end()
+                    && std::find(answered.begin(), answered.end(), member) != answered.end();
+            }));
     }
 
+    // Two of three hosts that hold each record always meet two others in one of them.
+    std::size_t neededHolders(std::size_t members) { return members < holdersOfKey ? 1 : 2; }
+
 }
 
 void PartitionKnowledge::observe(const std::vector<Member>& members, TimePoint now)
@@ -49,12 +52,28 @@
 bool PartitionKnowledge::isComplete(
     const RequestKey& key, const std::vector<RecordHolder>& answered, TimePoint now) const
 {
-    if (m_epochs.empty() || now - m_observedAt > m_longestGap || now < m_lostUntil)
-        return false;
-    if (m_epochs.front().since + m_retention > now)
+    if (!hasHistory(now))
         return false;
     return std::all_of(m_epochs.begin(), m_epochs.end(),
-        [&](const Epoch& epoch) { return isKnown(epoch.members, key, answered); });
+        [&](const Epoch& epoch) {
+            return answeringHolders(epoch.members, key, answered)
+                >= neededHolders(epoch.members.size());
+        });
+}
+
+bool PartitionKnowledge::isHolder(
+    const RequestKey& key, const RecordHolder& self, TimePoint now) const
+{
+    return hasHistory(now)
+        && std::all_of(m_epochs.begin(), m_epochs.end(), [&](const Epoch& epoch) {
+               return answeringHolders(epoch.members, key, { self }) == 1;
+           });
+}
+
+bool PartitionKnowledge::hasHistory(TimePoint now) const
+{
+    return !m_epochs.empty() && now - m_observedAt <= m_longestGap && now >= m_lostUntil
+        && m_epochs.front().since + m_retention <= now;
 }
 
 }
--- a/src/libapricot/partitionknowledge.h
+++ b/src/libapricot/partitionknowledge.h
@@ -20,8 +20,8 @@
 };
 
 // Decides whether this process knows all that was ever sent for a key. A stage is sent only after
-// the record stands on the key's first host and on its second or third, so the records of an epoch
-// are known where the first answers, or both others do.
+// the record stands on two of the key's first three hosts, so the records of an epoch are known once
+// two of these three have answered.
 class PartitionKnowledge {
 public:
     // A process that has not observed the members for longer than the gap may have been removed and
@@ -38,6 +38,8 @@
     // that were kept within the retention time.
     bool isComplete(
         const RequestKey& key, const std::vector<RecordHolder>& answered, TimePoint now) const;
+    // Whether this process has been one of the key's first three hosts for the whole retention time.
+    bool isHolder(const RequestKey& key, const RecordHolder& self, TimePoint now) const;
     // Notes that records were dropped before their time.
     void lose(TimePoint now) { m_lostUntil = now + m_retention; }
 
@@ -47,6 +49,9 @@
         std::vector<RecordHolder> members;
     };
 
+    // Whether the epochs are known without a gap for the whole retention time.
+    bool hasHistory(TimePoint now) const;
+
     Milliseconds m_retention;
     Milliseconds m_longestGap;
     TimePoint m_observedAt {};
--- a/src/libapricot/recordcopy.h
+++ b/src/libapricot/recordcopy.h
@@ -67,7 +67,7 @@
     bool superseded = false;
     // The follower itself runs the request at this moment.
     bool running = false;
-    // The follower has held all records of this key for as long as records are kept.
+    // The follower has been one of the key's first three hosts for as long as records are kept.
     bool complete = false;
     // Whether the follower had a copy of another coordinator, and that copy.
     bool found = false;
--- a/src/libapricot/recordtable.cpp
+++ b/src/libapricot/recordtable.cpp
@@ -91,7 +91,8 @@
 CopyAnswer RecordTable::store(const RecordCopy& copy, bool opening, TimePoint now)
 {
     CopyAnswer answer { .host = m_options.host, .incarnation = m_options.incarnation };
-    answer.complete = isKnownHere(copy.key, now);
+    const RecordHolder self { .host = m_options.host, .incarnation = m_options.incarnation };
+    answer.complete = m_knowledge.isHolder(copy.key, self, now);
     if (const std::shared_ptr<RequestRecord> record = find(copy.key)) {
         answer.running = record->isRunning();
         if (answer.running)
@@ -124,10 +125,17 @@
     return answer;
 }
 
-bool RecordTable::isKnownHere(const RequestKey& key, TimePoint now) const
+bool RecordTable::isKnown(
+    const RequestKey& key, const std::vector<CopyAnswer>& answers, TimePoint now) const
 {
     const RecordHolder self { .host = m_options.host, .incarnation = m_options.incarnation };
-    return m_knowledge.isComplete(key, { self }, now);
+    std::vector<RecordHolder> holders { self };
+    std::size_t continuous = m_knowledge.isHolder(key, self, now) ? 1 : 0;
+    for (const CopyAnswer& answer : answers) {
+        continuous += answer.complete ? 1 : 0;
+        holders.push_back({ .host = answer.host, .incarnation = answer.incarnation });
+    }
+    return continuous >= 2 || m_knowledge.isComplete(key, holders, now);
 }
 
 RecordCopy RecordTable::mergedOf(const KeptCopy& kept)
@@ -158,15 +166,7 @@
         refusal.ran = ranStateHere(opening.key);
     if (refusal.ran != RanState::NotRun || !opening.keyFromCaller)
         return refusal;
-    std::vector<RecordHolder> holders {
-        { .host = m_options.host, .incarnation = m_options.incarnation }
-    };
-    bool complete = false;
-    for (const CopyAnswer& answer : answers) {
-        complete = complete || answer.complete;
-        holders.push_back({ .host = answer.host, .incarnation = answer.incarnation });
-    }
-    if (!complete && !m_knowledge.isComplete(opening.key, holders, now))
+    if (!isKnown(opening.key, answers, now))
         refusal.ran = RanState::Unknown;
     return refusal;
 }
--- a/src/libapricot/recordtable.h
+++ b/src/libapricot/recordtable.h
@@ -48,9 +48,8 @@
     CopyAnswer store(const RecordCopy& copy, bool opening, TimePoint now);
 
     PartitionKnowledge& knowledge() { return m_knowledge; }
-    // Whether this process by itself knows all that was sent for the key. If not, it asks both
-    // followers before it runs a request.
-    bool isKnownHere(const RequestKey& key, TimePoint now) const;
+    // Whether this process and those that answered about the key know all that was sent for it.
+    bool isKnown(const RequestKey& key, const std::vector<CopyAnswer>& answers, TimePoint now) const;
     // The refusal as it may be told: "not run" only where this process, with those that answered
     // about the key, knows all that was ever sent for it.
     Refusal limitToKnown(Refusal refusal, const RequestOpening& opening,
--- a/tests/unit/requestcluster.cpp
+++ b/tests/unit/requestcluster.cpp
@@ -376,8 +376,8 @@
     const StoreCopyAction& action, std::vector<std::size_t> followers,
     std::vector<CopyAnswer> answers)
 {
-    const bool asksAll
-        = action.opening && !m_hosts[host].table->isKnownHere(action.copy.key, m_now);
+    const bool asksAll = action.opening
+        && !m_hosts[host].table->isKnown(action.copy.key, answers, m_now);
     if (followers.empty() || (!answers.empty() && !asksAll))
         return stored(host, record, action, answers);
     const std::size_t follower = followers.front();
