--- a/src/dispatch/coordinator.cpp
+++ b/src/dispatch/coordinator.cpp
@@ -57,13 +57,6 @@
             [](const StageSpec& stage) { return !stage.idempotent; });
     }
 
-    Milliseconds budgetOf(const SubmitMessage& submit, const CatalogueEntry& entry)
-    {
-        if (submit.budget <= Milliseconds(0))
-            return entry.deadline;
-        return std::min(submit.budget, entry.deadline);
-    }
-
     int tokensOf(const std::vector<StageCost>& costs)
     {
         std::uint64_t tokens = 0;
