Bound attempts by what a take-over waits for; follow changed caps

A home cuts the budget of an attempt to the longest attempt, on which the wait for a frozen predecessor relies.

--- a/src/dispatch/replicahome.cpp
+++ b/src/dispatch/replicahome.cpp
@@ -99,6 +99,10 @@
 
 boost::asio::awaitable<void> ReplicaHome::serve(std::shared_ptr<PeerStream> peer, StageCall call)
 {
+    // A take-over from this process relies on no attempt being longer.
+    const auto longest
+        = std::chrono::duration_cast<Milliseconds>(m_options.tenure.longestAttempt);
+    call.budget = std::min(call.budget, longest);
     const auto run
         = std::make_shared<StageRun>(m_executor, std::move(peer), std::move(call), m_nextNumber++);
     m_runs.emplace(run->number(), run);
@@ -297,7 +301,13 @@
 
 void ReplicaHome::refresh()
 {
-    apply(m_ledger.onView(*m_views.view(), m_options.server.id, RuntimeClock::now()));
+    const std::shared_ptr<const ControlView> view = m_views.view();
+    if (view->catalogue) {
+        const auto declared = view->catalogue->servers.find(m_options.server.id);
+        if (declared != view->catalogue->servers.end())
+            m_ledger.setCapacityOptions(capacityOptionsOf(declared->second));
+    }
+    apply(m_ledger.onView(*view, m_options.server.id, RuntimeClock::now()));
 }
 
 HomeReleasedMessage ReplicaHome::release(ObjectVersion since)
--- a/tests/unit/replicaledgertest.cpp
+++ b/tests/unit/replicaledgertest.cpp
@@ -46,10 +46,111 @@
     });
 }
 
+// A ledger that is home of one server with nothing to take over.
+struct LedgerFixture {
+    explicit LedgerFixture(int coldCap, std::size_t queueLimit = 8)
+        : ledger({ .capacity = { .coldCap = coldCap }, .queueLimit = queueLimit })
+    {
+        auto catalogue = std::make_shared<Catalogue>();
+        catalogue->servers[server] = { .id = server };
+        auto cell = std::make_shared<CellState>();
+        cell->homes[server] = { .home = HostId("a"), .incarnation = "a1", .since = 3 };
+        view = { .self = HostId("a"),
+            .incarnation = "a1",
+            .catalogue = catalogue,
+            .cell = cell,
+            .permittedUntil = TimePoint::max() };
+        ledger.onView(view, server, now);
+        now += Milliseconds(1000);
+        ledger.onReport({ .incarnation = "s1" }, now, now);
+    }
+
+    LedgerActions submit(CallNumber number, ServiceClass serviceClass = ServiceClass::Standard,
+        Milliseconds budget = Milliseconds(5000), bool alone = false)
+    {
+        return ledger.submit(number, { serviceClass, budget, alone }, now);
+    }
+
+    bool send(CallNumber number) { return ledger.confirmStart(number, view, server, now); }
+
+    BackendServerId server { "s" };
+    ControlView view;
+    TimePoint now {};
+    ReplicaLedger ledger;
+};
+
+void checkStarts(const LedgerActions& actions, CallNumber number)
+{
+    LONGS_EQUAL(1, actions.size());
+    CHECK(actions.front() == LedgerAction(StartAction { number }));
+}
+
 }
 
 TEST_GROUP(ReplicaLedger) {};
 
+TEST(ReplicaLedger, callsStartByClassAndThenBySlack)
+{
+    LedgerFixture fixture(1);
+    checkStarts(fixture.submit(1), 1);
+    CHECK(fixture.send(1));
+    CHECK(fixture.submit(2, ServiceClass::Bulk).empty());
+    CHECK(fixture.submit(3, ServiceClass::Standard, Milliseconds(4000)).empty());
+    CHECK(fixture.submit(4, ServiceClass::Standard, Milliseconds(3000)).empty());
+    CHECK(fixture.submit(5, ServiceClass::Urgent).empty());
+    CallNumber running = 1;
+    for (const CallNumber next : { 5, 4, 3, 2 }) {
+        checkStarts(fixture.ledger.onFinished(running, fixture.now), next);
+        CHECK(fixture.send(next));
+        running = next;
+    }
+}
+
+TEST(ReplicaLedger, aFullQueueRejectsTheLastInOrderAtOnce)
+{
+    LedgerFixture fixture(1, 1);
+    fixture.submit(1);
+    fixture.submit(2, ServiceClass::Bulk);
+    const LedgerActions actions = fixture.submit(3, ServiceClass::Urgent);
+    LONGS_EQUAL(1, actions.size());
+    const auto& rejection = std::get<RejectAction>(actions.front());
+    LONGS_EQUAL(2, rejection.number);
+    CHECK(rejection.retryAfter > Milliseconds(0));
+}
+
+TEST(ReplicaLedger, aSuspectRunsAlone)
+{
+    LedgerFixture fixture(3);
+    checkStarts(fixture.submit(1), 1);
+    CHECK(fixture.send(1));
+    CHECK(fixture.submit(2, ServiceClass::Urgent, Milliseconds(5000), true).empty());
+    CHECK(fixture.submit(3).empty());
+    checkStarts(fixture.ledger.onFinished(1, fixture.now), 2);
+    CHECK(fixture.send(2));
+    checkStarts(fixture.ledger.onFinished(2, fixture.now), 3);
+}
+
+TEST(ReplicaLedger, aRefusalByTheServerLowersTheCap)
+{
+    LedgerFixture fixture(3);
+    for (const CallNumber number : { 1, 2, 3 }) {
+        fixture.submit(number);
+        CHECK(fixture.send(number));
+    }
+    fixture.ledger.onRefused(3, fixture.now);
+    LONGS_EQUAL(2, fixture.ledger.cap());
+}
+
+TEST(ReplicaLedger, aReleasedAssignmentNeverStartsAgain)
+{
+    LedgerFixture fixture(2);
+    checkStarts(fixture.submit(1), 1);
+    LONGS_EQUAL(0, fixture.ledger.release(4));
+    CHECK_FALSE(fixture.send(1));
+    fixture.ledger.onView(fixture.view, fixture.server, fixture.now);
+    CHECK(std::holds_alternative<RejectAction>(fixture.submit(2).front()));
+}
+
 TEST(ReplicaLedger, aColdServerNeverHasMoreInFlightThanItsCap)
 {
     checkHistories("a cold server's cap holds over all homes",
