--- a/src/dispatch/coordinator.cpp
+++ b/src/dispatch/coordinator.cpp
@@ -44,12 +44,6 @@
         return std::chrono::floor<Milliseconds>(std::chrono::system_clock::now());
     }
 
-    bool needsClaim(const CatalogueEntry& entry)
-    {
-        return std::any_of(entry.stages.begin(), entry.stages.end(),
-            [](const StageSpec& stage) { return !stage.idempotent; });
-    }
-
     Milliseconds budgetOf(const SubmitMessage& submit, const CatalogueEntry& entry)
     {
         if (submit.budget <= Milliseconds(0))
@@ -57,6 +51,12 @@
         return std::min(submit.budget, entry.deadline);
     }
 
+    bool needsClaim(const CatalogueEntry& entry)
+    {
+        return std::any_of(entry.stages.begin(), entry.stages.end(),
+            [](const StageSpec& stage) { return !stage.idempotent; });
+    }
+
     int tokensOf(const std::vector<StageCost>& costs)
     {
         std::uint64_t tokens = 0;
@@ -81,6 +81,17 @@
         co_return false;
     }
 
+    // First host in order for a request among those that were not found unreachable for it.
+    HostId homeOf(const ControlView& view, const SubmitMessage& submit)
+    {
+        const std::vector<HostId>& skipped = submit.unreachable;
+        for (const Member& member : liveMembersFor(view, submit.key.value())) {
+            if (std::find(skipped.begin(), skipped.end(), member.host) == skipped.end())
+                return member.host;
+        }
+        return {};
+    }
+
     // Counts a caller for as long as it is served.
     class CallerCount {
     public:
@@ -138,15 +149,16 @@
         co_return;
     }
     const TimePoint now = RuntimeClock::now();
-    const TimePoint deadline = now + budgetOf(submit, entry->second);
+    submit.budget = budgetOf(submit, entry->second);
+    const TimePoint deadline = now + submit.budget;
     if (isActive(submit.key)) {
         co_await run(stream, std::move(submit), entry->second, deadline, passage);
         co_return;
     }
-    const std::vector<Member> order = liveMembersFor(*view, submit.key.value());
-    const bool isHome = !order.empty() && order.front().host == view->self;
-    if (!isHome && !order.empty() && passage == Passage::Direct) {
-        co_await relay(stream, std::move(submit), order.front().host);
+    const HostId home = homeOf(*view, submit);
+    const bool isHome = home == view->self;
+    if (!isHome && !home.empty() && passage == Passage::Direct) {
+        co_await relay(stream, std::move(submit), home);
         co_return;
     }
     std::optional<Refusal> refusal = refusalOfNew(*view, entry->second);
@@ -215,30 +227,47 @@
 Asio::awaitable<void> Coordinator::relay(
     std::shared_ptr<PeerStream> stream, SubmitMessage submit, HostId host)
 {
-    using namespace Asio::experimental::awaitable_operators;
     ++m_relayed;
-    const std::optional<PeerEndpoint> endpoint = endpointOf(*m_services.views.view(), host);
+    const TimePoint begunAt = RuntimeClock::now();
     bool answered = false;
     try {
-        if (endpoint) {
-            Message first = RelayedSubmitMessage { .submit = submit };
-            const std::shared_ptr<PeerStream> upstream
-                = co_await m_services.peers.open(*endpoint, std::move(first), relayTimeout);
-            const auto ended
-                = co_await (passOn(upstream, stream, submit) || waitUntilGone(stream));
-            answered = ended.index() == 1 || std::get<0>(ended);
-        }
+        answered = co_await relayUntilEnd(stream, submit, host);
     } catch (const std::runtime_error&) {
-        // The other host could not be reached or has gone; the caller is told so below.
+        // The other host could not be reached or has gone; the next one runs the request.
     }
     if (answered) {
         stream->finish();
         co_return;
     }
-    Refusal refusal = refusalElsewhere("the host of the request's key is gone");
+    // The next host in order holds the copy of the record; it may be this one.
+    submit.unreachable.push_back(host);
+    submit.keyFromCaller = true;
+    submit.budget -= std::chrono::ceil<Milliseconds>(RuntimeClock::now() - begunAt);
+    if (submit.budget > Milliseconds(0)) {
+        co_await serveSubmit(std::move(stream), std::move(submit), Passage::Direct);
+        co_return;
+    }
+    Refusal refusal = refusalElsewhere("the host of the request's key does not answer");
     co_await refuse(stream, submit, std::move(refusal));
 }
 
+Asio::awaitable<bool> Coordinator::relayUntilEnd(
+    std::shared_ptr<PeerStream> stream, SubmitMessage& submit, const HostId& host)
+{
+    using namespace Asio::experimental::awaitable_operators;
+    const std::optional<PeerEndpoint> endpoint = endpointOf(*m_services.views.view(), host);
+    if (!endpoint)
+        co_return false;
+    Message first = RelayedSubmitMessage { .submit = submit };
+    const std::shared_ptr<PeerStream> upstream
+        = co_await m_services.peers.open(*endpoint, std::move(first), relayTimeout);
+    const auto ended = co_await (passOn(upstream, stream, submit) || waitUntilGone(stream)
+        || sleepFor(m_services.context.get_executor(), submit.budget));
+    if (ended.index() == 0)
+        co_return std::get<0>(ended);
+    co_return ended.index() == 1;
+}
+
 Asio::awaitable<void> Coordinator::refuse(
     std::shared_ptr<PeerStream> stream, const SubmitMessage& submit, Refusal refusal)
 {
--- a/src/dispatch/dispatchdaemon.cpp
+++ b/src/dispatch/dispatchdaemon.cpp
@@ -47,7 +47,8 @@
           [this](std::shared_ptr<PeerStream> stream) {
               return m_dispatcher.serve(std::move(stream));
           })
-    , m_controlPlane(m_daemon.control(), controlOptions(settings, m_server.port(), [this] { return reportHomes(); }))
+    , m_controlPlane(m_daemon.control(),
+          controlOptions(settings, m_server.port(), [this] { return reportHomes(); }))
     , m_peers(m_daemon.traffic())
     , m_link(m_peers)
     , m_platform(m_daemon.traffic(),
@@ -55,6 +56,10 @@
               .port = settings.platform.port,
               .host = settings.process.host })
     , m_claimStore(m_platform)
+    , m_router({ .policy = routingPolicyNamed(settings.load.routing) })
+    , m_limits(m_daemon.traffic(), m_controlPlane,
+          { .shares = { .evidence = settings.membership.evidence } })
+    , m_load(m_router, m_limits, { .enabled = settings.load.admission })
     , m_records({ .host = settings.process.host,
           .incarnation = m_controlPlane.view()->incarnation })
     , m_copies(m_controlPlane, m_link, m_records)
@@ -63,7 +68,8 @@
     , m_homes(m_daemon.traffic(), m_controlPlane,
           { .tenure = { .evidenceTime = settings.membership.evidence,
                 .drainTime = settings.membership.drain } })
-    , m_dispatcher({ m_daemon.control(), m_controlPlane, m_coordinator, m_homes, m_copies, m_claims })
+    , m_dispatcher({ m_daemon.control(), m_controlPlane, m_coordinator, m_homes, m_copies, m_claims,
+          m_limits })
     , m_admin(m_daemon.control(), m_metrics, makeAdminOptions())
 {
     if (!settings.process.portFile.empty())
@@ -83,6 +89,7 @@
         .claims = m_claims,
         .retries = m_retries,
         .poison = m_poison,
+        .load = &m_load,
     };
 }
 
@@ -102,10 +109,27 @@
     };
 }
 
+// Asked on the control thread, answered on the traffic thread, where all calls are checked and sent.
+Asio::awaitable<HomeReport> DispatchDaemon::reportHomes()
+{
+    co_return co_await Asio::co_spawn(m_daemon.traffic(), readHomes(), Asio::use_awaitable);
+}
+
+Asio::awaitable<HomeReport> DispatchDaemon::readHomes()
+{
+    HomeReport report;
+    report.appliedEpoch = m_homes.appliedEpoch();
+    report.busyServers = m_homes.busyServers();
+    co_return report;
+}
+
 void DispatchDaemon::run()
 {
     m_controlPlane.start();
-    Asio::post(m_daemon.traffic(), [this] { m_homes.start(); });
+    Asio::post(m_daemon.traffic(), [this] {
+        m_homes.start();
+        m_limits.start();
+    });
     Asio::co_spawn(m_daemon.traffic(), maintain(), Asio::detached);
     m_daemon.run([this] { return shutDown(); },
         [this] { return std::to_string(m_server.streamsInFlight()) + " peer streams"; });
@@ -131,22 +155,10 @@
 Asio::awaitable<void> DispatchDaemon::drainTraffic()
 {
     co_await m_coordinator.drain();
+    m_limits.stop();
     co_await m_homes.drain();
 }
 
-Asio::awaitable<HomeReport> DispatchDaemon::reportHomes()
-{
-    co_return co_await Asio::co_spawn(m_daemon.traffic(), readHomes(), Asio::use_awaitable);
-}
-
-Asio::awaitable<HomeReport> DispatchDaemon::readHomes()
-{
-    HomeReport report;
-    report.appliedEpoch = m_homes.appliedEpoch();
-    report.busyServers = m_homes.busyServers();
-    co_return report;
-}
-
 boost::json::value DispatchDaemon::dump()
 {
     boost::json::object state { { "control", m_controlPlane.dump() } };
@@ -155,6 +167,7 @@
         state["coordinator"] = m_coordinator.dump();
         state["homes"] = m_homes.dump();
         state["claims"] = m_claims.dump();
+        state["load"] = m_load.dump(RuntimeClock::now());
         done.set_value();
     });
     done.get_future().wait();
--- a/src/dispatch/dispatchdaemon.h
+++ b/src/dispatch/dispatchdaemon.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "dispatch/dispatcher.h"
+#include "dispatch/loadcontrol.h"
 #include "dispatch/platformclaimstore.h"
 #include "libapricot/dispatchsettings.h"
-#include "libapricot/loadrouter.h"
 #include "libapricot/metrics.h"
 #include "libnet/adminserver.h"
 #include "libnet/daemon.h"
@@ -22,14 +22,14 @@
 private:
     AdminServerOptions makeAdminOptions();
     RunnerServices makeRunnerServices();
+    // What the homes act on and have in flight, read on the traffic thread.
+    boost::asio::awaitable<HomeReport> reportHomes();
+    boost::asio::awaitable<HomeReport> readHomes();
     // Calls the coordinator's upkeep about once a second.
     boost::asio::awaitable<void> maintain();
     boost::asio::awaitable<void> shutDown();
     // Gives the replicas away, then waits until nothing is in flight.
     boost::asio::awaitable<void> drainTraffic();
-    // What the homes act on and have in flight, read on the traffic thread.
-    boost::asio::awaitable<HomeReport> reportHomes();
-    boost::asio::awaitable<HomeReport> readHomes();
     // The dump of the services of the traffic thread, taken on that thread.
     boost::json::value dump();
 
@@ -43,6 +43,8 @@
     PlatformClient m_platform;
     PlatformClaimStore m_claimStore;
     LoadRouter m_router;
+    LimitService m_limits;
+    LoadControl m_load;
     RetryBudget m_retries;
     PoisonTable m_poison;
     RecordTable m_records;
