--- a/src/dispatch/loadcontrol.cpp
+++ b/src/dispatch/loadcontrol.cpp
@@ -60,7 +60,7 @@
         return;
     const StageSpec& stage = entry.stages[outcome.attempt.stage];
     m_latencies.recordService(stage, outcome.busy, now);
-    m_latencies.recordQueue(stage, std::max(Duration::zero(), elapsed - outcome.busy), now);
+    m_latencies.recordQueue(stage, entry.serviceClass, std::max(Duration::zero(), elapsed - outcome.busy), now);
 }
 
 boost::json::value LoadControl::dump(TimePoint now) const
--- a/src/libapricot/admission.cpp
+++ b/src/libapricot/admission.cpp
@@ -26,7 +26,7 @@
         return Refusal { .reason = RefusalReason::DeadlinePassed, .ran = query.ran };
     if (!m_options.enabled)
         return std::nullopt;
-    const PathPrediction path = m_model.predictFrom(query.entry.stages, query.nextStage, now);
+    const PathPrediction path = m_model.predictFrom(query.entry, query.nextStage, now);
     if (auto refusal = refuseByPrediction(query, path, left)) {
         if (takeProbe(query.entry.name, now))
             return std::nullopt;
@@ -84,7 +84,7 @@
 {
     Duration later {};
     for (std::size_t index = nextStage + 1; index < entry.stages.size(); ++index)
-        later += m_model.predict(entry.stages[index], now).medianService;
+        later += m_model.predict(entry.stages[index], entry.serviceClass, now).medianService;
     const Milliseconds left = toMilliseconds(deadline - now - later);
     return std::clamp(left, Milliseconds(0), entry.stages.at(nextStage).timeout);
 }
@@ -92,7 +92,7 @@
 TimePoint Admission::latestStart(const CatalogueEntry& entry, std::size_t nextStage,
     TimePoint deadline, TimePoint now) const
 {
-    return deadline - m_model.predictFrom(entry.stages, nextStage, now).service;
+    return deadline - m_model.predictFrom(entry, nextStage, now).service;
 }
 
 double Admission::shareOf(ServiceClass serviceClass) const
--- a/src/libapricot/admission.h
+++ b/src/libapricot/admission.h
@@ -27,7 +27,7 @@
     // are turned away first, which keeps room for the others.
     double bulkShare = 0.4;
     double standardShare = 0.6;
-    double urgentShare = 0.8;
+    double urgentShare = 1.0;
     // Shortest time that a caller is asked to stay away.
     Milliseconds leastRetryAfter { 200 };
     Milliseconds mostRetryAfter { 5000 };
--- a/src/libapricot/latencymodel.cpp
+++ b/src/libapricot/latencymodel.cpp
@@ -35,30 +35,36 @@
     m_histograms[keyOf(stage)].service.record(service, now);
 }
 
-void LatencyModel::recordQueue(const StageSpec& stage, Duration queue, TimePoint now)
+void LatencyModel::recordQueue(
+    const StageSpec& stage, ServiceClass serviceClass, Duration queue, TimePoint now)
 {
-    m_histograms[keyOf(stage)].queue.record(queue, now);
+    m_histograms[keyOf(stage)].queues.try_emplace(serviceClass, queueHalfLife).first->second.record(queue, now);
 }
 
-StagePrediction LatencyModel::predict(const StageSpec& stage, TimePoint now) const
+StagePrediction LatencyModel::predict(
+    const StageSpec& stage, ServiceClass serviceClass, TimePoint now) const
 {
     const auto found = m_histograms.find(keyOf(stage));
     if (found == m_histograms.end())
         return {};
     const Histograms& histograms = found->second;
-    return { .medianService = histograms.service.quantile(medianQuantile, now),
-        .highService = histograms.service.quantile(highQuantile, now),
-        .medianQueue = histograms.queue.quantile(medianQuantile, now),
-        .highQueue = histograms.queue.quantile(highQuantile, now) };
+    StagePrediction prediction { .medianService = histograms.service.quantile(medianQuantile, now),
+        .highService = histograms.service.quantile(highQuantile, now) };
+    const auto queue = histograms.queues.find(serviceClass);
+    if (queue == histograms.queues.end())
+        return prediction;
+    prediction.medianQueue = queue->second.quantile(medianQuantile, now);
+    prediction.highQueue = queue->second.quantile(highQuantile, now);
+    return prediction;
 }
 
 PathPrediction LatencyModel::predictFrom(
-    const std::vector<StageSpec>& stages, std::size_t first, TimePoint now) const
+    const CatalogueEntry& entry, std::size_t first, TimePoint now) const
 {
     SpreadSum service;
     SpreadSum total;
-    for (std::size_t index = first; index < stages.size(); ++index) {
-        const StagePrediction stage = predict(stages[index], now);
+    for (std::size_t index = first; index < entry.stages.size(); ++index) {
+        const StagePrediction stage = predict(entry.stages[index], entry.serviceClass, now);
         service.add(stage.medianService, stage.highService);
         total.add(stage.medianService, stage.highService);
         total.add(stage.medianQueue, stage.highQueue);
--- a/src/libapricot/latencymodel.h
+++ b/src/libapricot/latencymodel.h
@@ -37,12 +37,15 @@
     static constexpr double highQuantile = 0.95;
 
     void recordService(const StageSpec& stage, Duration service, TimePoint now);
-    void recordQueue(const StageSpec& stage, Duration queue, TimePoint now);
+    // Queues are kept apart by class, since the more urgent one overtakes the others.
+    void recordQueue(
+        const StageSpec& stage, ServiceClass serviceClass, Duration queue, TimePoint now);
 
-    StagePrediction predict(const StageSpec& stage, TimePoint now) const;
-    // Prediction for the stages from the first given one to the last.
+    StagePrediction predict(
+        const StageSpec& stage, ServiceClass serviceClass, TimePoint now) const;
+    // Prediction for an entry's stages from the first given one to the last.
     PathPrediction predictFrom(
-        const std::vector<StageSpec>& stages, std::size_t first, TimePoint now) const;
+        const CatalogueEntry& entry, std::size_t first, TimePoint now) const;
 
 private:
     struct Key {
@@ -54,7 +57,7 @@
     };
     struct Histograms {
         LatencyHistogram service { serviceHalfLife };
-        LatencyHistogram queue { queueHalfLife };
+        std::map<ServiceClass, LatencyHistogram> queues;
     };
 
     static Key keyOf(const StageSpec& stage);
--- a/tests/unit/admissiontest.cpp
+++ b/tests/unit/admissiontest.cpp
@@ -24,7 +24,7 @@
     for (const StageSpec& stage : entry.stages) {
         for (int sample = 0; sample < 40; ++sample) {
             model.recordService(stage, service, now);
-            model.recordQueue(stage, queue, now);
+            model.recordQueue(stage, entry.serviceClass, queue, now);
         }
     }
 }
@@ -194,3 +194,13 @@
     account.discard(m_entry, { { .stage = "generate", .busy = Milliseconds(30) } });
     CHECK_TRUE(account.byOwner().at(m_entry.owner).wasted == Milliseconds(60));
 }
+
+TEST(Admission, countsNoQueueOfALessUrgentClass)
+{
+    const CatalogueEntry bulk = makeEntry(ServiceClass::Bulk);
+    recordMany(m_model, bulk, Milliseconds(50), Milliseconds(800), m_now);
+    m_entry = bulk;
+    CHECK_TRUE(refuse(Milliseconds(1000), 1.1).has_value());
+    m_entry = makeEntry(ServiceClass::Urgent);
+    CHECK_FALSE(refuse(Milliseconds(1000), 1.1).has_value());
+}
