--- a/src/dispatch/coordinator.cpp
+++ b/src/dispatch/coordinator.cpp
@@ -51,12 +51,6 @@
         return std::min(submit.budget, entry.deadline);
     }
 
-    bool needsClaim(const CatalogueEntry& entry)
-    {
-        return std::any_of(entry.stages.begin(), entry.stages.end(),
-            [](const StageSpec& stage) { return !stage.idempotent; });
-    }
-
     int tokensOf(const std::vector<StageCost>& costs)
     {
         std::uint64_t tokens = 0;
@@ -81,11 +75,14 @@
         co_return false;
     }
 
-    // First host in order for a request among those that were not found unreachable for it.
+    // First host in order for a request among those that were not found unreachable for it. Only the
+    // first three may run it, as a record stands on two of these.
     HostId homeOf(const ControlView& view, const SubmitMessage& submit)
     {
         const std::vector<HostId>& skipped = submit.unreachable;
-        for (const Member& member : liveMembersFor(view, submit.key.value())) {
+        std::vector<Member> order = liveMembersFor(view, submit.key.value());
+        order.resize(std::min(order.size(), holdersOfKey));
+        for (const Member& member : order) {
             if (std::find(skipped.begin(), skipped.end(), member.host) == skipped.end())
                 return member.host;
         }
@@ -161,7 +158,7 @@
         co_await relay(stream, std::move(submit), home);
         co_return;
     }
-    std::optional<Refusal> refusal = refusalOfNew(*view, entry->second);
+    std::optional<Refusal> refusal = refusalOfNew(*view);
     if (!isHome && !refusal)
         refusal = refusalElsewhere("this host is not home of the key");
     LoadControl* const load = m_services.load;
@@ -181,17 +178,13 @@
         admitted->setTokens(tokensOf(record->copy().costs));
 }
 
-std::optional<Refusal> Coordinator::refusalOfNew(
-    const ControlView& view, const CatalogueEntry& entry) const
+std::optional<Refusal> Coordinator::refusalOfNew(const ControlView& view) const
 {
     if (view.stopping)
         return refusalOf(RefusalReason::Stopping, "this host is stopping", unableRetryAfter);
     if (!view.permits(RuntimeClock::now()))
         return refusalOf(RefusalReason::NoEvidence,
             "this host does not know whether its configuration is the newest", unableRetryAfter);
-    if (needsClaim(entry) && m_services.claims.isUnavailable())
-        return refusalOf(RefusalReason::PlatformUnavailable,
-            "non-idempotent stages can't be claimed", unableRetryAfter);
     return std::nullopt;
 }
 
--- a/src/dispatch/coordinator.h
+++ b/src/dispatch/coordinator.h
@@ -47,7 +47,7 @@
     boost::asio::awaitable<void> refuse(
         std::shared_ptr<PeerStream> stream, const SubmitMessage& submit, Refusal refusal);
     // Why a new request can't be taken at this moment.
-    std::optional<Refusal> refusalOfNew(const ControlView& view, const CatalogueEntry& entry) const;
+    std::optional<Refusal> refusalOfNew(const ControlView& view) const;
     std::shared_ptr<RequestRunner> runnerOf(const std::shared_ptr<RequestRecord>& record);
     bool isActive(const RequestKey& key) const;
     std::size_t runningRecords() const;
--- a/src/dispatch/dispatchdaemon.cpp
+++ b/src/dispatch/dispatchdaemon.cpp
@@ -61,7 +61,8 @@
           { .shares = { .evidence = settings.membership.evidence } })
     , m_load(m_router, m_limits, { .enabled = settings.load.admission })
     , m_records({ .host = settings.process.host,
-          .incarnation = m_controlPlane.view()->incarnation })
+          .incarnation = m_controlPlane.view()->incarnation,
+          .retention = settings.records.retention })
     , m_copies(m_controlPlane, m_link, m_records)
     , m_claims(m_daemon.traffic(), m_controlPlane, m_link, m_claimStore)
     , m_coordinator(makeRunnerServices())
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -35,8 +35,8 @@
         [&](RelayedSubmitMessage& message) {
             return m_services.coordinator.serve(stream, std::move(message));
         },
-        [&](const PoisonMessage& message) {
-            return m_services.coordinator.serve(stream, message);
+        [&](PoisonMessage& message) {
+            return m_services.coordinator.serve(stream, std::move(message));
         },
         [&](StageCallMessage& message) {
             return m_services.homes.serve(stream, std::move(message));
--- a/src/dispatch/requestrunner.cpp
+++ b/src/dispatch/requestrunner.cpp
@@ -111,7 +111,8 @@
 {
     return { .retries = m_services.retries,
         .poison = m_services.poison,
-        .epoch = m_services.views.view()->epoch };
+        .epoch = m_services.views.view()->epoch,
+        .canClaim = !m_services.claims.isUnavailable() };
 }
 
 void RequestRunner::perform(RequestActions actions)
--- a/src/libapricot/catalogue.cpp
+++ b/src/libapricot/catalogue.cpp
@@ -1,5 +1,7 @@
 #include "libapricot/catalogue.h"
 
+#include <algorithm>
+
 namespace Apricot {
 
 namespace {
@@ -13,6 +15,12 @@
 
 }
 
+bool CatalogueEntry::needsClaim() const
+{
+    return std::any_of(stages.begin(), stages.end(),
+        [](const StageSpec& stage) { return !stage.idempotent; });
+}
+
 bool Catalogue::isOut(const FailureDomainId& domain) const
 {
     return isMarkedOut(domains, domain);
--- a/src/libapricot/catalogue.h
+++ b/src/libapricot/catalogue.h
@@ -65,6 +65,9 @@
     std::vector<StageSpec> stages;
 
     auto operator<=>(const CatalogueEntry&) const = default;
+
+    // Whether a stage is not idempotent, so that it is claimed in the platform before it is sent.
+    bool needsClaim() const;
 };
 
 // A backend server that the operators declare. Platform key servers/<id>.
--- a/src/libapricot/dispatchsettings.cpp
+++ b/src/libapricot/dispatchsettings.cpp
@@ -7,6 +7,7 @@
 namespace {
 
     constexpr NumberRange<double> membershipTimeRange { 100, 60'000 };
+    constexpr NumberRange<double> retentionRange { 1000, 3'600'000 };
 
     void addTime(SettingsTable& table, const std::string& key, const std::string& effect,
         Milliseconds& target)
@@ -61,6 +62,16 @@
         .allowed = "power_of_two, round_robin or least_reported" });
 }
 
+void describe(RecordSettings& settings, SettingsTable& table)
+{
+    table.add({ .section = "records",
+                  .key = "retention_ms",
+                  .range = retentionRange,
+                  .effect = "How long the record of a request is kept after its last use. A daemon that "
+                            "has run for less says \"unknown\" in place of \"not_run\"." },
+        &settings.retention);
+}
+
 void describe(DispatchSettings& settings, SettingsTable& table)
 {
     describe(settings.process, table);
@@ -69,6 +80,7 @@
     describeListener(settings.control, table, "control", "metrics, health and the state dump");
     describe(settings.membership, table);
     describe(settings.load, table);
+    describe(settings.records, table);
 }
 
 }
--- a/src/libapricot/dispatchsettings.h
+++ b/src/libapricot/dispatchsettings.h
@@ -26,6 +26,13 @@
     auto operator<=>(const LoadSettings&) const = default;
 };
 
+// Records of requests.
+struct RecordSettings {
+    Milliseconds retention { 600'000 };
+
+    auto operator<=>(const RecordSettings&) const = default;
+};
+
 // Settings of apricot-dispatch.
 struct DispatchSettings {
     ProcessSettings process;
@@ -34,6 +41,7 @@
     EndpointSettings control { .port = 7071 };
     MembershipSettings membership;
     LoadSettings load;
+    RecordSettings records;
 
     auto operator<=>(const DispatchSettings&) const = default;
 };
@@ -42,6 +50,8 @@
 void describe(MembershipSettings& settings, SettingsTable& table);
 // Declares the section [load].
 void describe(LoadSettings& settings, SettingsTable& table);
+// Declares the section [records].
+void describe(RecordSettings& settings, SettingsTable& table);
 // Declares every setting of apricot-dispatch with its present value as default.
 void describe(DispatchSettings& settings, SettingsTable& table);
 
--- a/src/libapricot/partitionknowledge.cpp
+++ b/src/libapricot/partitionknowledge.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-    constexpr std::size_t holdersOfKey = 3;
-
     // How many of the first three hosts of a key, or of all when they are fewer, are among those that
     // answered.
     std::size_t answeringHolders(const std::vector<RecordHolder>& members, const RequestKey& key,
--- a/src/libapricot/partitionknowledge.h
+++ b/src/libapricot/partitionknowledge.h
@@ -11,6 +11,9 @@
 
 namespace Apricot {
 
+// Hosts in order for a key that may run its request and hold its record.
+constexpr std::size_t holdersOfKey = 3;
+
 // A process that may hold records.
 struct RecordHolder {
     HostId host;
--- a/src/libapricot/requestrecord.cpp
+++ b/src/libapricot/requestrecord.cpp
@@ -137,6 +137,11 @@
         return;
     }
     if (!answer.found) {
+        if (m_phase == Phase::Opening && !context.canClaim && m_options.entry.needsClaim()) {
+            unmarkStarted();
+            return end(RefusalReason::PlatformUnavailable, m_options.failureRetryAfter,
+                "a non-idempotent stage can't be claimed");
+        }
         if (isMarkStored())
             return startAttempt(context, now, actions);
         return proceed(context, now, actions);
--- a/src/libapricot/requestrecord.h
+++ b/src/libapricot/requestrecord.h
@@ -61,6 +61,9 @@
     RetryBudget& retries;
     PoisonTable& poison;
     ObjectVersion epoch = 0;
+    // False while the platform does not answer claims, so that a request which needs one is refused
+    // before any of its stages has run.
+    bool canClaim = true;
 };
 
 // One request: its callers, the results of its stages and its open attempt. It decides and asks for
--- a/tests/scenarios/scenario.py
+++ b/tests/scenarios/scenario.py
@@ -2,6 +2,7 @@
 
     fleet hosts N domains N               servers POOL KIND COUNT [flag=value ...]
     pipeline NAME owner=O class=C deadline_ms=N [limits.KEY=N ...] KIND@POOL[!][:MAX_TOKENS] ...
+    setting SECTION.KEY=VALUE
     start
     submit NAME PIPELINE via HOST [key=K[@HOST]] [deadline_ms=N] [times=N] [every_ms=N] TEXT...
     raw NAME PIPELINE via HOST BODY...
@@ -373,7 +374,7 @@
         for name, spec in self.fleet.backends.items():
             if spec["pool"] == pool:
                 text = (self.fleet.folder / f"{name}.runs").read_text()
-                crashes += text.count('"event":"crash"')
+                crashes += sum('"crash":"' in line for line in text.splitlines())
         self.echo(f"    {crashes} crashes")
         if crashes > int(most):
             raise ScenarioFailure(f"{crashes} crashes")
