--- a/src/dispatch/dispatchdaemon.cpp
+++ b/src/dispatch/dispatchdaemon.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/dispatchdaemon.h"
 
+#include "libapricot/dispatchmetrics.h"
 #include "libapricot/portfile.h"
 #include "libnet/asyncevent.h"
 #include "libnet/log.h"
@@ -21,7 +22,8 @@
     // Longest wait for the cell to drop a member that has stopped.
     constexpr Milliseconds leaveTimeout { 5000 };
 
-    ControlPlaneOptions controlOptions(const DispatchSettings& settings, std::uint16_t peerPort)
+    ControlPlaneOptions controlOptions(
+        const DispatchSettings& settings, std::uint16_t peerPort, HomeReporter reporter)
     {
         ControlPlaneOptions options;
         options.host = settings.process.host;
@@ -32,6 +34,7 @@
         options.membership.evidence.evidenceLease = settings.membership.evidence;
         options.membership.renewInterval = settings.membership.renewal;
         options.membership.removalTime = settings.membership.removal;
+        options.homeReporter = std::move(reporter);
         return options;
     }
 
@@ -44,7 +47,8 @@
           [this](std::shared_ptr<PeerStream> stream) {
               return m_dispatcher.serve(std::move(stream));
           })
-    , m_controlPlane(m_daemon.control(), controlOptions(settings, m_server.port()))
+    , m_controlPlane(m_daemon.control(),
+          controlOptions(settings, m_server.port(), [this] { return reportHomes(); }))
     , m_peers(m_daemon.traffic())
     , m_link(m_peers)
     , m_platform(m_daemon.traffic(),
@@ -101,10 +105,24 @@
             return { .healthy = permitted && !view->stopping,
                 .detail = permitted ? "" : "no evidence of the newest epoch" };
         },
-        .refreshMetrics = {},
+        .refreshMetrics = [this] { setDispatchMetrics(m_metrics, dump()); },
     };
 }
 
+// Asked on the control thread, answered on the traffic thread, where all calls are checked and sent.
+Asio::awaitable<HomeReport> DispatchDaemon::reportHomes()
+{
+    co_return co_await Asio::co_spawn(m_daemon.traffic(), readHomes(), Asio::use_awaitable);
+}
+
+Asio::awaitable<HomeReport> DispatchDaemon::readHomes()
+{
+    HomeReport report;
+    report.appliedEpoch = m_homes.appliedEpoch();
+    report.busyServers = m_homes.busyServers();
+    co_return report;
+}
+
 void DispatchDaemon::run()
 {
     m_controlPlane.start();
--- a/src/dispatch/dispatchdaemon.h
+++ b/src/dispatch/dispatchdaemon.h
@@ -22,6 +22,9 @@
 private:
     AdminServerOptions makeAdminOptions();
     RunnerServices makeRunnerServices();
+    // What the homes act on and have in flight, read on the traffic thread.
+    boost::asio::awaitable<HomeReport> reportHomes();
+    boost::asio::awaitable<HomeReport> readHomes();
     // Calls the coordinator's upkeep about once a second.
     boost::asio::awaitable<void> maintain();
     boost::asio::awaitable<void> shutDown();
--- a/src/dispatch/platformclaimstore.cpp
+++ b/src/dispatch/platformclaimstore.cpp
@@ -1,60 +1,38 @@
 #include "dispatch/platformclaimstore.h"
 
-#include <boost/json.hpp>
+#include <boost/json/object.hpp>
 
 namespace Apricot {
 
 namespace Asio = boost::asio;
-namespace Json = boost::json;
 
 namespace {
 
-    ClaimObject toClaims(const std::optional<PlatformObject>& object)
+    boost::json::value valueOf(const ClaimEntries& entries)
     {
-        ClaimObject claims;
-        if (!object)
-            return claims;
-        claims.version = object->version;
-        for (const auto& member : object->value.as_object())
-            claims.entries.emplace(member.key(), member.value().as_string());
-        return claims;
-    }
-
-    Json::value toJson(const ClaimEntries& entries)
-    {
-        Json::object object;
+        boost::json::object keys;
         for (const auto& [key, token] : entries)
-            object[key] = token;
-        return object;
-    }
-
-    ClaimPutResult toResult(const WriteStored& stored)
-    {
-        return ClaimPutAccepted { stored.version };
-    }
-
-    ClaimPutResult toResult(const WriteConflict& conflict)
-    {
-        return ClaimPutConflict { toClaims(conflict.current) };
+            keys[key] = token;
+        return boost::json::object { { "keys", std::move(keys) } };
     }
 
-    ClaimPutResult toResult(const WriteUnknown& /*unknown*/)
+    ClaimObject objectOf(const std::optional<PlatformObject>& stored)
     {
-        return ClaimPutLost {};
+        ClaimObject object;
+        if (!stored)
+            return object;
+        object.version = stored->version;
+        for (const auto& entry : stored->value.at("keys").as_object())
+            object.entries[std::string(entry.key())] = std::string(entry.value().as_string());
+        return object;
     }
 
 }
 
-PlatformClaimStore::PlatformClaimStore(PlatformClient& platform)
-    : m_platform(platform)
-{
-}
-
 Asio::awaitable<ClaimObject> PlatformClaimStore::read(std::string objectKey)
 {
     try {
-        const std::optional<PlatformObject> object = co_await m_platform.get(std::move(objectKey));
-        co_return toClaims(object);
+        co_return objectOf(co_await m_platform.get(std::move(objectKey)));
     } catch (const PlatformUnavailable& error) {
         throw ClaimStoreUnavailable(error.what(), error.retryAfter());
     }
@@ -65,8 +43,12 @@
 {
     try {
         const WriteResult result = co_await m_platform.put(
-            std::move(objectKey), toJson(object.entries), object.version);
-        co_return std::visit([](const auto& outcome) { return toResult(outcome); }, result);
+            std::move(objectKey), valueOf(object.entries), object.version);
+        if (const auto* stored = std::get_if<WriteStored>(&result))
+            co_return ClaimPutAccepted { .version = stored->version };
+        if (const auto* conflict = std::get_if<WriteConflict>(&result))
+            co_return ClaimPutConflict { .standing = objectOf(conflict->current) };
+        co_return ClaimPutLost {};
     } catch (const PlatformUnavailable& error) {
         throw ClaimStoreUnavailable(error.what(), error.retryAfter());
     }
@@ -76,8 +58,8 @@
 {
     try {
         co_await m_platform.remove(std::move(objectKey), std::nullopt);
-    } catch (const PlatformUnavailable& error) {
-        throw ClaimStoreUnavailable(error.what(), error.retryAfter());
+    } catch (const PlatformUnavailable&) {
+        // The object stays; its keys are refused as expired all the same.
     }
 }
 
--- a/src/dispatch/recordservice.cpp
+++ b/src/dispatch/recordservice.cpp
@@ -31,15 +31,15 @@
         co_return std::vector<CopyAnswer> { CopyAnswer {} };
     if (members.size() > followerCandidates)
         members.resize(followerCandidates);
-    const bool asksAll
-        = action.opening && !m_records.isKnownHere(action.copy.key, RuntimeClock::now());
     std::vector<CopyAnswer> answers;
     for (const Member& member : members) {
         const PeerEndpoint endpoint { .address = member.address, .port = member.port };
         std::optional<CopyAnswer> answer = co_await storeAt(endpoint, action);
         if (answer)
             answers.push_back(std::move(*answer));
-        if (!answers.empty() && !asksAll)
+        const bool isKnown = !action.opening
+            || m_records.isKnown(action.copy.key, answers, RuntimeClock::now());
+        if (!answers.empty() && isKnown)
             break;
     }
     co_return answers;
@@ -50,8 +50,8 @@
 {
     try {
         Message question = StoreCopyMessage { .copy = action.copy, .opening = action.opening };
-        const Message answer = co_await m_peers.ask(
-            std::move(endpoint), std::move(question), storeTimeout);
+        const Message answer
+            = co_await m_peers.ask(std::move(endpoint), std::move(question), storeTimeout);
         if (const auto* stored = std::get_if<CopyStoredMessage>(&answer))
             co_return stored->answer;
     } catch (const std::runtime_error&) {
@@ -63,10 +63,10 @@
 Asio::awaitable<void> RecordService::serve(
     std::shared_ptr<PeerStream> stream, StoreCopyMessage message)
 {
-    const CopyAnswer answer
-        = m_records.store(message.copy, message.opening, RuntimeClock::now());
-    Message stored = CopyStoredMessage { .answer = answer };
-    co_await stream->write(std::move(stored));
+    Message answer = CopyStoredMessage {
+        .answer = m_records.store(message.copy, message.opening, RuntimeClock::now())
+    };
+    co_await stream->write(std::move(answer));
     stream->finish();
 }
 
--- a/src/dispatch/replicahome.cpp
+++ b/src/dispatch/replicahome.cpp
@@ -99,6 +99,10 @@
 
 boost::asio::awaitable<void> ReplicaHome::serve(std::shared_ptr<PeerStream> peer, StageCall call)
 {
+    // A take-over from this process relies on no attempt being longer.
+    const auto longest
+        = std::chrono::duration_cast<Milliseconds>(m_options.tenure.longestAttempt);
+    call.budget = std::min(call.budget, longest);
     const auto run
         = std::make_shared<StageRun>(m_executor, std::move(peer), std::move(call), m_nextNumber++);
     m_runs.emplace(run->number(), run);
@@ -297,20 +301,25 @@
 
 void ReplicaHome::refresh()
 {
-    apply(m_ledger.onView(*m_views.view(), m_options.server.id, RuntimeClock::now()));
+    const std::shared_ptr<const ControlView> view = m_views.view();
+    if (view->catalogue) {
+        const auto declared = view->catalogue->servers.find(m_options.server.id);
+        if (declared != view->catalogue->servers.end())
+            m_ledger.setCapacityOptions(capacityOptionsOf(declared->second));
+    }
+    apply(m_ledger.onView(*view, m_options.server.id, RuntimeClock::now()));
 }
 
 HomeReleasedMessage ReplicaHome::release(ObjectVersion since)
 {
-    std::vector<Predecessor> unresolved;
-    if (m_ledger.tenure())
-        unresolved = m_ledger.tenure()->unresolved();
+    std::vector<Predecessor> unresolved = m_ledger.unresolved();
     const int inFlight = m_ledger.release(since);
     const std::shared_ptr<const ControlView> view = m_views.view();
     apply(m_ledger.advance(RuntimeClock::now()));
     return { .incarnation = view->incarnation,
         .inFlight = inFlight,
-        .cap = m_ledger.cap(),
+        .cap = m_ledger.earnedCap(),
+        .normalStep = m_ledger.normalStep(),
         .serverIncarnation = m_ledger.serverIncarnation(),
         .unresolved = std::move(unresolved) };
 }
@@ -328,8 +337,9 @@
         return onPredecessorGone(predecessor);
     if (!m_ledger.tenure())
         return;
-    m_ledger.tenure()->onPredecessorStopped(predecessor, answer.inFlight, answer.unresolved);
-    m_ledger.adoptCapacity(answer.cap, answer.serverIncarnation);
+    m_ledger.tenure()->onPredecessorStopped(
+        predecessor, answer.inFlight, answer.unresolved, RuntimeClock::now());
+    m_ledger.adoptCapacity(answer.cap, answer.normalStep, answer.serverIncarnation);
     apply(m_ledger.advance(RuntimeClock::now()));
 }
 
@@ -375,10 +385,8 @@
     for (const AttemptId& attempt : m_lastCrashed)
         crashed.emplace_back(attemptText(attempt));
     boost::json::array unresolved;
-    if (m_ledger.tenure()) {
-        for (const Predecessor& predecessor : m_ledger.tenure()->unresolved())
-            unresolved.emplace_back(predecessor.host.value() + "/" + predecessor.incarnation);
-    }
+    for (const Predecessor& predecessor : m_ledger.unresolved())
+        unresolved.emplace_back(predecessor.host.value() + "/" + predecessor.incarnation);
     return boost::json::object { { "server", m_options.server.id.value() },
         { "since", m_ledger.since() }, { "condition", startConditionName(m_ledger.condition()) },
         { "in_flight", m_ledger.inFlight() }, { "queued", m_ledger.queued() },
--- a/src/libnet/messages.h
+++ b/src/libnet/messages.h
@@ -28,11 +28,13 @@
     // First token of the answer that the caller still needs.
     std::uint64_t resumeFrom = 0;
     ServiceClass serviceClass = ServiceClass::Standard;
+    // Hosts that could not be reached for this request; the next in order runs it instead.
+    std::vector<HostId> unreachable;
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(key, keyFromCaller, pipeline, input, budget, resumeFrom, serviceClass);
+        archive(key, keyFromCaller, pipeline, input, budget, resumeFrom, serviceClass, unreachable);
     }
 };
 
@@ -110,6 +112,8 @@
     int inFlight = 0;
     // Cap that the earlier home had reached with this process of the server.
     int cap = 0;
+    // Normal time of one step of the server, as far as it was seen.
+    Duration normalStep {};
     std::string serverIncarnation;
     // Predecessors of the earlier home that had not confirmed to it that they stopped.
     std::vector<Predecessor> unresolved;
@@ -117,7 +121,7 @@
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(incarnation, inFlight, cap, serverIncarnation, unresolved);
+        archive(incarnation, inFlight, cap, normalStep, serverIncarnation, unresolved);
     }
 };
 
