Test how many holders of a key have to answer

Cause: with the count of needed holders set to none, the cluster's properties still passed (200 cases each), so nothing showed the rule.

Measured: the new case passes (5 checks); run alone, not the whole suite.

--- /dev/null
+++ b/tests/unit/partitionknowledgetest.cpp
@@ -0,0 +1,33 @@
+#include "libapricot/partitionknowledge.h"
+#include "libapricot/rendezvous.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace Apricot;
+
+TEST_GROUP(PartitionKnowledge) {};
+
+TEST(PartitionKnowledge, oneOfThreeHoldersIsNotEnough)
+{
+    std::vector<Member> members;
+    std::vector<HostId> hosts;
+    for (const char* name : { "a", "b", "c", "d" }) {
+        hosts.emplace_back(name);
+        members.push_back({ .host = hosts.back(), .incarnation = "1" });
+    }
+    const RequestKey key("key");
+    const std::vector<HostId> order = rankHosts(key.value(), hosts);
+    const RecordHolder first { .host = order[0], .incarnation = "1" };
+    const RecordHolder third { .host = order[2], .incarnation = "1" };
+    const RecordHolder fourth { .host = order[3], .incarnation = "1" };
+    PartitionKnowledge knowledge(Milliseconds(1000), Milliseconds(2000));
+    TimePoint now { std::chrono::hours(1) };
+    knowledge.observe(members, now);
+    CHECK_FALSE(knowledge.isComplete(key, { first, third }, now));
+    now += Milliseconds(1000);
+    knowledge.observe(members, now);
+    CHECK_TRUE(knowledge.isComplete(key, { first, third }, now));
+    CHECK_FALSE(knowledge.isComplete(key, { first }, now));
+    CHECK_FALSE(knowledge.isComplete(key, { first, fourth }, now));
+    CHECK_FALSE(knowledge.isComplete(key, { first, third }, now + Milliseconds(2001)));
+}
