--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -36,7 +36,7 @@
             return m_services.coordinator.serve(stream, std::move(message));
         },
         [&](PoisonMessage& message) {
-            return m_services.coordinator.serve(stream, std::move(message));
+            return m_services.coordinator.serve(stream, message);
         },
         [&](StageCallMessage& message) {
             return m_services.homes.serve(stream, std::move(message));
