Tell once which refusals concern only their host

Cause: entry host and coordinator each had the same rule of which refusals send a request on to the next host; two copies could drift apart. It stands beside the other facts about refusal reasons now. No change of behaviour. Looked at and left: EntryService ranks coordinators as liveMembersFor does in the dispatch daemon; the two acceptors of HttpServer and PeerServer share a shape.

--- a/src/dispatch/coordinator.cpp
+++ b/src/dispatch/coordinator.cpp
@@ -59,12 +59,6 @@
         return static_cast<int>(tokens);
     }
 
-    // Whether another host may well take the request that one refused for this reason.
-    bool isAboutHost(RefusalReason reason)
-    {
-        return reason == RefusalReason::NoEvidence || reason == RefusalReason::Stopping;
-    }
-
     // Passes messages on until the sender has finished. Returns whether an end was among them; a
     // refusal that only concerns the sender's host is none.
     Asio::awaitable<bool> passOn(
--- a/src/entry/entryservice.cpp
+++ b/src/entry/entryservice.cpp
@@ -40,12 +40,6 @@
         return ranked;
     }
 
-    // Whether another coordinator may well take the request that one refused for this reason.
-    bool isAboutCoordinator(RefusalReason reason)
-    {
-        return reason == RefusalReason::NoEvidence || reason == RefusalReason::Stopping;
-    }
-
     Refusal refuseWithoutCoordinator(const SubmitMessage& submission, RefusalReason reason)
     {
         return Refusal {
@@ -231,7 +225,7 @@
             co_await writer.writeCompleted(*completed);
             co_return true;
         } else if (const auto* refused = std::get_if<RefusedMessage>(&*message)) {
-            if (isAboutCoordinator(refused->refusal.reason)) {
+            if (isAboutHost(refused->refusal.reason)) {
                 state.lastRefusal = refused->refusal;
                 state.submission.unreachable.push_back(coordinator);
                 co_return false;
--- a/src/libapricot/refusal.cpp
+++ b/src/libapricot/refusal.cpp
@@ -50,6 +50,11 @@
     return "unknown";
 }
 
+bool isAboutHost(RefusalReason reason)
+{
+    return reason == RefusalReason::NoEvidence || reason == RefusalReason::Stopping;
+}
+
 int httpStatusOf(RefusalReason reason)
 {
     switch (reason) {
--- a/src/libapricot/refusal.h
+++ b/src/libapricot/refusal.h
@@ -48,6 +48,8 @@
 // Names used in answers to callers, such as "overloaded" and "not_run".
 std::string_view refusalReasonName(RefusalReason reason);
 std::string_view ranStateName(RanState state);
+// Whether the reason concerns only the host that refused, so that another may well take the request.
+bool isAboutHost(RefusalReason reason);
 // HTTP status that goes with the reason.
 int httpStatusOf(RefusalReason reason);
 
