--- a/src/ctl/platformstore.h
+++ b/src/ctl/platformstore.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "libapricot/catalogueobject.h"
-#include "libnet/platformclient.h"
+#include "platform/platformclient.h"
 
 #include <boost/json/value.hpp>
 
--- a/src/dispatch/configwatcher.h
+++ b/src/dispatch/configwatcher.h
@@ -3,7 +3,7 @@
 #include "libapricot/configstore.h"
 #include "libnet/controlmessages.h"
 #include "libnet/peerstream.h"
-#include "libnet/platformclient.h"
+#include "platform/platformclient.h"
 
 #include <functional>
 #include <random>
--- a/src/dispatch/platformclaimstore.h
+++ b/src/dispatch/platformclaimstore.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "dispatch/claimstore.h"
-#include "libnet/platformclient.h"
+#include "platform/platformclient.h"
 
 namespace Apricot {
 
--- a/src/dispatch/statuswriter.h
+++ b/src/dispatch/statuswriter.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "libapricot/configstore.h"
-#include "libnet/platformclient.h"
+#include "platform/platformclient.h"
 
 #include <map>
 #include <string>
--- a/src/emulator/platform/platformserver.cpp
+++ b/src/emulator/platform/platformserver.cpp
@@ -1,5 +1,7 @@
 #include "emulator/platform/platformserver.h"
 
+#include "platform/names.h"
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json/parse.hpp>
@@ -16,7 +18,9 @@
 
 namespace {
 
-    constexpr std::string_view objectsPath = "/objects/";
+    using PlatformNames::objectsPath;
+    // Objects of one page of a list.
+    constexpr std::size_t pageLength = 500;
     constexpr std::string_view jsonType = "application/json";
     constexpr Milliseconds watchTimeoutDefault { 10000 };
     constexpr Milliseconds watchTimeoutLimit { 60000 };
@@ -45,27 +49,43 @@
         return number;
     }
 
+    std::string nameOf(const std::string& key) { return key.substr(key.find('/') + 1); }
+
     json::value objectJson(const StoreObject& object)
     {
-        return { { "key", object.key }, { "version", object.version }, { "value", object.value } };
+        json::object metadata { { "name", nameOf(object.key) }, { "revision", object.version },
+            { "created", object.version }, { "finalizers", json::array() },
+            { "deletionPending", false } };
+        return json::object { { "metadata", std::move(metadata) }, { "spec", object.value },
+            { "status", nullptr } };
     }
 
     json::value eventsJson(const StoreEvents& events)
     {
         json::array list;
         for (const StoreEvent& event : events.events) {
-            list.push_back({ { "key", event.key }, { "version", event.version },
-                { "value", event.value ? *event.value : json::value(nullptr) } });
+            json::value object = objectJson({ event.key, event.version,
+                event.value ? *event.value : json::value(nullptr) });
+            list.push_back(
+                json::object { { "deleted", !event.value }, { "object", std::move(object) } });
         }
-        return { { "revision", events.revision }, { "events", std::move(list) } };
+        return json::object { { "events", std::move(list) }, { "at", events.revision } };
     }
 
-    json::value listJson(const StoreList& list)
+    json::value listJson(const StoreList& list, const std::string& after)
     {
-        json::array objects;
-        for (const StoreObject& object : list.objects)
-            objects.push_back(objectJson(object));
-        return { { "revision", list.revision }, { "objects", std::move(objects) } };
+        json::array entries;
+        bool hasMore = false;
+        for (const StoreObject& object : list.objects) {
+            if (nameOf(object.key) <= after)
+                continue;
+            hasMore = entries.size() == pageLength;
+            if (hasMore)
+                break;
+            entries.push_back(objectJson(object));
+        }
+        return json::object { { "entries", std::move(entries) }, { "hasMore", hasMore },
+            { "at", list.revision } };
     }
 
     json::value conflictJson(const StoreConflict& conflict)
@@ -73,11 +93,26 @@
         return conflict.current ? objectJson(*conflict.current) : json::value(nullptr);
     }
 
-    json::value acceptedJson(const StoreAccepted& accepted)
+    // The object that a write sends.
+    struct WrittenObject {
+        std::string name;
+        json::value value;
+        std::optional<ObjectVersion> ifVersion;
+    };
+
+    WrittenObject parseWritten(const HttpRequest& request)
     {
-        json::object object;
-        object["version"] = accepted.version;
-        return object;
+        try {
+            const json::value body = json::parse(request.body);
+            const json::object& metadata = body.at("metadata").as_object();
+            WrittenObject written { .name = std::string(metadata.at("name").as_string()),
+                .value = body.at("spec") };
+            if (const json::value* revision = metadata.if_contains("revision"))
+                written.ifVersion = revision->to_number<ObjectVersion>();
+            return written;
+        } catch (const std::exception& error) {
+            throw BadRequest(error.what());
+        }
     }
 
     json::value errorJson(std::string_view text)
@@ -165,7 +200,7 @@
     if (m_faults.delay.count() > 0)
         co_await pause(m_faults.delay);
     const bool isWrite = request.method != "GET";
-    const bool isWatch = request.path == "/watch";
+    const bool isWatch = !request.parameter("watch").empty();
     ++m_counts[isWrite ? "writes" : (isWatch ? "watches" : "reads")];
     if (m_faults.outage) {
         ++m_counts["unavailable"];
@@ -175,17 +210,16 @@
         ++m_counts["limited"];
         co_return co_await respondError(exchange, 429, "rate exceeded");
     }
-    if (isWatch)
-        co_return co_await handleWatch(exchange);
-    if (request.path == "/objects" && !isWrite)
-        co_return co_await handleList(exchange);
     if (!request.path.starts_with(objectsPath) || request.path.size() == objectsPath.size())
         co_return co_await respondError(exchange, 404, "no such path");
-    const std::string key = request.path.substr(objectsPath.size());
+    const std::string key = decodePercent(request.path.substr(objectsPath.size()));
     if (isWrite)
-        co_await handleWrite(exchange, key);
-    else
-        co_await handleGet(exchange, key);
+        co_return co_await handleWrite(exchange, key);
+    if (key.find('/') != std::string::npos)
+        co_return co_await handleGet(exchange, key);
+    if (isWatch)
+        co_return co_await handleWatch(exchange, key + "/");
+    co_await handleList(exchange, key + "/");
 }
 
 asio::awaitable<void> PlatformServer::handleGet(HttpExchange& exchange, const std::string& key)
@@ -196,19 +230,18 @@
     co_await respondJson(exchange, 200, objectJson(*object));
 }
 
-asio::awaitable<void> PlatformServer::handleList(HttpExchange& exchange)
+asio::awaitable<void> PlatformServer::handleList(HttpExchange& exchange, std::string prefix)
 {
-    const StoreList list = m_store.list(exchange.request().parameter("prefix"), readRevision());
-    co_await respondJson(exchange, 200, listJson(list));
+    const StoreList list = m_store.list(prefix, readRevision());
+    co_await respondJson(exchange, 200, listJson(list, exchange.request().parameter("after")));
 }
 
-asio::awaitable<void> PlatformServer::handleWatch(HttpExchange& exchange)
+asio::awaitable<void> PlatformServer::handleWatch(HttpExchange& exchange, std::string prefix)
 {
     const HttpRequest& request = exchange.request();
-    const std::string prefix = request.parameter("prefix");
-    const ObjectVersion since = numberParameter(request, "since").value_or(0);
+    const ObjectVersion since = numberParameter(request, "watch").value_or(0);
     const Milliseconds timeout(
-        numberParameter(request, "timeout_ms").value_or(watchTimeoutDefault.count()));
+        numberParameter(request, "waitMs").value_or(watchTimeoutDefault.count()));
     const TimePoint deadline = RuntimeClock::now() + std::min(timeout, watchTimeoutLimit);
     while (true) {
         if (isCut(request)) {
@@ -241,16 +274,19 @@
 asio::awaitable<void> PlatformServer::handleWrite(HttpExchange& exchange, const std::string& key)
 {
     const HttpRequest& request = exchange.request();
-    const std::optional<ObjectVersion> ifVersion = numberParameter(request, "if_version");
     StoreResult result;
-    if (request.method == "PUT") {
-        boost::system::error_code error;
-        json::value value = json::parse(request.body, error);
-        if (error)
-            throw BadRequest("the body is no JSON: " + error.message());
-        result = m_store.put(key, std::move(value), ifVersion);
-    } else if (request.method == "DELETE") {
-        result = m_store.remove(key, ifVersion);
+    std::string written = key;
+    if (request.method == "DELETE") {
+        result = m_store.remove(key, numberParameter(request, "revision"));
+    } else if (request.method == "POST") {
+        WrittenObject object = parseWritten(request);
+        written += "/" + object.name;
+        result = m_store.put(written, std::move(object.value), 0);
+    } else if (request.method == "PUT") {
+        WrittenObject object = parseWritten(request);
+        const bool exists = m_store.get(key, m_store.revision()).has_value();
+        result = exists ? m_store.put(key, std::move(object.value), object.ifVersion)
+                        : StoreResult(StoreConflict {});
     } else {
         co_return co_await respondError(exchange, 405, "method not allowed");
     }
@@ -260,10 +296,16 @@
         exchange.abort();
         co_return;
     }
-    if (const auto* accepted = std::get_if<StoreAccepted>(&result))
-        co_return co_await respondJson(exchange, 200, acceptedJson(*accepted));
+    if (std::holds_alternative<StoreAccepted>(result)) {
+        const std::optional<StoreObject> object = m_store.get(written, m_store.revision());
+        co_return co_await respondJson(
+            exchange, 200, object ? objectJson(*object) : json::value(json::object()));
+    }
+    const auto& conflict = std::get<StoreConflict>(result);
+    if (!conflict.current)
+        co_return co_await respondError(exchange, 404, "no such object");
     ++m_counts["conflicts"];
-    co_await respondJson(exchange, 409, conflictJson(std::get<StoreConflict>(result)));
+    co_await respondJson(exchange, 409, conflictJson(conflict));
 }
 
 asio::awaitable<void> PlatformServer::pause(Duration duration)
--- a/src/emulator/platform/platformserver.h
+++ b/src/emulator/platform/platformserver.h
@@ -35,8 +35,8 @@
     boost::asio::awaitable<void> handleCounts(HttpExchange& exchange);
     boost::asio::awaitable<void> handleObjects(HttpExchange& exchange);
     boost::asio::awaitable<void> handleGet(HttpExchange& exchange, const std::string& key);
-    boost::asio::awaitable<void> handleList(HttpExchange& exchange);
-    boost::asio::awaitable<void> handleWatch(HttpExchange& exchange);
+    boost::asio::awaitable<void> handleList(HttpExchange& exchange, std::string prefix);
+    boost::asio::awaitable<void> handleWatch(HttpExchange& exchange, std::string prefix);
     boost::asio::awaitable<void> handleWrite(HttpExchange& exchange, const std::string& key);
     boost::asio::awaitable<void> pause(Duration duration);
 
--- /dev/null
+++ b/src/gateway/backendcaller.cpp
@@ -0,0 +1,151 @@
+#include "gateway/backendcaller.h"
+
+#include "platform/requesttranslation.h"
+
+#include <boost/beast/core/error.hpp>
+
+#include <algorithm>
+
+namespace Apricot {
+
+namespace Asio = boost::asio;
+
+namespace {
+
+    // Longest time to make a connection; hosts are a few milliseconds apart.
+    constexpr Milliseconds connectTimeout { 350 };
+    constexpr int statusMisdirected = 421;
+    constexpr int statusClass = 100;
+    constexpr int successClass = 2;
+
+    CallEnd callEndOf(SendEnd end)
+    {
+        switch (end) {
+        case SendEnd::Answered:
+            return CallEnd::Answered;
+        case SendEnd::NotSent:
+        case SendEnd::Silent:
+            return CallEnd::Silent;
+        case SendEnd::NotRun:
+            return CallEnd::Refused;
+        case SendEnd::Broken:
+            return CallEnd::Broken;
+        case SendEnd::Cancelled:
+            return CallEnd::Abandoned;
+        }
+        return CallEnd::Abandoned;
+    }
+
+}
+
+BackendCaller::BackendCaller(
+    Asio::io_context& context, ServingView& view, ServerTracker& tracker)
+    : m_context(context)
+    , m_view(view)
+    , m_tracker(tracker)
+{
+}
+
+Asio::awaitable<SendResult> BackendCaller::send(const ServedRequest& request,
+    ServerEntry server, std::vector<std::string> inputs, std::string lastEvent,
+    Milliseconds timeout)
+{
+    const TimePoint startedAt = RuntimeClock::now();
+    const HttpRequest& original = request.exchange.request();
+    Platform::BackendCallHeader header { .timeLeft = request.timeLeft(startedAt),
+        .server = server.id,
+        .owner = request.owner,
+        .inputs = std::move(inputs),
+        .lastEvent = std::move(lastEvent) };
+    HttpCall call { .method = original.method,
+        .target = original.target,
+        .fields = Platform::backendFields(original, header),
+        .body = original.body,
+        .timeout = timeout,
+        .cancel = request.scope->addCall() };
+    call.isOwnAnswer = [id = request.caller.id](const HttpAnswerHead& head) {
+        return Platform::isAnswerTo(head, id);
+    };
+    auto sent = std::make_shared<bool>(false);
+    HttpSendGate gate = [this, sent, server] { return *sent = mayGetWork(server); };
+    const std::shared_ptr<HttpClient> client = clientOf(server.endpoint);
+    m_tracker.callStarted(server.id);
+    SendResult result;
+    try {
+        auto stream = co_await client->open(std::move(call), std::move(gate));
+        result = classify(std::move(stream));
+    } catch (const boost::system::system_error& error) {
+        if (*sent)
+            result.end = error.code() == boost::beast::error::timeout ? SendEnd::Silent
+                                                                      : SendEnd::Broken;
+        if (request.scope->isOver())
+            result.end = *sent ? SendEnd::Cancelled : SendEnd::NotSent;
+    }
+    const TimePoint now = RuntimeClock::now();
+    const bool saysNothing = request.scope->isOver() || (!*sent && !mayGetWork(server));
+    m_tracker.callEnded(server.id,
+        saysNothing ? CallEnd::Abandoned : callEndOf(result.end), now - startedAt, now);
+    co_return result;
+}
+
+SendResult BackendCaller::classify(std::unique_ptr<HttpStream> stream) const
+{
+    if (!stream)
+        return { .end = SendEnd::NotSent };
+    const Platform::AnswerMarks marks = Platform::readAnswerMarks(stream->head());
+    const int status = stream->status();
+    if (marks.isNotRun || status == statusMisdirected)
+        return { .end = SendEnd::NotRun, .stream = nullptr, .status = status };
+    const bool isSuccess = status / statusClass == successClass;
+    if (isSuccess && (!marks.isSigned || marks.isEncoded))
+        return { .end = SendEnd::Broken };
+    return { .end = SendEnd::Answered, .stream = std::move(stream), .status = status };
+}
+
+Asio::awaitable<HttpResponse> BackendCaller::call(ServerEntry server, HttpCall call)
+{
+    const std::shared_ptr<HttpClient> client = clientOf(server.endpoint);
+    HttpSendGate gate = [this, server] { return mayGetWork(server); };
+    const std::unique_ptr<HttpStream> stream
+        = co_await client->open(std::move(call), std::move(gate));
+    if (!stream)
+        throw boost::system::system_error(Asio::error::operation_aborted);
+    HttpResponse response;
+    static_cast<HttpAnswerHead&>(response) = stream->head();
+    while (std::optional<std::string> data = co_await stream->read())
+        response.body += *data;
+    co_return response;
+}
+
+Asio::awaitable<HttpResponse> BackendCaller::callAnyway(Endpoint endpoint, HttpCall call)
+{
+    const std::shared_ptr<HttpClient> client = clientOf(endpoint);
+    co_return co_await client->send(std::move(call));
+}
+
+bool BackendCaller::mayGetWork(const ServerEntry& server)
+{
+    const KnownServer* known = m_view.servers().findUsable(server.id, RuntimeClock::now());
+    return known && known->server.endpoint == server.endpoint;
+}
+
+std::shared_ptr<HttpClient> BackendCaller::clientOf(const Endpoint& endpoint)
+{
+    std::shared_ptr<HttpClient>& client = m_clients[endpoint];
+    if (!client) {
+        HttpClientOptions options { .address = endpoint.address,
+            .port = endpoint.port,
+            .connectTimeout = connectTimeout };
+        client = std::make_shared<HttpClient>(m_context, std::move(options));
+    }
+    return client;
+}
+
+void BackendCaller::dropUnused(const std::vector<Endpoint>& known)
+{
+    std::erase_if(m_clients, [&known](const auto& entry) {
+        return std::find(known.begin(), known.end(), entry.first) == known.end();
+    });
+}
+
+}
--- /dev/null
+++ b/src/gateway/beliefkeeper.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "gateway/storefollower.h"
+#include "libserving/servingview.h"
+
+namespace Apricot {
+
+// Keeps the view of the deployment up to date from the store, and this host's own entry in it.
+class BeliefKeeper {
+public:
+    BeliefKeeper(boost::asio::io_context& context, PlatformClient& store, ServingView& view,
+        HostId self, PeerHost selfEntry);
+
+    void start();
+    // Takes this host's entry out of the store, so that the others stop to count on it.
+    boost::asio::awaitable<void> deregister();
+    // Called after each change of the view.
+    void setChangeHandler(std::function<void()> handler) { m_changed = std::move(handler); }
+
+private:
+    StoreFollower makeFollower(std::string prefix, std::function<void(const PlatformList&)> listed,
+        std::function<void(const PlatformEvent&)> changed);
+    void takeConfig(const std::string& key, ObjectVersion revision, const boost::json::value& value);
+    void takeServers(const PlatformList& list);
+    void takeServer(const PlatformEvent& event);
+    void takeEvacuations();
+    void takeHosts(const PlatformList& list);
+    void takeHost(const PlatformEvent& event);
+    void noteChange();
+    boost::asio::awaitable<void> keepRegistered();
+
+    boost::asio::io_context& m_context;
+    PlatformClient& m_store;
+    ServingView& m_view;
+    HostId m_self;
+    PeerHost m_selfEntry;
+    std::function<void()> m_changed;
+    std::set<FailureDomainId> m_domainsOut;
+    bool m_isRegistered = false;
+    bool m_isLeaving = false;
+    StoreFollower m_config;
+    StoreFollower m_servers;
+    StoreFollower m_evacuations;
+    StoreFollower m_hosts;
+};
+
+}
--- /dev/null
+++ b/src/gateway/gatewaydaemon.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "gateway/beliefkeeper.h"
+#include "gateway/requestservice.h"
+#include "libnet/adminserver.h"
+#include "libserving/gatewaysettings.h"
+
+#include <boost/asio/signal_set.hpp>
+
+namespace Apricot {
+
+// One gateway process: everything runs on one thread, because a host has a share of one core.
+class GatewayDaemon {
+public:
+    explicit GatewayDaemon(const GatewaySettings& settings);
+
+    // Serves until a signal to stop, and then finishes what is in flight.
+    void run();
+
+private:
+    boost::asio::awaitable<void> answerReadiness(HttpExchange& exchange);
+    boost::asio::awaitable<void> servePeer(std::shared_ptr<PeerStream> stream);
+    boost::asio::awaitable<void> waitForStop();
+    boost::asio::awaitable<void> waitForReload();
+    boost::asio::awaitable<void> shutDown();
+    void viewChanged();
+    HealthReport health() const;
+    boost::json::value state() const;
+
+    GatewaySettings m_settings;
+    boost::asio::io_context m_context;
+    MetricRegistry m_metrics;
+    ServingView m_view;
+    ServerTracker m_tracker;
+    RetryWindow m_retries;
+    ColdLimiter m_coldLimiter;
+    PlatformClient m_store;
+    BeliefKeeper m_belief;
+    BackendCaller m_caller;
+    PeerClient m_peers;
+    StageHome m_stageHome;
+    StageRouter m_stageRouter;
+    StageRunner m_stageRunner;
+    PlainForwarder m_plain;
+    StreamForwarder m_streams;
+    RequestService m_requests;
+    HttpServer m_callers;
+    HttpServer m_readiness;
+    PeerServer m_peerServer;
+    AdminServer m_admin;
+    boost::asio::signal_set m_stopSignals;
+    boost::asio::signal_set m_reloadSignals;
+    bool m_isStopping = false;
+};
+
+}
--- /dev/null
+++ b/src/gateway/main.cpp
@@ -0,0 +1,16 @@
+#include "gateway/gatewaydaemon.h"
+#include "libnet/daemon.h"
+
+int main(int argc, char** argv)
+{
+    using namespace Apricot;
+    return runDaemon<GatewaySettings>(argc, argv, "apricot-gateway",
+        "Serves callers of apricotpier on the users' platform.\n\n"
+        "  apricot-gateway --config=gateway.ini\n"
+        "  apricot-gateway --config=gateway.ini --check",
+        [](const GatewaySettings& settings) {
+            GatewayDaemon daemon(settings);
+            daemon.run();
+            return exitOk;
+        });
+}
--- /dev/null
+++ b/src/gateway/requestservice.cpp
@@ -0,0 +1,135 @@
+#include "gateway/requestservice.h"
+
+#include "libapricot/rendezvous.h"
+#include "libnet/log.h"
+#include "libnet/watchdog.h"
+#include "platform/requesttranslation.h"
+
+#include <boost/json/object.hpp>
+
+#include <algorithm>
+
+namespace Apricot {
+
+namespace Asio = boost::asio;
+
+namespace {
+
+    // Configuration arrives within this time of a start, as long as the store answers.
+    constexpr Milliseconds notReadyRetry { 500 };
+    // Bound for a request whose route and caller set none.
+    constexpr Milliseconds longestTime { 60'000 };
+
+    // A pool of the route, in proportion to the weights; the same for the same request everywhere.
+    PoolId choosePool(const Route& route, const std::string& requestId)
+    {
+        double total = 0;
+        for (const PoolShare& share : route.pools)
+            total += share.weight;
+        constexpr std::uint64_t steps = 1U << 20U;
+        double drawn = total * static_cast<double>(stableHash(requestId) % steps)
+            / static_cast<double>(steps);
+        for (const PoolShare& share : route.pools) {
+            if (drawn < share.weight)
+                return share.pool;
+            drawn -= share.weight;
+        }
+        return route.pools.back().pool;
+    }
+
+    ServedEnd refusedWith(GatewayRefusal reason)
+    {
+        return { .status = refusalStatus(reason), .refusal = refusalName(reason) };
+    }
+
+}
+
+RequestService::RequestService(Asio::io_context& context, ServingView& view,
+    PlainForwarder& plain, StreamForwarder& streams)
+    : m_context(context)
+    , m_view(view)
+    , m_plain(plain)
+    , m_streams(streams)
+{
+}
+
+HttpLimits RequestService::limits() const
+{
+    const auto config = m_view.config();
+    return config ? config->limits : HttpLimits {};
+}
+
+Asio::awaitable<void> RequestService::serve(HttpExchange& exchange)
+{
+    const TimePoint startedAt = RuntimeClock::now();
+    CallerRequest caller = Platform::readCallerRequest(exchange.request());
+    const std::string id = caller.id;
+    ServedEnd end;
+    std::string failure;
+    try {
+        end = co_await check(exchange, caller);
+    } catch (const std::exception& error) {
+        // The caller's connection broke while an answer was written.
+        failure = error.what();
+    }
+    const auto took = millisecondsBetween(startedAt, RuntimeClock::now());
+    boost::json::object fields { { "request", id }, { "path", exchange.request().path },
+        { "status", end.status }, { "ms", took }, { "sends", end.sends } };
+    if (!end.refusal.empty())
+        fields["refusal"] = end.refusal;
+    if (!end.server.empty())
+        fields["server"] = end.server.value();
+    if (!failure.empty())
+        fields["failure"] = failure;
+    writeLog(LogLevel::Info, "request_ended", fields);
+}
+
+Asio::awaitable<ServedEnd> RequestService::check(HttpExchange& exchange, CallerRequest& caller)
+{
+    const TimePoint now = RuntimeClock::now();
+    const auto config = m_view.config();
+    if (!config) {
+        co_await refuse(exchange, GatewayRefusal::NotReady, notReadyRetry);
+        co_return refusedWith(GatewayRefusal::NotReady);
+    }
+    const HttpRequest& http = exchange.request();
+    const Route* route = config->findRoute(http.field("Host"), http.path);
+    if (!route) {
+        co_await refuse(exchange, GatewayRefusal::UnknownRoute);
+        co_return refusedWith(GatewayRefusal::UnknownRoute);
+    }
+    const Owner* owner = config->findOwner(caller.apiKey);
+    if (!owner && !route->isPublic && config->needsKeys()) {
+        co_await refuse(exchange, GatewayRefusal::UnknownKey);
+        co_return refusedWith(GatewayRefusal::UnknownKey);
+    }
+    Milliseconds bound = caller.patience.value_or(longestTime);
+    if (route->timeout.count() > 0)
+        bound = std::min(bound, route->timeout);
+    PoolId pool = choosePool(*route, caller.id);
+    ServedRequest request { .exchange = exchange,
+        .caller = std::move(caller),
+        .config = config,
+        .route = *route,
+        .pool = std::move(pool),
+        .rank = owner && owner->rank ? *owner->rank : route->rank,
+        .arrivedAt = now,
+        .objectiveAt = now + route->objective,
+        .deadlineAt = now + bound };
+    if (owner)
+        request.owner = owner->id;
+    co_return co_await forward(request);
+}
+
+Asio::awaitable<ServedEnd> RequestService::forward(ServedRequest& request)
+{
+    const std::shared_ptr<RequestScope> scope = request.scope;
+    request.exchange.setPeerGoneHandler([scope] { scope->end(ScopeEnd::CallerGone); });
+    const Watchdog deadline(m_context, request.deadlineAt - RuntimeClock::now(),
+        [scope] { scope->end(ScopeEnd::TimedOut); });
+    if (request.route.repeatRule == RepeatRule::Stream)
+        co_return co_await m_streams.serve(request);
+    co_return co_await m_plain.serve(request);
+}
+
+}
--- /dev/null
+++ b/src/gateway/requestservice.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "gateway/plainforwarder.h"
+#include "gateway/streamforwarder.h"
+
+namespace Apricot {
+
+// Serves callers: checks each request against the configuration in force and hands it to the forwarder
+// for its kind.
+class RequestService {
+public:
+    RequestService(boost::asio::io_context& context, ServingView& view, PlainForwarder& plain,
+        StreamForwarder& streams);
+
+    boost::asio::awaitable<void> serve(HttpExchange& exchange);
+    // Limits for callers by the configuration in force.
+    HttpLimits limits() const;
+
+private:
+    boost::asio::awaitable<ServedEnd> check(HttpExchange& exchange, CallerRequest& caller);
+    boost::asio::awaitable<ServedEnd> forward(ServedRequest& request);
+
+    boost::asio::io_context& m_context;
+    ServingView& m_view;
+    PlainForwarder& m_plain;
+    StreamForwarder& m_streams;
+};
+
+}
--- /dev/null
+++ b/src/gateway/stagehome.cpp
@@ -0,0 +1,205 @@
+#include "gateway/stagehome.h"
+
+#include "platform/stagetranslation.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <tuple>
+
+namespace Apricot {
+
+namespace Asio = boost::asio;
+
+namespace {
+
+    constexpr std::size_t serversPerGroup = 6;
+    // Releases are gathered for so long into one call of each server.
+    constexpr Milliseconds releaseDelay { 20 };
+    constexpr int statusOk = 200;
+
+    // Where a result lies: the part of its handle before the slash.
+    std::optional<Endpoint> endpointOfHandle(const std::string& handle)
+    {
+        return parseEndpoint(std::string_view(handle).substr(0, handle.find('/')));
+    }
+
+}
+
+int stageGroupCount(std::size_t servers)
+{
+    return static_cast<int>(std::max<std::size_t>((servers + serversPerGroup - 1) / serversPerGroup, 1));
+}
+
+std::vector<StageServer> stageGroup(std::vector<const KnownServer*> servers, int group)
+{
+    std::sort(servers.begin(), servers.end(), [](const KnownServer* left, const KnownServer* right) {
+        return std::tie(left->server.domain, left->server.id)
+            < std::tie(right->server.domain, right->server.id);
+    });
+    const std::size_t groups = static_cast<std::size_t>(stageGroupCount(servers.size()));
+    std::vector<StageServer> members;
+    for (std::size_t index = 0; index < servers.size(); ++index) {
+        const ServerEntry& server = servers[index]->server;
+        if (index % groups == static_cast<std::size_t>(group) % groups)
+            members.push_back({ server.id, server.endpoint, server.domain });
+    }
+    return members;
+}
+
+StageHome::StageHome(Asio::io_context& context, ServingView& view, BackendCaller& caller)
+    : m_context(context)
+    , m_view(view)
+    , m_caller(caller)
+{
+}
+
+StageHome::Group* StageHome::findGroup(const PoolId& pool, int group)
+{
+    const auto config = m_view.config();
+    const Pool* definition = config ? config->findPool(pool) : nullptr;
+    if (!definition || !definition->stage)
+        return nullptr;
+    std::unique_ptr<Group>& entry = m_groups[{ pool, group }];
+    if (!entry)
+        entry = std::make_unique<Group>(m_context, *definition->stage);
+    entry->scheduler.setTraits(*definition->stage);
+    return entry.get();
+}
+
+void StageHome::refreshServers(const GroupKey& key, Group& group)
+{
+    ServerDirectory& directory = m_view.servers();
+    const auto servers = directory.usable(key.first, RuntimeClock::now());
+    if (group.serversGeneration == directory.generation())
+        return;
+    group.serversGeneration = directory.generation();
+    group.scheduler.setServers(stageGroup(servers, key.second));
+}
+
+Asio::awaitable<StageWorkResult> StageHome::run(StageWork work, std::shared_ptr<HttpCancel> cancel)
+{
+    const GroupKey key { work.pool, work.group };
+    Group* group = findGroup(key.first, key.second);
+    if (!group || cancel->isCancelled())
+        co_return StageWorkResult {};
+    refreshServers(key, *group);
+    const std::uint64_t task = m_nextTask++;
+    if (auto refused = group->scheduler.submit(task, std::move(work), RuntimeClock::now()))
+        co_return *refused;
+    auto waiter = std::make_shared<Waiter>(m_context);
+    group->waiters[task] = waiter;
+    cancel->setAction([this, key, task, waiter] {
+        waiter->result = StageWorkResult {};
+        waiter->ended.notifyAll();
+        m_groups.at(key)->scheduler.cancel(task);
+        advance(key);
+    });
+    advance(key);
+    while (!waiter->result)
+        co_await waiter->ended.wait();
+    cancel->setAction(nullptr);
+    m_groups.at(key)->waiters.erase(task);
+    co_return *waiter->result;
+}
+
+void StageHome::advance(const GroupKey& key)
+{
+    Group& group = *m_groups.at(key);
+    const TimePoint now = RuntimeClock::now();
+    refreshServers(key, group);
+    for (PlannedCall& planned : group.scheduler.plan(now))
+        Asio::co_spawn(m_context, makeCall(key, std::move(planned)), Asio::detached);
+    for (StageScheduler::Ended& ended : group.scheduler.takeEnded(now)) {
+        const auto waiter = group.waiters.find(ended.task);
+        if (waiter == group.waiters.end())
+            continue;
+        waiter->second->result = std::move(ended.result);
+        waiter->second->ended.notifyAll();
+    }
+    const std::vector<std::string> orphans = group.scheduler.takeOrphans();
+    if (!orphans.empty())
+        release(key.first, key.second, orphans);
+    const std::optional<TimePoint> next = group.scheduler.nextEvent(now);
+    if (!next)
+        return;
+    group.timer.expires_at(*next);
+    group.timer.async_wait([this, key](boost::system::error_code error) {
+        if (!error)
+            advance(key);
+    });
+}
+
+Asio::awaitable<void> StageHome::makeCall(GroupKey key, PlannedCall planned)
+{
+    std::optional<std::vector<PieceResult>> results;
+    StageCallFailure failure = StageCallFailure::Broken;
+    try {
+        const ServerEntry server { .id = planned.server.id, .endpoint = planned.server.endpoint };
+        HttpCall call
+            = Platform::makeStageCall(planned.server.id, planned.pieces, planned.timeout);
+        const HttpResponse response = co_await m_caller.call(server, std::move(call));
+        if (response.status == statusOk)
+            results = Platform::readPieceResults(response.body);
+        else
+            failure = StageCallFailure::Refused;
+    } catch (const std::exception&) {
+        failure = StageCallFailure::Broken;
+    }
+    StageScheduler& scheduler = m_groups.at(key)->scheduler;
+    if (results)
+        scheduler.callAnswered(planned.id, *results, RuntimeClock::now());
+    else
+        scheduler.callFailed(planned.id, failure, RuntimeClock::now());
+    advance(key);
+}
+
+void StageHome::release(
+    const PoolId& pool, int groupIndex, const std::vector<std::string>& handles)
+{
+    const GroupKey key { pool, groupIndex };
+    Group* group = findGroup(pool, groupIndex);
+    if (!group)
+        return;
+    for (const std::string& handle : handles) {
+        group->scheduler.released(handle);
+        group->releases.push_back(handle);
+    }
+    if (group->isReleasing)
+        return;
+    group->isReleasing = true;
+    Asio::co_spawn(m_context, sendReleases(key), Asio::detached);
+}
+
+Asio::awaitable<void> StageHome::sendReleases(GroupKey key)
+{
+    Group& group = *m_groups.at(key);
+    group.releaseTimer.expires_after(releaseDelay);
+    boost::system::error_code ignored;
+    co_await group.releaseTimer.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
+    group.isReleasing = false;
+    std::map<Endpoint, std::vector<std::string>> byServer;
+    for (std::string& handle : std::exchange(group.releases, {})) {
+        if (const std::optional<Endpoint> endpoint = endpointOfHandle(handle))
+            byServer[*endpoint].push_back(std::move(handle));
+    }
+    for (const auto& [endpoint, handles] : byServer) {
+        try {
+            co_await m_caller.callAnyway(endpoint, Platform::makeReleaseCall(handles));
+        } catch (const std::exception&) {
+            // The results end with their lifetime, or ended with their server.
+        }
+    }
+    advance(key);
+}
+
+std::size_t StageHome::waitingPieces() const
+{
+    std::size_t pieces = 0;
+    for (const auto& [key, group] : m_groups)
+        pieces += group->scheduler.waitingPieces();
+    return pieces;
+}
+
+}
--- /dev/null
+++ b/src/gateway/stagehome.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "gateway/backendcaller.h"
+#include "libnet/asyncevent.h"
+#include "libserving/stagescheduler.h"
+
+#include <map>
+#include <memory>
+
+namespace Apricot {
+
+// Groups into which a pool's stage servers are split, each with one home. Small enough for one host
+// to serve, large enough that one busy or failed server leaves others.
+int stageGroupCount(std::size_t servers);
+// Servers of one group. All hosts that know the same servers split them alike, and each group has
+// servers of every failure domain.
+std::vector<StageServer> stageGroup(std::vector<const KnownServer*> servers, int group);
+
+// Runs pieces for all hosts at the groups of stage servers whose home this host is.
+class StageHome {
+public:
+    StageHome(boost::asio::io_context& context, ServingView& view, BackendCaller& caller);
+
+    // Runs one stage of one request to its end. Cancelling drops it.
+    boost::asio::awaitable<StageWorkResult> run(StageWork work, std::shared_ptr<HttpCancel> cancel);
+    // Drops results that are not needed any more.
+    void release(const PoolId& pool, int group, const std::vector<std::string>& handles);
+
+    std::size_t waitingPieces() const;
+
+private:
+    struct Waiter {
+        explicit Waiter(boost::asio::io_context& context)
+            : ended(context.get_executor())
+        {
+        }
+
+        AsyncEvent ended;
+        std::optional<StageWorkResult> result;
+    };
+    struct Group {
+        explicit Group(boost::asio::io_context& context, const StageTraits& traits)
+            : scheduler(traits)
+            , timer(context)
+            , releaseTimer(context)
+        {
+        }
+
+        StageScheduler scheduler;
+        RuntimeTimer timer;
+        std::uint64_t serversGeneration = 0;
+        std::map<std::uint64_t, std::shared_ptr<Waiter>> waiters;
+        std::vector<std::string> releases;
+        RuntimeTimer releaseTimer;
+        bool isReleasing = false;
+    };
+    using GroupKey = std::pair<PoolId, int>;
+
+    Group* findGroup(const PoolId& pool, int group);
+    void refreshServers(const GroupKey& key, Group& group);
+    // Starts what may start, hands out what has ended, and comes back when time alone changes that.
+    void advance(const GroupKey& key);
+    boost::asio::awaitable<void> makeCall(GroupKey key, PlannedCall planned);
+    boost::asio::awaitable<void> sendReleases(GroupKey key);
+
+    boost::asio::io_context& m_context;
+    ServingView& m_view;
+    BackendCaller& m_caller;
+    std::map<GroupKey, std::unique_ptr<Group>> m_groups;
+    std::uint64_t m_nextTask = 1;
+};
+
+}
--- /dev/null
+++ b/src/gateway/stagerouter.cpp
@@ -0,0 +1,150 @@
+#include "gateway/stagerouter.h"
+
+#include "libapricot/rendezvous.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
+namespace Apricot {
+
+namespace Asio = boost::asio;
+
+namespace {
+
+    // Longest time to reach a home; hosts are a few milliseconds apart.
+    constexpr Milliseconds connectTimeout { 250 };
+    // How long a home that did not answer is passed over.
+    constexpr Milliseconds avoidTime { 1500 };
+    // Homes that are asked for one stage.
+    constexpr std::size_t homeLimit = 3;
+
+}
+
+StageRouter::StageRouter(Asio::io_context& context, HostId self, ServingView& view,
+    StageHome& home, PeerClient& peers)
+    : m_context(context)
+    , m_self(std::move(self))
+    , m_view(view)
+    , m_home(home)
+    , m_peers(peers)
+{
+}
+
+int StageRouter::groupOf(const PoolId& pool, const std::string& requestId)
+{
+    const std::size_t servers = m_view.servers().usable(pool, RuntimeClock::now()).size();
+    return static_cast<int>(
+        stableHash(requestId) % static_cast<std::uint64_t>(stageGroupCount(servers)));
+}
+
+std::vector<HostId> StageRouter::homesFor(const PoolId& pool, int group) const
+{
+    const TimePoint now = RuntimeClock::now();
+    std::vector<HostId> hosts = m_view.hostIds();
+    if (std::find(hosts.begin(), hosts.end(), m_self) == hosts.end())
+        hosts.push_back(m_self);
+    std::vector<HostId> order = rankHosts(pool.value() + "#" + std::to_string(group), hosts);
+    std::stable_partition(order.begin(), order.end(), [this, now](const HostId& host) {
+        const auto avoided = m_avoidedUntil.find(host);
+        return avoided == m_avoidedUntil.end() || avoided->second <= now;
+    });
+    order.resize(std::min(order.size(), homeLimit));
+    return order;
+}
+
+Asio::awaitable<StageWorkResult> StageRouter::run(
+    StageWork work, std::shared_ptr<HttpCancel> cancel, HostId& ranAt)
+{
+    for (const HostId& host : homesFor(work.pool, work.group)) {
+        if (cancel->isCancelled())
+            break;
+        ranAt = host;
+        if (host == m_self)
+            co_return co_await m_home.run(std::move(work), std::move(cancel));
+        const TimePoint askedAt = RuntimeClock::now();
+        if (auto result = co_await ask(host, work, cancel))
+            co_return *result;
+        const TimePoint now = RuntimeClock::now();
+        m_avoidedUntil[host] = now + avoidTime;
+        const auto lost = std::chrono::ceil<Milliseconds>(now - askedAt);
+        work.objectiveSlack -= lost;
+        work.deadlineSlack -= lost;
+        work.patience -= lost;
+    }
+    ranAt = m_self;
+    co_return co_await m_home.run(std::move(work), std::move(cancel));
+}
+
+Asio::awaitable<std::optional<StageWorkResult>> StageRouter::ask(
+    HostId host, StageWork work, std::shared_ptr<HttpCancel> cancel)
+{
+    const auto known = m_view.hosts().find(host);
+    if (known == m_view.hosts().end())
+        co_return std::nullopt;
+    try {
+        Message question = StageWorkMessage { std::move(work) };
+        const std::shared_ptr<PeerStream> stream = co_await m_peers.open(
+            known->second.endpoint, std::move(question), connectTimeout);
+        cancel->setAction([stream] { stream->cancel(); });
+        const std::optional<Message> answer = co_await stream->read();
+        cancel->setAction(nullptr);
+        if (answer && std::holds_alternative<StageResultMessage>(*answer))
+            co_return std::get<StageResultMessage>(*answer).result;
+    } catch (const std::exception&) {
+        if (cancel->isCancelled())
+            co_return StageWorkResult {};
+    }
+    co_return std::nullopt;
+}
+
+void StageRouter::release(const StageResults& results)
+{
+    if (results.handles.empty())
+        return;
+    if (results.home == m_self)
+        return m_home.release(results.pool, results.group, results.handles);
+    const auto known = m_view.hosts().find(results.home);
+    if (known != m_view.hosts().end())
+        Asio::co_spawn(
+            m_context, tellRelease(known->second.endpoint, results), Asio::detached);
+}
+
+Asio::awaitable<void> StageRouter::tellRelease(Endpoint endpoint, StageResults results)
+{
+    try {
+        Message message = ReleaseResultsMessage {
+            results.pool, results.group, std::move(results.handles)
+        };
+        const auto stream
+            = co_await m_peers.open(std::move(endpoint), std::move(message), connectTimeout);
+        stream->finish();
+        co_await stream->read();
+    } catch (const std::exception&) {
+        // The results end with their lifetime.
+    }
+}
+
+Asio::awaitable<void> StageRouter::serve(std::shared_ptr<PeerStream> stream, StageWork work)
+{
+    auto cancel = std::make_shared<HttpCancel>();
+    // The asking host sends nothing more; its stream breaks when the caller leaves or the host ends.
+    Asio::co_spawn(
+        m_context,
+        [stream, cancel]() -> Asio::awaitable<void> {
+            try {
+                co_await stream->read();
+            } catch (const std::exception&) {
+                cancel->cancel();
+            }
+        },
+        Asio::detached);
+    StageWorkResult result = co_await m_home.run(std::move(work), cancel);
+    if (cancel->isCancelled())
+        co_return;
+    Message answer = StageResultMessage { std::move(result) };
+    co_await stream->write(std::move(answer));
+}
+
+}
--- /dev/null
+++ b/src/gateway/stagerouter.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "gateway/stagehome.h"
+#include "libnet/peerstream.h"
+
+#include <set>
+
+namespace Apricot {
+
+// Results of one stage, and where they can be released.
+struct StageResults {
+    PoolId pool;
+    int group = 0;
+    HostId home;
+    std::vector<std::string> handles;
+};
+
+// Brings stages of requests to the home of their group of servers. All hosts agree on the home by
+// rendezvous hashing; one that does not answer is passed over for a while, and pieces may be made
+// again, so no agreement is needed when hosts differ.
+class StageRouter {
+public:
+    StageRouter(boost::asio::io_context& context, HostId self, ServingView& view, StageHome& home,
+        PeerClient& peers);
+
+    // Group of a pool's servers for a request.
+    int groupOf(const PoolId& pool, const std::string& requestId);
+    // Runs one stage; sets the host that ran it.
+    boost::asio::awaitable<StageWorkResult> run(
+        StageWork work, std::shared_ptr<HttpCancel> cancel, HostId& ranAt);
+    // Releases results in the background.
+    void release(const StageResults& results);
+    // Serves the question of a peer.
+    boost::asio::awaitable<void> serve(std::shared_ptr<PeerStream> stream, StageWork work);
+
+private:
+    std::vector<HostId> homesFor(const PoolId& pool, int group) const;
+    boost::asio::awaitable<std::optional<StageWorkResult>> ask(
+        HostId host, StageWork work, std::shared_ptr<HttpCancel> cancel);
+    boost::asio::awaitable<void> tellRelease(Endpoint endpoint, StageResults results);
+
+    boost::asio::io_context& m_context;
+    HostId m_self;
+    ServingView& m_view;
+    StageHome& m_home;
+    PeerClient& m_peers;
+    std::map<HostId, TimePoint> m_avoidedUntil;
+};
+
+}
--- /dev/null
+++ b/src/gateway/stagerunner.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "gateway/requestscope.h"
+#include "gateway/stagerouter.h"
+#include "libserving/stageplan.h"
+
+namespace Apricot {
+
+// How all stages of a request ended together.
+struct StagesEnd {
+    // Done, or why the first stage that failed did.
+    StageWorkEnd end = StageWorkEnd::Done;
+    Milliseconds retryAfter { 0 };
+    // Results for the model engine.
+    std::vector<std::string> inputs;
+    // All results, to be released.
+    std::vector<StageResults> results;
+};
+
+// Runs the stages of requests, each as soon as those that it reads are done.
+class StageRunner {
+public:
+    StageRunner(boost::asio::io_context& context, StageRouter& router);
+
+    // Runs all stages. The engine's time is what the request needs after them to its first event.
+    boost::asio::awaitable<StagesEnd> run(ServedRequest& request, Milliseconds engineTime);
+    void release(const std::vector<StageResults>& results);
+
+private:
+    // The stages of one request on their way; shared with the coroutines that run them.
+    struct Progress;
+
+    void startReady(const std::shared_ptr<Progress>& progress);
+    StageWork makeWork(const Progress& progress, int stage);
+    boost::asio::awaitable<void> runStage(std::shared_ptr<Progress> progress, int stage);
+
+    boost::asio::io_context& m_context;
+    StageRouter& m_router;
+};
+
+}
--- /dev/null
+++ b/src/gateway/storefollower.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "platform/platformclient.h"
+
+#include <functional>
+
+namespace Apricot {
+
+struct StoreFollowerOptions {
+    // Kind of objects to follow, with its slash.
+    std::string prefix;
+    // How long one watch waits. A connection that went silent is found so late.
+    Milliseconds watchTime { 2500 };
+    // Time between two tries while the store does not answer.
+    Milliseconds retryTime { 250 };
+};
+
+// Follows the objects of one kind in the store: lists them, then watches for changes, and lists again
+// when the store's history no longer reaches back.
+class StoreFollower {
+public:
+    struct Handlers {
+        std::function<void(const PlatformList&)> listed;
+        std::function<void(const PlatformEvent&)> changed;
+        // The store stopped to answer, or answers again; with the reason.
+        std::function<void(const std::string&)> lost;
+        std::function<void()> regained;
+    };
+
+    StoreFollower(boost::asio::io_context& context, PlatformClient& store,
+        StoreFollowerOptions options, Handlers handlers);
+
+    // Follows for as long as the io_context runs.
+    void start();
+    bool isLost() const { return m_isLost; }
+    ObjectVersion revision() const { return m_revision; }
+    // Takes a revision up to which the objects are known from elsewhere.
+    void noteRevision(ObjectVersion revision) { m_revision = std::max(m_revision, revision); }
+
+private:
+    boost::asio::awaitable<void> follow();
+    boost::asio::awaitable<void> readOnce();
+    void noteLost(const std::string& reason);
+    void noteRegained();
+
+    boost::asio::io_context& m_context;
+    PlatformClient& m_store;
+    StoreFollowerOptions m_options;
+    Handlers m_handlers;
+    ObjectVersion m_revision = 0;
+    bool m_mustList = true;
+    bool m_isLost = false;
+};
+
+}
--- a/src/libapricot/settingvalue.cpp
+++ b/src/libapricot/settingvalue.cpp
@@ -1,5 +1,6 @@
 #include "libapricot/settingvalue.h"
 
+#include "libapricot/endpoint.h"
 #include "libapricot/namecheck.h"
 
 #include <array>
@@ -38,6 +39,10 @@
             return isValidAddress(text);
         case TextFormat::Path:
             return true;
+        case TextFormat::Endpoint:
+            return parseEndpoint(text).has_value();
+        case TextFormat::EndpointList:
+            return parseEndpoints(text).has_value();
         }
         return false;
     }
@@ -110,6 +115,10 @@
             return std::string(allowedAddress);
         case TextFormat::Path:
             return "a file name, or nothing";
+        case TextFormat::Endpoint:
+            return "ADDRESS:PORT";
+        case TextFormat::EndpointList:
+            return "ADDRESS:PORT, any number of them with commas between";
         case TextFormat::Name:
             break;
         }
--- a/src/libapricot/settingvalue.h
+++ b/src/libapricot/settingvalue.h
@@ -22,6 +22,10 @@
     Name,
     Address,
     Path,
+    // ADDRESS:PORT.
+    Endpoint,
+    // Any number of ADDRESS:PORT, separated by commas.
+    EndpointList,
 };
 
 // One setting: where it stands in the file, what it may be, and what it does.
--- a/src/libnet/httpclient.cpp
+++ b/src/libnet/httpclient.cpp
@@ -1,14 +1,10 @@
 #include "libnet/httpclient.h"
 
+#include "libnet/httpstreamimpl.h"
+
 #include <boost/asio/connect.hpp>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http.hpp>
 
-#include <array>
-#include <deque>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
@@ -21,14 +17,11 @@
 namespace {
 
     constexpr unsigned httpVersion11 = 11;
-    constexpr std::size_t readBytes = 16384;
     // Bytes that the server's host has not acknowledged for so long are given up, also while this
     // process is paused, so that they can't arrive after a cut has healed.
     constexpr int unacknowledgedLimitMs = 3000;
 
-    using Connection = Beast::tcp_stream;
-
-    bool isReusable(Connection& connection)
+    bool isReusable(HttpConnection& connection)
     {
         boost::system::error_code error;
         char byte = 0;
@@ -38,16 +31,26 @@
         return error == Asio::error::would_block;
     }
 
-    std::vector<HttpField> copyFields(const Http::fields& source)
+    void throwIfCancelled(const HttpCall& call)
     {
-        std::vector<HttpField> fields;
-        for (const auto& field : source)
-            fields.push_back({ std::string(field.name_string()), std::string(field.value()) });
-        return fields;
+        if (call.cancel && call.cancel->isCancelled())
+            throw boost::system::system_error(Asio::error::operation_aborted);
     }
 
 }
 
+void HttpCancel::cancel()
+{
+    m_cancelled = true;
+    if (const auto action = std::exchange(m_action, nullptr))
+        action();
+}
+
+void HttpCancel::setAction(std::function<void()> action)
+{
+    m_action = std::move(action);
+}
+
 class HttpClient::Impl : public std::enable_shared_from_this<HttpClient::Impl> {
 public:
     Impl(Asio::io_context& context, HttpClientOptions options)
@@ -57,15 +60,14 @@
     }
 
     // Takes an idle connection, or makes one.
-    Asio::awaitable<std::unique_ptr<Connection>> take()
+    Asio::awaitable<std::shared_ptr<HttpConnection>> take(const HttpCall& call)
     {
-        while (!m_idle.empty()) {
-            std::unique_ptr<Connection> connection = std::move(m_idle.back());
-            m_idle.pop_back();
-            if (isReusable(*connection))
-                co_return connection;
+        if (auto idle = takeIdle()) {
+            attach(call, idle);
+            co_return idle;
         }
-        auto connection = std::make_unique<Connection>(m_context);
+        auto connection = std::make_shared<HttpConnection>(m_context);
+        attach(call, connection);
         connection->expires_after(m_options.connectTimeout);
         const Asio::ip::tcp::endpoint target(
             Asio::ip::make_address(m_options.address), m_options.port);
@@ -77,13 +79,16 @@
         co_return connection;
     }
 
-    void giveBack(std::unique_ptr<Connection> connection)
+    void giveBack(std::shared_ptr<HttpConnection> connection, Milliseconds idleTimeout)
     {
         connection->expires_never();
         if (m_idle.size() < m_options.idleConnections)
-            m_idle.push_back(std::move(connection));
+            m_idle.push_back({ std::move(connection),
+                RuntimeClock::now() + std::min(idleTimeout, m_options.idleTimeout) });
     }
 
+    void dropIdle() { m_idle.clear(); }
+
     Http::request<Http::string_body> toMessage(HttpCall& call) const
     {
         Http::request<Http::string_body> message;
@@ -91,104 +96,48 @@
         message.method_string(call.method);
         message.target(call.target);
         message.set(Http::field::host, m_options.address);
-        for (const HttpField& field : call.fields)
-            message.set(field.name, field.value);
+        for (const HttpField& field : call.fields) {
+            if (Beast::iequals(field.name, "Host"))
+                message.set(Http::field::host, field.value);
+            else
+                message.insert(field.name, field.value);
+        }
         message.body() = std::move(call.body);
         message.prepare_payload();
         return message;
     }
 
 private:
-    Asio::io_context& m_context;
-    HttpClientOptions m_options;
-    std::vector<std::unique_ptr<Connection>> m_idle;
-};
-
-namespace {
-
-    class HttpStreamImpl : public HttpStream {
-    public:
-        using Release = std::function<void(std::unique_ptr<Connection>)>;
-
-        HttpStreamImpl(
-            std::unique_ptr<Connection> connection, Milliseconds timeout, Release release)
-            : m_connection(std::move(connection))
-            , m_timeout(timeout)
-            , m_release(std::move(release))
-        {
-            m_parser.body_limit(boost::none);
-        }
-
-        Asio::awaitable<void> exchange(Http::request<Http::string_body> message)
-        {
-            m_connection->expires_after(m_timeout);
-            co_await Http::async_write(*m_connection, message, Asio::use_awaitable);
-            co_await Http::async_read_header(
-                *m_connection, m_buffer, m_parser, Asio::use_awaitable);
-            m_fields = copyFields(m_parser.get());
-        }
-
-        // Returns the unused connection.
-        void withdraw() { m_release(std::move(m_connection)); }
-
-        int status() const override { return static_cast<int>(m_parser.get().result_int()); }
-
-        std::string_view field(std::string_view name) const override
-        {
-            for (const HttpField& field : m_fields) {
-                if (Beast::iequals(field.name, name))
-                    return field.value;
-            }
-            return {};
-        }
-
-        std::vector<HttpField> takeFields() { return std::move(m_fields); }
-
-        Asio::awaitable<std::optional<std::string>> read() override
-        {
-            while (m_connection) {
-                if (m_parser.is_done()) {
-                    finish();
-                    break;
-                }
-                std::string data = co_await readSome();
-                if (!data.empty())
-                    co_return data;
-            }
-            co_return std::nullopt;
-        }
-
-    private:
-        Asio::awaitable<std::string> readSome()
-        {
-            m_parser.get().body().data = m_storage.data();
-            m_parser.get().body().size = m_storage.size();
-            m_connection->expires_after(m_timeout);
-            boost::system::error_code error;
-            co_await Http::async_read_some(*m_connection, m_buffer, m_parser,
-                Asio::redirect_error(Asio::use_awaitable, error));
-            if (error && error != Http::error::need_buffer)
-                throw boost::system::system_error(error);
-            co_return std::string(m_storage.data(), m_storage.size() - m_parser.get().body().size);
-        }
+    struct IdleConnection {
+        std::shared_ptr<HttpConnection> connection;
+        TimePoint usableUntil {};
+    };
 
-        void finish()
-        {
-            if (m_parser.keep_alive() && m_buffer.size() == 0)
-                m_release(std::move(m_connection));
-            m_connection.reset();
+    std::shared_ptr<HttpConnection> takeIdle()
+    {
+        while (!m_idle.empty()) {
+            const IdleConnection idle = std::move(m_idle.back());
+            m_idle.pop_back();
+            if (RuntimeClock::now() < idle.usableUntil && isReusable(*idle.connection))
+                return idle.connection;
         }
+        return nullptr;
+    }
 
-        std::unique_ptr<Connection> m_connection;
-        Milliseconds m_timeout;
-        Release m_release;
-        Beast::flat_buffer m_buffer;
-        Http::response_parser<Http::buffer_body> m_parser;
-        std::vector<HttpField> m_fields;
-        std::array<char, readBytes> m_storage {};
-    };
+    static void attach(const HttpCall& call, const std::shared_ptr<HttpConnection>& connection)
+    {
+        throwIfCancelled(call);
+        if (call.cancel)
+            call.cancel->setAction([weak = std::weak_ptr<HttpConnection>(connection)] {
+                if (const auto open = weak.lock())
+                    open->close();
+            });
+    }
 
-}
+    Asio::io_context& m_context;
+    HttpClientOptions m_options;
+    std::vector<IdleConnection> m_idle;
+};
 
 HttpClient::HttpClient(Asio::io_context& context, HttpClientOptions options)
     : m_impl(std::make_shared<Impl>(context, std::move(options)))
@@ -197,12 +146,16 @@
 
 HttpClient::~HttpClient() = default;
 
+void HttpClient::dropIdle()
+{
+    m_impl->dropIdle();
+}
+
 Asio::awaitable<HttpResponse> HttpClient::send(HttpCall call)
 {
     const std::unique_ptr<HttpStream> stream = co_await open(std::move(call));
     HttpResponse response;
-    response.status = stream->status();
-    response.fields = static_cast<HttpStreamImpl&>(*stream).takeFields();
+    static_cast<HttpAnswerHead&>(response) = stream->head();
     while (std::optional<std::string> data = co_await stream->read())
         response.body += *data;
     co_return response;
@@ -212,19 +165,22 @@
 {
     // Keeps the pool alive while this call runs, and no longer.
     const std::shared_ptr<Impl> impl = m_impl;
-    std::unique_ptr<Connection> connection = co_await impl->take();
-    const Milliseconds timeout = call.timeout;
+    std::shared_ptr<HttpConnection> connection = co_await impl->take(call);
+    throwIfCancelled(call);
     Http::request<Http::string_body> message = impl->toMessage(call);
-    auto stream = std::make_unique<HttpStreamImpl>(std::move(connection), timeout,
-        [weak = std::weak_ptr<Impl>(impl)](std::unique_ptr<Connection> returned) {
+    auto stream = std::make_unique<HttpStreamImpl>(std::move(connection), call.timeout,
+        [weak = std::weak_ptr<Impl>(impl), cancel = call.cancel](
+            std::shared_ptr<HttpConnection> returned, Milliseconds idleTimeout) {
+            if (cancel)
+                cancel->setAction(nullptr);
             if (const std::shared_ptr<Impl> pool = weak.lock())
-                pool->giveBack(std::move(returned));
+                pool->giveBack(std::move(returned), idleTimeout);
         });
     if (gate && !gate()) {
         stream->withdraw();
         co_return nullptr;
     }
-    co_await stream->exchange(std::move(message));
+    co_await stream->exchange(std::move(message), std::move(call.isOwnAnswer));
     co_return stream;
 }
 
--- a/src/libnet/httpclient.h
+++ b/src/libnet/httpclient.h
@@ -7,6 +7,28 @@
 
 namespace Apricot {
 
+// Ends a call from outside, also while it connects or waits: its connection closes, and the call
+// throws.
+class HttpCancel {
+public:
+    void cancel();
+    bool isCancelled() const { return m_cancelled; }
+    // Sets what closes the connection of the running step.
+    void setAction(std::function<void()> action);
+
+private:
+    std::function<void()> m_action;
+    bool m_cancelled = false;
+};
+
+// The header of an answer.
+struct HttpAnswerHead {
+    int status = 0;
+    std::vector<HttpField> fields;
+
+    std::string_view field(std::string_view name) const;
+};
+
 // One call of an HTTP/1.1 server.
 // Name an aggregate before it is passed in a co_await expression: g++ 12 destroys a braced temporary
 // there twice.
@@ -14,18 +36,19 @@
     std::string method = "GET";
     // Path with query.
     std::string target = "/";
+    // A field Host replaces the server's address there.
     std::vector<HttpField> fields;
     std::string body;
     // Longest wait for the answer's header, and for each read after it.
     Milliseconds timeout { 5000 };
+    std::shared_ptr<HttpCancel> cancel;
+    // Whether an answer belongs to this call; one that does not is read and dropped, and the next one
+    // on the connection is awaited. Unset means that every answer does.
+    std::function<bool(const HttpAnswerHead&)> isOwnAnswer;
 };
 
-struct HttpResponse {
-    int status = 0;
-    std::vector<HttpField> fields;
+struct HttpResponse : HttpAnswerHead {
     std::string body;
-
-    std::string_view field(std::string_view name) const;
 };
 
 // An answer that is read as it arrives. Destroying it before the end closes the connection, which
@@ -34,8 +57,11 @@
 public:
     virtual ~HttpStream() = default;
 
-    virtual int status() const = 0;
-    virtual std::string_view field(std::string_view name) const = 0;
+    virtual const HttpAnswerHead& head() const = 0;
+    int status() const { return head().status; }
+    std::string_view field(std::string_view name) const { return head().field(name); }
+    // Changes the longest wait for each later read.
+    virtual void setTimeout(Milliseconds timeout) = 0;
     // Next piece of the body, or nothing at a clean end. Throws boost::system::system_error when the
     // connection breaks before the end.
     virtual boost::asio::awaitable<std::optional<std::string>> read() = 0;
@@ -47,6 +73,8 @@
     // Idle connections kept for reuse.
     std::size_t idleConnections = 16;
     Milliseconds connectTimeout { 1000 };
+    // Longest idle time of a kept connection; a shorter one that the server states goes before it.
+    Milliseconds idleTimeout { 60'000 };
 };
 
 // Outcome of the last step before the bytes of a call leave: a call may be withdrawn here.
@@ -67,6 +95,8 @@
     // connection just before the first byte is written; when it returns false nothing is sent and
     // nullptr is returned. Errors before the gate ran mean that nothing was sent.
     boost::asio::awaitable<std::unique_ptr<HttpStream>> open(HttpCall call, HttpSendGate gate = {});
+    // Closes the idle connections.
+    void dropIdle();
 
 private:
     class Impl;
--- a/src/libnet/httpexchangeimpl.cpp
+++ b/src/libnet/httpexchangeimpl.cpp
@@ -32,7 +32,8 @@
 {
     HttpRequest request;
     request.method = std::string(message.method_string());
-    const std::string target(message.target());
+    request.target = std::string(message.target());
+    const std::string& target = request.target;
     const std::size_t mark = std::min(target.find('?'), target.size());
     request.path = target.substr(0, mark);
     request.query = target.substr(std::min(mark + 1, target.size()));
@@ -43,24 +44,27 @@
 }
 
 HttpExchangeImpl::HttpExchangeImpl(
-    Asio::ip::tcp::socket& socket, HttpRequest request, bool keepAlive)
+    Asio::ip::tcp::socket& socket, HttpRequest request, bool keepAlive, const bool& isClosing)
     : m_socket(socket)
     , m_request(std::move(request))
     , m_watchEnded(socket.get_executor())
     , m_keepAlive(keepAlive)
+    , m_isClosing(isClosing)
 {
 }
 
 template <typename Body>
 void HttpExchangeImpl::fillHeader(Http::response<Body>& response, int status,
-    std::string contentType, const std::vector<HttpField>& fields) const
+    std::string contentType, const std::vector<HttpField>& fields)
 {
+    m_keepAlive = m_keepAlive && !m_isClosing;
     response.version(httpVersion11);
     response.result(static_cast<unsigned>(status));
     response.keep_alive(m_keepAlive);
-    response.set(Http::field::content_type, contentType);
+    if (!contentType.empty())
+        response.set(Http::field::content_type, contentType);
     for (const HttpField& field : fields)
-        response.set(field.name, field.value);
+        response.insert(field.name, field.value);
 }
 
 Asio::awaitable<void> HttpExchangeImpl::respond(
--- a/src/libnet/httpexchangeimpl.h
+++ b/src/libnet/httpexchangeimpl.h
@@ -14,7 +14,9 @@
 // An exchange over one connection of HttpServer.
 class HttpExchangeImpl : public HttpExchange {
 public:
-    HttpExchangeImpl(boost::asio::ip::tcp::socket& socket, HttpRequest request, bool keepAlive);
+    // The server sets isClosing when connections are to end with their next answer.
+    HttpExchangeImpl(boost::asio::ip::tcp::socket& socket, HttpRequest request, bool keepAlive,
+        const bool& isClosing);
 
     const HttpRequest& request() const override { return m_request; }
     boost::asio::awaitable<void> respond(int status, std::string contentType, std::string body,
@@ -39,13 +41,14 @@
     boost::asio::awaitable<void> watch();
     template <typename Body>
     void fillHeader(boost::beast::http::response<Body>& response, int status,
-        std::string contentType, const std::vector<HttpField>& fields) const;
+        std::string contentType, const std::vector<HttpField>& fields);
 
     boost::asio::ip::tcp::socket& m_socket;
     HttpRequest m_request;
     AsyncEvent m_watchEnded;
     std::function<void()> m_peerGoneHandler;
     bool m_keepAlive;
+    const bool& m_isClosing;
     bool m_answered = false;
     bool m_finished = false;
     bool m_peerGone = false;
--- a/src/libnet/httpfields.cpp
+++ b/src/libnet/httpfields.cpp
@@ -21,22 +21,22 @@
         return found == fields.end() ? std::string_view() : std::string_view(found->value);
     }
 
-    std::string decodePercent(std::string_view text)
-    {
-        std::string decoded;
-        for (std::size_t index = 0; index < text.size(); ++index) {
-            if (text[index] == '%' && index + 2 < text.size()) {
-                const std::string digits(text.substr(index + 1, 2));
-                decoded.push_back(
-                    static_cast<char>(std::strtol(digits.c_str(), nullptr, hexBase)));
-                index += 2;
-                continue;
-            }
-            decoded.push_back(text[index] == '+' ? ' ' : text[index]);
+}
+
+std::string decodePercent(std::string_view text)
+{
+    std::string decoded;
+    for (std::size_t index = 0; index < text.size(); ++index) {
+        if (text[index] == '%' && index + 2 < text.size()) {
+            const std::string digits(text.substr(index + 1, 2));
+            decoded.push_back(
+                static_cast<char>(std::strtol(digits.c_str(), nullptr, hexBase)));
+            index += 2;
+            continue;
         }
-        return decoded;
+        decoded.push_back(text[index] == '+' ? ' ' : text[index]);
     }
-
+    return decoded;
 }
 
 std::string_view HttpRequest::field(std::string_view name) const
@@ -58,7 +58,7 @@
     return {};
 }
 
-std::string_view HttpResponse::field(std::string_view name) const
+std::string_view HttpAnswerHead::field(std::string_view name) const
 {
     return findField(fields, name);
 }
--- a/src/libnet/httpserver.cpp
+++ b/src/libnet/httpserver.cpp
@@ -1,6 +1,8 @@
 #include "libnet/httpserver.h"
 
 #include "libnet/httpexchangeimpl.h"
+#include "libnet/requesthead.h"
+#include "libnet/watchdog.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -8,7 +10,9 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
+#include <array>
 #include <atomic>
+#include <optional>
 #include <set>
 
 namespace Apricot {
@@ -17,6 +21,19 @@
 namespace Http = boost::beast::http;
 using Tcp = boost::asio::ip::tcp;
 
+namespace {
+
+    constexpr std::string_view headEnd = "\r\n\r\n";
+    constexpr std::size_t readBytes = 4096;
+    constexpr int statusBadRequest = 400;
+    constexpr int statusTimeout = 408;
+    constexpr int statusBodyTooLarge = 413;
+    constexpr int statusHeaderTooLarge = 431;
+    // How long a refused caller's unread bytes are awaited.
+    constexpr Milliseconds lingerTime { 500 };
+
+}
+
 class HttpServer::Impl : public std::enable_shared_from_this<HttpServer::Impl> {
 public:
     Impl(Asio::io_context& context, HttpServerOptions options, HttpHandler handler)
@@ -46,6 +63,7 @@
             socket->close(ignored); // NOLINT(bugprone-unused-return-value)
     }
 
+    void closeAfterAnswers() { m_closing = true; }
     void rememberPort() { m_port = m_acceptor.local_endpoint().port(); }
 
 private:
@@ -76,24 +94,95 @@
             keep = co_await serveRequest(socket, buffer);
     }
 
+    HttpLimits limits() const
+    {
+        return m_options.limits ? m_options.limits()
+                                : HttpLimits { .bodyBytes = m_options.bodyLimitBytes };
+    }
+
+    // Closes the socket's reads when a time has passed; zero is no bound.
+    static std::unique_ptr<Watchdog> bound(Tcp::socket& socket, Milliseconds timeout)
+    {
+        if (timeout.count() == 0)
+            return nullptr;
+        return std::make_unique<Watchdog>(socket.get_executor(), timeout, [&socket] {
+            boost::system::error_code ignored;
+            socket.cancel(ignored); // NOLINT(bugprone-unused-return-value)
+        });
+    }
+
+    // Waits for the first byte of a request; false when the connection ends before it.
+    Asio::awaitable<bool> waitForRequest(
+        Tcp::socket& socket, const boost::beast::flat_buffer& buffer, Milliseconds timeout)
+    {
+        if (buffer.size() > 0)
+            co_return true;
+        const std::unique_ptr<Watchdog> watchdog = bound(socket, timeout);
+        m_idle.insert(&socket);
+        boost::system::error_code error;
+        co_await socket.async_wait(
+            Tcp::socket::wait_read, Asio::redirect_error(Asio::use_awaitable, error));
+        m_idle.erase(&socket);
+        co_return !error;
+    }
+
+    // Reads up to the end of a request's header. Returns the status to refuse it with, zero for a
+    // header that can be read, or nothing when the connection ended.
+    static Asio::awaitable<std::optional<int>> readHead(
+        Tcp::socket& socket, boost::beast::flat_buffer& buffer, HttpLimits limits)
+    {
+        const std::unique_ptr<Watchdog> watchdog = bound(socket, limits.headerTimeout);
+        while (true) {
+            const std::string_view read(
+                static_cast<const char*>(buffer.data().data()), buffer.size());
+            const std::size_t end = read.find(headEnd);
+            if (end != std::string_view::npos && end <= limits.headerBytes)
+                co_return findHeadFault(read.substr(0, end + headEnd.size())) ? statusBadRequest : 0;
+            if (read.size() > limits.headerBytes)
+                co_return statusHeaderTooLarge;
+            boost::system::error_code error;
+            const std::size_t count = co_await socket.async_read_some(
+                buffer.prepare(readBytes), Asio::redirect_error(Asio::use_awaitable, error));
+            if (error && watchdog && watchdog->hasExpired())
+                co_return statusTimeout;
+            if (error)
+                co_return std::nullopt;
+            buffer.commit(count);
+        }
+    }
+
     // Reads and answers one request; returns whether the connection may carry another.
     Asio::awaitable<bool> serveRequest(Tcp::socket& socket, boost::beast::flat_buffer& buffer)
     {
+        const HttpLimits bounds = limits();
+        if (!co_await waitForRequest(socket, buffer, bounds.idleTimeout))
+            co_return false;
+        const std::optional<int> fault = co_await readHead(socket, buffer, bounds);
+        if (!fault)
+            co_return false;
+        if (*fault != 0) {
+            co_await refuseUnreadable(socket, *fault, "the request's header can't be read");
+            co_return false;
+        }
         Http::request_parser<Http::string_body> parser;
-        parser.body_limit(m_options.bodyLimitBytes);
+        parser.body_limit(bounds.bodyBytes);
+        parser.header_limit(static_cast<std::uint32_t>(bounds.headerBytes + headEnd.size()));
         boost::system::error_code error;
-        m_idle.insert(&socket);
-        co_await Http::async_read(
-            socket, buffer, parser, Asio::redirect_error(Asio::use_awaitable, error));
-        m_idle.erase(&socket);
+        {
+            const std::unique_ptr<Watchdog> watchdog = bound(socket, bounds.idleTimeout);
+            co_await Http::async_read(
+                socket, buffer, parser, Asio::redirect_error(Asio::use_awaitable, error));
+        }
         if (isConnectionLost(error))
             co_return false;
-        HttpExchangeImpl exchange(socket, error ? HttpRequest {} : toRequest(parser.get()),
-            parser.get().keep_alive() && !error);
         if (error) {
-            co_await refuseUnreadable(exchange, error);
+            co_await refuseUnreadable(socket,
+                error == Http::error::body_limit ? statusBodyTooLarge : statusBadRequest,
+                error.message());
             co_return false;
         }
+        HttpExchangeImpl exchange(
+            socket, toRequest(parser.get()), parser.get().keep_alive(), m_closing);
         co_return co_await runHandler(exchange);
     }
 
@@ -106,21 +195,26 @@
                 || error == Http::error::partial_message);
     }
 
-    static Asio::awaitable<void> refuseUnreadable(
-        HttpExchangeImpl& exchange, boost::system::error_code error)
+    // Answers what can't be read and closes. Unread bytes are read and dropped first: a close with
+    // unread bytes resets the connection, which can destroy the answer on its way.
+    Asio::awaitable<void> refuseUnreadable(Tcp::socket& socket, int status, std::string detail)
     {
-        constexpr int badRequest = 400;
-        constexpr int contentTooLarge = 413;
-        const int status = error == Http::error::body_limit ? contentTooLarge : badRequest;
+        HttpExchangeImpl exchange(socket, HttpRequest {}, false, m_closing);
+        std::string body = R"({"refusal":{"reason":"malformed_request","ran":"unknown",)"
+                           R"("retry_after_ms":0,"detail":")"
+            + detail + "\"}}";
+        boost::system::error_code error;
         try {
-            std::string body
-                = R"({"refusal":{"reason":"malformed_request","ran":"unknown",)"
-                  R"("retry_after_ms":0,"detail":")"
-                + error.message() + "\"}}";
             co_await exchange.respond(status, "application/json", std::move(body));
+            socket.shutdown(Tcp::socket::shutdown_send, error); // NOLINT(bugprone-unused-return-value)
         } catch (const std::exception&) {
             exchange.abort();
         }
+        const std::unique_ptr<Watchdog> watchdog = bound(socket, lingerTime);
+        std::array<char, readBytes> dropped {};
+        while (!error)
+            co_await socket.async_read_some(
+                Asio::buffer(dropped), Asio::redirect_error(Asio::use_awaitable, error));
     }
 
     Asio::awaitable<bool> runHandler(HttpExchangeImpl& exchange)
@@ -146,6 +240,7 @@
     std::uint16_t m_port = 0;
     std::atomic<std::size_t> m_exchanges { 0 };
     bool m_stopping = false;
+    bool m_closing = false;
     std::set<Tcp::socket*> m_idle;
 };
 
@@ -172,6 +267,11 @@
     return m_impl->exchangesInFlight();
 }
 
+void HttpServer::closeAfterAnswers()
+{
+    m_impl->closeAfterAnswers();
+}
+
 void HttpServer::stopAccepting()
 {
     m_impl->stopAccepting();
--- a/src/libnet/httpserver.h
+++ b/src/libnet/httpserver.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "libapricot/httplimits.h"
+
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -25,6 +27,8 @@
     std::string method;
     // Path without the query, such as /objects/catalogue/sheets.
     std::string path;
+    // Path and query as they were sent.
+    std::string target;
     // Text after the question mark, still percent-encoded; empty when there is none.
     std::string query;
     std::vector<HttpField> fields;
@@ -36,6 +40,9 @@
     std::string parameter(std::string_view name) const;
 };
 
+// Text with its percent-encoded characters, and plus signs as spaces.
+std::string decodePercent(std::string_view text);
+
 // One request and the way to answer it. A handler either calls respond() once, or beginStream(),
 // writeChunk() any number of times and endStream(). Each throws boost::system::system_error when the
 // caller has gone.
@@ -44,6 +51,7 @@
     virtual ~HttpExchange() = default;
 
     virtual const HttpRequest& request() const = 0;
+    // An empty content type leaves that field to the other ones.
     virtual boost::asio::awaitable<void> respond(
         int status, std::string contentType, std::string body, std::vector<HttpField> fields = {})
         = 0;
@@ -69,6 +77,8 @@
     // Zero lets the kernel choose.
     std::uint16_t port = 0;
     std::size_t bodyLimitBytes = 1'048'576;
+    // Limits in force, asked before each request; replaces bodyLimitBytes where it is set.
+    std::function<HttpLimits()> limits;
 };
 
 // An HTTP/1.1 server on one io_context, on Boost.Beast. Must outlive the io_context's run().
@@ -81,6 +91,8 @@
     HttpServer& operator=(const HttpServer&) = delete;
 
     std::uint16_t port() const;
+    // Tells callers with their next answer that their connection closes after it.
+    void closeAfterAnswers();
     // Number of requests whose handler has not returned. May be called on any thread.
     std::size_t exchangesInFlight() const;
     // Stops listening and closes idle connections; exchanges in flight go on.
--- /dev/null
+++ b/src/libnet/httpstreamimpl.cpp
@@ -0,0 +1,135 @@
+#include "libnet/httpstreamimpl.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <charconv>
+
+namespace Apricot {
+
+namespace Asio = boost::asio;
+namespace Http = boost::beast::http;
+
+namespace {
+
+    constexpr std::string_view keepAliveTimeoutKey = "timeout=";
+    // An idle connection is given up so long before the server closes it.
+    constexpr Milliseconds keepAliveMargin { 500 };
+
+    // Idle time that the server states, or the longest.
+    Milliseconds keepAliveOf(const HttpAnswerHead& head)
+    {
+        const std::string_view text = head.field("Keep-Alive");
+        const std::size_t at = text.find(keepAliveTimeoutKey);
+        if (at == std::string_view::npos)
+            return Milliseconds::max();
+        const char* begin = text.data() + at + keepAliveTimeoutKey.size();
+        int seconds = 0;
+        const auto [end, error] = std::from_chars(begin, text.data() + text.size(), seconds);
+        if (error != std::errc())
+            return Milliseconds::max();
+        return std::max(Milliseconds(std::chrono::seconds(seconds)) - keepAliveMargin,
+            Milliseconds(0));
+    }
+
+}
+
+HttpStreamImpl::HttpStreamImpl(
+    std::shared_ptr<HttpConnection> connection, Milliseconds timeout, Release release)
+    : m_connection(std::move(connection))
+    , m_timeout(timeout)
+    , m_release(std::move(release))
+{
+}
+
+HttpStreamImpl::~HttpStreamImpl()
+{
+    // A write that goes on keeps the connection object alive.
+    if (m_connection)
+        m_connection->close();
+}
+
+Asio::awaitable<void> HttpStreamImpl::exchange(Http::request<Http::string_body> message,
+    std::function<bool(const HttpAnswerHead&)> isOwnAnswer)
+{
+    // The request is written beside the read: a server may answer before it has read a long body.
+    m_sending = std::make_shared<Sending>();
+    m_sending->message = std::move(message);
+    Asio::co_spawn(m_connection->get_executor(), writeRequest(m_connection, m_sending),
+        Asio::detached);
+    co_await readHead();
+    while (isOwnAnswer && !isOwnAnswer(m_head)) {
+        while (!m_parser->is_done())
+            co_await readSome();
+        co_await readHead();
+    }
+}
+
+Asio::awaitable<void> HttpStreamImpl::writeRequest(
+    std::shared_ptr<HttpConnection> connection, std::shared_ptr<Sending> sending)
+{
+    boost::system::error_code error;
+    co_await Http::async_write(connection->socket(), sending->message,
+        Asio::redirect_error(Asio::use_awaitable, error));
+    sending->done = !error;
+    // The read ends with the connection's error.
+}
+
+Asio::awaitable<void> HttpStreamImpl::readHead()
+{
+    constexpr unsigned statusClass = 100;
+    do {
+        m_parser.emplace();
+        m_parser->body_limit(boost::none);
+        m_connection->expires_after(m_timeout);
+        co_await Http::async_read_header(*m_connection, m_buffer, *m_parser, Asio::use_awaitable);
+    } while (m_parser->get().result_int() / statusClass == 1);
+    m_head.status = static_cast<int>(m_parser->get().result_int());
+    m_head.fields.clear();
+    for (const auto& field : m_parser->get())
+        m_head.fields.push_back({ std::string(field.name_string()), std::string(field.value()) });
+}
+
+void HttpStreamImpl::withdraw()
+{
+    m_release(std::move(m_connection), Milliseconds::max());
+}
+
+Asio::awaitable<std::optional<std::string>> HttpStreamImpl::read()
+{
+    while (m_connection) {
+        if (m_parser->is_done()) {
+            finish();
+            break;
+        }
+        std::string data = co_await readSome();
+        if (!data.empty())
+            co_return data;
+    }
+    co_return std::nullopt;
+}
+
+Asio::awaitable<std::string> HttpStreamImpl::readSome()
+{
+    m_parser->get().body().data = m_storage.data();
+    m_parser->get().body().size = m_storage.size();
+    m_connection->expires_after(m_timeout);
+    boost::system::error_code error;
+    co_await Http::async_read_some(*m_connection, m_buffer, *m_parser,
+        Asio::redirect_error(Asio::use_awaitable, error));
+    if (error && error != Http::error::need_buffer)
+        throw boost::system::system_error(error);
+    co_return std::string(m_storage.data(), m_storage.size() - m_parser->get().body().size);
+}
+
+void HttpStreamImpl::finish()
+{
+    // Bytes after the answer belong to no call.
+    if (m_parser->keep_alive() && m_buffer.size() == 0 && m_sending->done)
+        m_release(std::move(m_connection), keepAliveOf(m_head));
+    m_connection.reset();
+}
+
+}
--- /dev/null
+++ b/src/libnet/httpstreamimpl.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "libnet/httpclient.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <array>
+
+namespace Apricot {
+
+using HttpConnection = boost::beast::tcp_stream;
+
+// An exchange over one connection of HttpClient's pool.
+class HttpStreamImpl : public HttpStream {
+public:
+    // Takes back a connection that may be used again, with the idle time that the server allows.
+    using Release = std::function<void(std::shared_ptr<HttpConnection>, Milliseconds)>;
+
+    HttpStreamImpl(
+        std::shared_ptr<HttpConnection> connection, Milliseconds timeout, Release release);
+
+    ~HttpStreamImpl() override;
+
+    HttpStreamImpl(const HttpStreamImpl&) = delete;
+    HttpStreamImpl& operator=(const HttpStreamImpl&) = delete;
+
+    // Sends a request and reads the header of the answer to it.
+    boost::asio::awaitable<void> exchange(
+        boost::beast::http::request<boost::beast::http::string_body> message,
+        std::function<bool(const HttpAnswerHead&)> isOwnAnswer);
+    // Returns the unused connection.
+    void withdraw();
+
+    const HttpAnswerHead& head() const override { return m_head; }
+    void setTimeout(Milliseconds timeout) override { m_timeout = timeout; }
+    boost::asio::awaitable<std::optional<std::string>> read() override;
+
+private:
+    using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
+    // How far the request has been written; outlives this object when it ends early.
+    struct Sending {
+        boost::beast::http::request<boost::beast::http::string_body> message;
+        bool done = false;
+    };
+
+    static boost::asio::awaitable<void> writeRequest(
+        std::shared_ptr<HttpConnection> connection, std::shared_ptr<Sending> sending);
+    boost::asio::awaitable<void> readHead();
+    boost::asio::awaitable<std::string> readSome();
+    void finish();
+
+    std::shared_ptr<HttpConnection> m_connection;
+    Milliseconds m_timeout;
+    Release m_release;
+    std::shared_ptr<Sending> m_sending;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<Parser> m_parser;
+    HttpAnswerHead m_head;
+    std::array<char, 16384> m_storage {};
+};
+
+}
--- a/src/libnet/messages.h
+++ b/src/libnet/messages.h
@@ -7,6 +7,7 @@
 #include "libapricot/stagecall.h"
 #include "libnet/controlmessages.h"
 #include "libnet/recordmessages.h"
+#include "libserving/stagework.h"
 
 #include <cstdint>
 #include <string>
@@ -150,6 +151,32 @@
     void serialize(Archive& archive) { archive(answer); }
 };
 
+// Gateway to the home of a group of stage servers: run one stage of a request.
+struct StageWorkMessage {
+    StageWork work;
+
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(work); }
+};
+
+// Home of a group of stage servers to a gateway: how the stage ended.
+struct StageResultMessage {
+    StageWorkResult result;
+
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(result); }
+};
+
+// Gateway to the home that made them: these results are not needed any more.
+struct ReleaseResultsMessage {
+    PoolId pool;
+    int group = 0;
+    std::vector<std::string> handles;
+
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(pool, group, handles); }
+};
+
 // Everything that processes of the system say to each other. New alternatives go to the end: a
 // position is the type's number on the wire.
 using Message = std::variant<SubmitMessage, TokenMessage, CompletedMessage, RefusedMessage,
@@ -157,7 +184,7 @@
     HomeReleasedMessage, RelayedSubmitMessage, StoreCopyMessage, CopyStoredMessage, ClaimMessage,
     ClaimedMessage, PoisonMessage, ShareRequestMessage, ShareAnswerMessage, CellQuestionMessage,
     CellAnswerMessage, ConfigQuestionMessage, ConfigAnswerMessage, ViewQuestionMessage,
-    ViewAnswerMessage>;
+    ViewAnswerMessage, StageWorkMessage, StageResultMessage, ReleaseResultsMessage>;
 
 // Version of the encoding; a frame of another version closes its connection.
 constexpr std::uint8_t messageVersion = 1;
--- a/src/libnet/peerclient.cpp
+++ b/src/libnet/peerclient.cpp
@@ -1,4 +1,5 @@
 #include "libnet/http2connection.h"
+#include "libnet/watchdog.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -13,28 +14,6 @@
     // Bytes that the peer's host has not acknowledged for so long end the connection.
     constexpr int unacknowledgedLimitMs = 5000;
 
-    // Runs an action unless it is destroyed before a time has passed.
-    class Watchdog {
-    public:
-        Watchdog(Asio::io_context& context, Milliseconds timeout, std::function<void()> action)
-            : m_timer(context, timeout)
-        {
-            m_timer.async_wait(
-                [expired = m_expired, run = std::move(action)](boost::system::error_code error) {
-                    if (error)
-                        return;
-                    *expired = true;
-                    run();
-                });
-        }
-
-        bool hasExpired() const { return *m_expired; }
-
-    private:
-        std::shared_ptr<bool> m_expired = std::make_shared<bool>(false);
-        RuntimeTimer m_timer;
-    };
-
 }
 
 class PeerClient::Impl : public std::enable_shared_from_this<PeerClient::Impl> {
--- a/src/libnet/peerstream.h
+++ b/src/libnet/peerstream.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libapricot/clock.h"
+#include "libapricot/endpoint.h"
 #include "libnet/messages.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -17,15 +18,7 @@
 // Where a process of the system listens for its peers.
 // Name an aggregate before it is passed in a co_await expression: g++ 12 destroys a braced temporary
 // there twice.
-struct PeerEndpoint {
-    std::string address;
-    std::uint16_t port = 0;
-
-    auto operator<=>(const PeerEndpoint&) const = default;
-
-    template <typename Archive>
-    void serialize(Archive& archive) { archive(address, port); }
-};
+using PeerEndpoint = Endpoint;
 
 // One two-way stream of messages between two processes: an HTTP/2 stream.
 class PeerStream {
--- /dev/null
+++ b/src/libserving/coldlimiter.cpp
@@ -0,0 +1,54 @@
+#include "libserving/coldlimiter.h"
+
+#include "libapricot/rendezvous.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Apricot {
+
+namespace {
+
+    // Longer than the second in which arrivals are counted, since sends reach a server unevenly late.
+    constexpr Milliseconds countedTime { 1200 };
+    // Part of the bound that hosts use up; the rest covers hosts that another one doesn't know yet.
+    constexpr double usedPart = 0.8;
+
+}
+
+ColdLimiter::ColdLimiter(ColdLimiterOptions options)
+    : m_options(options)
+{
+}
+
+void ColdLimiter::setHosts(HostId self, std::vector<HostId> hosts)
+{
+    m_self = std::move(self);
+    m_hosts = std::move(hosts);
+}
+
+bool ColdLimiter::take(const BackendServerId& server, double coldRate, TimePoint now)
+{
+    std::deque<TimePoint>& sent = m_sent[server];
+    while (!sent.empty() && sent.front() + countedTime <= now)
+        sent.pop_front();
+    if (static_cast<int>(sent.size()) >= shareOf(server, coldRate))
+        return false;
+    sent.push_back(now);
+    return true;
+}
+
+int ColdLimiter::shareOf(const BackendServerId& server, double coldRate) const
+{
+    if (m_hosts.empty())
+        return 0;
+    const double bound = usedPart * (coldRate * m_options.overshoot + m_options.tolerance);
+    const int share = static_cast<int>(std::floor(bound / static_cast<double>(m_hosts.size())));
+    if (share >= 1)
+        return share;
+    const std::vector<HostId> ranked = rankHosts(server.value(), m_hosts);
+    const auto place = std::find(ranked.begin(), ranked.end(), m_self) - ranked.begin();
+    return place < static_cast<std::ptrdiff_t>(bound) ? 1 : 0;
+}
+
+}
--- /dev/null
+++ b/src/libserving/enginetimes.cpp
@@ -0,0 +1,26 @@
+#include "libserving/enginetimes.h"
+
+#include <cmath>
+
+namespace Apricot {
+
+namespace {
+
+    // Tokens that the fixed time of an engine's first step counts for.
+    constexpr double fixedTokens = 800;
+    constexpr double newestWeight = 0.05;
+
+}
+
+void EngineTimes::firstEvent(double promptTokens, Duration took)
+{
+    const double milliseconds = std::chrono::duration<double, std::milli>(took).count();
+    m_perToken += newestWeight * (milliseconds / (promptTokens + fixedTokens) - m_perToken);
+}
+
+Milliseconds EngineTimes::expected(double promptTokens) const
+{
+    return Milliseconds(std::lround(m_perToken * (promptTokens + fixedTokens)));
+}
+
+}
--- /dev/null
+++ b/src/libserving/eventsplitter.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace Apricot {
+
+// Cuts a stream of events at the ends of events, so that none is passed on in part, and knows the
+// identity of the last one.
+class EventSplitter {
+public:
+    // Takes bytes in and returns the whole events that they complete.
+    std::string take(std::string_view bytes);
+    // Bytes after the last whole event.
+    const std::string& rest() const { return m_rest; }
+    // Drops a part of an event, for a stream that goes on at another server.
+    void dropRest() { m_rest.clear(); }
+    // Identity of the last whole event that had one, or empty.
+    const std::string& lastId() const { return m_lastId; }
+    bool hasEvents() const { return m_hasEvents; }
+
+private:
+    void noteIds(std::string_view events);
+
+    std::string m_rest;
+    std::string m_lastId;
+    bool m_hasEvents = false;
+};
+
+}
--- /dev/null
+++ b/src/libserving/gatewaysettings.cpp
@@ -0,0 +1,60 @@
+#include "libserving/gatewaysettings.h"
+
+namespace Apricot {
+
+namespace {
+
+    constexpr NumberRange<double> secondsRange { 0.1, 3600 };
+    constexpr NumberRange<double> ratioRange { 0, 10 };
+    constexpr NumberRange<double> countRange { 0, 1'000'000 };
+
+    void describeEndpoint(std::string& target, SettingsTable& table, const std::string& section,
+        const std::string& key, const std::string& effect)
+    {
+        table.add({ .section = section, .key = key, .format = TextFormat::Endpoint, .effect = effect },
+            &target);
+    }
+
+    void describeNumber(double& target, SettingsTable& table, const std::string& key,
+        NumberRange<double> range, const std::string& effect)
+    {
+        table.add({ .section = "bounds", .key = key, .range = range, .effect = effect }, &target);
+    }
+
+}
+
+void describe(GatewaySettings& settings, SettingsTable& table)
+{
+    describe(settings.process, table);
+    describeEndpoint(settings.callers, table, "listen", "callers", "Where callers connect.");
+    describeEndpoint(settings.readiness, table, "listen", "readiness",
+        "Where the balancer asks whether this host takes callers.");
+    describeEndpoint(settings.peers, table, "listen", "peers", "Where the other hosts connect.");
+    describeEndpoint(settings.admin, table, "listen", "admin",
+        "Where metrics, health and the state dump are served.");
+    table.add({ .section = "peers",
+                  .key = "seeds",
+                  .format = TextFormat::EndpointList,
+                  .effect = "Hosts to ask for what the store doesn't tell; any may be gone." },
+        &settings.seeds);
+    table.add({ .section = "store",
+                  .key = "endpoint",
+                  .format = TextFormat::Endpoint,
+                  .required = true,
+                  .effect = "Where the platform's object API listens." },
+        &settings.store);
+    describeNumber(settings.graceSeconds, table, "grace_seconds", secondsRange,
+        "Time that the platform gives a process to stop.");
+    describeNumber(settings.retryRatio, table, "retry_ratio", ratioRange,
+        "Repeats allowed for each request of a pool, over all hosts.");
+    describeNumber(settings.retrySlack, table, "retry_slack", countRange,
+        "Repeats allowed on top in each window, over all hosts.");
+    describeNumber(settings.retryWindowSeconds, table, "retry_window_seconds", secondsRange,
+        "Window in which repeats are counted.");
+    describeNumber(settings.coldOvershoot, table, "cold_overshoot", ratioRange,
+        "Factor on a pool's cold rate that a cold server still bears.");
+    describeNumber(settings.coldTolerance, table, "cold_tolerance", countRange,
+        "Requests a second on top of that.");
+}
+
+}
--- /dev/null
+++ b/src/libserving/serverdirectory.cpp
@@ -0,0 +1,115 @@
+#include "libserving/serverdirectory.h"
+
+#include <algorithm>
+
+namespace Apricot {
+
+ServerDirectory::ServerDirectory(ServerDirectoryOptions options)
+    : m_options(options)
+{
+}
+
+void ServerDirectory::replaceAll(const std::vector<ServerEntry>& servers, TimePoint now)
+{
+    std::set<BackendServerId> listed;
+    for (const ServerEntry& server : servers) {
+        listed.insert(server.id);
+        put(server, now);
+    }
+    std::vector<BackendServerId> unlisted;
+    for (const auto& [id, known] : m_servers) {
+        if (!listed.contains(id))
+            unlisted.push_back(id);
+    }
+    for (const BackendServerId& id : unlisted)
+        remove(id, now);
+}
+
+void ServerDirectory::put(const ServerEntry& server, TimePoint now)
+{
+    ++m_generation;
+    KnownServer& known = m_servers[server.id];
+    const bool isNewStart = known.server.id.empty() || known.server.startedAt != server.startedAt
+        || known.server.endpoint != server.endpoint;
+    if (isNewStart)
+        known = { .seenAt = now };
+    known.server = server;
+    known.isMissing = false;
+    if (server.coldLeft.count() > 0)
+        known.coldUntil = std::max(known.coldUntil, now + server.coldLeft);
+}
+
+void ServerDirectory::remove(const BackendServerId& id, TimePoint now)
+{
+    const auto found = m_servers.find(id);
+    if (found == m_servers.end())
+        return;
+    ++m_generation;
+    if (keepsMissing(now) && !found->second.server.isDraining)
+        found->second.isMissing = true;
+    else
+        m_servers.erase(found);
+}
+
+void ServerDirectory::storeLost()
+{
+    m_isStoreAway = true;
+}
+
+void ServerDirectory::storeRegained(TimePoint now)
+{
+    m_isStoreAway = false;
+    m_regainedAt = now;
+}
+
+void ServerDirectory::setDomainsOut(std::set<FailureDomainId> domains,
+    const std::function<Milliseconds(const PoolId&)>& coldTimeOf, TimePoint now)
+{
+    ++m_generation;
+    for (auto& [id, known] : m_servers) {
+        const FailureDomainId& domain = known.server.domain;
+        const Milliseconds coldTime = coldTimeOf(known.server.pool);
+        const bool returns = m_domainsOut.contains(domain) && !domains.contains(domain);
+        if (returns && coldTime.count() > 0)
+            known.coldUntil = now + coldTime + m_options.coldMargin;
+    }
+    m_domainsOut = std::move(domains);
+}
+
+std::vector<const KnownServer*> ServerDirectory::usable(const PoolId& pool, TimePoint now)
+{
+    expireMissing(now);
+    std::vector<const KnownServer*> servers;
+    for (const auto& [id, known] : m_servers) {
+        if (known.server.pool == pool && isUsable(known))
+            servers.push_back(&known);
+    }
+    return servers;
+}
+
+const KnownServer* ServerDirectory::findUsable(const BackendServerId& id, TimePoint now)
+{
+    expireMissing(now);
+    const auto found = m_servers.find(id);
+    return found == m_servers.end() || !isUsable(found->second) ? nullptr : &found->second;
+}
+
+bool ServerDirectory::isUsable(const KnownServer& known) const
+{
+    return !known.server.isDraining && !m_domainsOut.contains(known.server.domain);
+}
+
+bool ServerDirectory::keepsMissing(TimePoint now) const
+{
+    return m_isStoreAway || (m_regainedAt && now < *m_regainedAt + m_options.returnTime);
+}
+
+void ServerDirectory::expireMissing(TimePoint now)
+{
+    if (keepsMissing(now))
+        return;
+    m_generation += std::erase_if(
+        m_servers, [](const auto& entry) { return entry.second.isMissing; });
+}
+
+}
--- /dev/null
+++ b/src/libserving/servertracker.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "libapricot/clock.h"
+#include "libapricot/identifier.h"
+
+#include <map>
+#include <vector>
+
+namespace Apricot {
+
+// How a call of a backend server ended, as far as it tells of the server.
+enum class CallEnd {
+    // An answer of the server's own, also a failure that it signed.
+    Answered,
+    // The server failed the request.
+    Failed,
+    // The server refused the request without running it.
+    Refused,
+    // The connection broke, or what came was no answer.
+    Broken,
+    // No connection could be made, or nothing came in time.
+    Silent,
+    // The caller left, or another reason that says nothing of the server.
+    Abandoned,
+};
+
+struct ServerTrackerOptions {
+    // Weight of the newest call in the averages.
+    double newestWeight = 0.15;
+    // Share of failed calls above which a server is avoided, once enough calls ended.
+    double failureLimit = 0.6;
+    int enoughCalls = 4;
+    // How long a server is avoided after it was silent; doubles up to the longest time.
+    Milliseconds avoidTime { 400 };
+    Milliseconds longestAvoidTime { 3000 };
+    // How long a server is avoided that refused as full.
+    Milliseconds refusedAvoidTime { 60 };
+};
+
+// What this process has seen of the backend servers that it calls.
+class ServerTracker {
+public:
+    explicit ServerTracker(ServerTrackerOptions options = {});
+
+    void callStarted(const BackendServerId& id);
+    void callEnded(const BackendServerId& id, CallEnd end, Duration took, TimePoint now);
+
+    // Whether other servers go first at present.
+    bool isAvoided(const BackendServerId& id, TimePoint now) const;
+    // Expected cost of one more call, in milliseconds: time, calls in flight and failures together.
+    double cost(const BackendServerId& id) const;
+    int inFlight(const BackendServerId& id) const;
+    // Forgets servers that are no longer known and have no calls in flight.
+    void retain(const std::vector<BackendServerId>& known);
+
+private:
+    struct Seen {
+        int inFlight = 0;
+        int ended = 0;
+        double failureShare = 0;
+        double milliseconds = 0;
+        int silences = 0;
+        TimePoint avoidedUntil {};
+    };
+
+    void countEnd(Seen& seen, CallEnd end, TimePoint now) const;
+
+    ServerTrackerOptions m_options;
+    std::map<BackendServerId, Seen> m_seen;
+};
+
+}
--- /dev/null
+++ b/src/libserving/servingconfig.cpp
@@ -0,0 +1,49 @@
+#include "libserving/servingconfig.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace Apricot {
+
+namespace {
+
+    bool equalsWithoutCase(std::string_view left, std::string_view right)
+    {
+        return std::equal(left.begin(), left.end(), right.begin(), right.end(),
+            [](unsigned char one, unsigned char other) {
+                return std::tolower(one) == std::tolower(other);
+            });
+    }
+
+    // A host without its port.
+    std::string_view hostName(std::string_view host) { return host.substr(0, host.find(':')); }
+
+}
+
+const Route* ServingConfig::findRoute(std::string_view host, std::string_view path) const
+{
+    const Route* best = nullptr;
+    for (const Route& route : routes) {
+        if (!path.starts_with(route.pathPrefix) || !equalsWithoutCase(hostName(host), route.host))
+            continue;
+        if (!best || route.pathPrefix.size() > best->pathPrefix.size())
+            best = &route;
+    }
+    return best;
+}
+
+const Owner* ServingConfig::findOwner(std::string_view key) const
+{
+    const auto found = std::find_if(owners.begin(), owners.end(), [key](const Owner& owner) {
+        return std::find(owner.keys.begin(), owner.keys.end(), key) != owner.keys.end();
+    });
+    return found == owners.end() ? nullptr : &*found;
+}
+
+const Pool* ServingConfig::findPool(const PoolId& id) const
+{
+    const auto found = pools.find(id);
+    return found == pools.end() ? nullptr : &found->second;
+}
+
+}
--- /dev/null
+++ b/src/libserving/stageplan.cpp
@@ -0,0 +1,105 @@
+#include "libserving/stageplan.h"
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace Apricot {
+
+StagePlan::StagePlan(std::vector<StageDefinition> stages, const std::vector<int>& pieces)
+{
+    for (std::size_t index = 0; index < stages.size(); ++index) {
+        for (const int input : stages[index].inputs) {
+            if (input < 0 || input >= static_cast<int>(index))
+                throw std::invalid_argument("a stage reads one that does not come before it");
+        }
+        const int count = index < pieces.size() ? std::max(pieces[index], 0) : 0;
+        m_stages.push_back({ .definition = std::move(stages[index]), .pieces = count });
+    }
+    m_left = static_cast<int>(m_stages.size());
+    skipEmpty();
+}
+
+void StagePlan::skipEmpty()
+{
+    for (Stage& stage : m_stages) {
+        if (stage.pieces > 0)
+            continue;
+        stage.isStarted = true;
+        stage.isDone = true;
+        --m_left;
+    }
+}
+
+std::vector<int> StagePlan::takeReady()
+{
+    std::vector<int> ready;
+    for (std::size_t index = 0; index < m_stages.size(); ++index) {
+        if (m_stages[index].isStarted || !mayStart(m_stages[index]))
+            continue;
+        m_stages[index].isStarted = true;
+        ready.push_back(static_cast<int>(index));
+    }
+    return ready;
+}
+
+bool StagePlan::mayStart(const Stage& stage) const
+{
+    return std::all_of(stage.definition.inputs.begin(), stage.definition.inputs.end(),
+        [this](int input) { return m_stages[input].isDone; });
+}
+
+void StagePlan::done(int stage, std::vector<std::string> handles)
+{
+    Stage& entry = m_stages.at(stage);
+    entry.handles = std::move(handles);
+    entry.isDone = true;
+    --m_left;
+}
+
+std::vector<std::string> StagePlan::inputsOf(int stage) const
+{
+    std::vector<std::string> inputs;
+    for (const int input : m_stages.at(stage).definition.inputs) {
+        const std::vector<std::string>& handles = m_stages[input].handles;
+        inputs.insert(inputs.end(), handles.begin(), handles.end());
+    }
+    return inputs;
+}
+
+std::vector<std::string> StagePlan::finalHandles() const
+{
+    std::vector<std::string> handles;
+    for (std::size_t index = 0; index < m_stages.size(); ++index) {
+        const bool isRead = std::any_of(m_stages.begin(), m_stages.end(), [index](const Stage& other) {
+            const std::vector<int>& inputs = other.definition.inputs;
+            return other.pieces > 0
+                && std::find(inputs.begin(), inputs.end(), static_cast<int>(index)) != inputs.end();
+        });
+        if (!isRead)
+            handles.insert(
+                handles.end(), m_stages[index].handles.begin(), m_stages[index].handles.end());
+    }
+    return handles;
+}
+
+std::vector<std::string> StagePlan::allHandles() const
+{
+    std::vector<std::string> handles;
+    for (const Stage& stage : m_stages)
+        handles.insert(handles.end(), stage.handles.begin(), stage.handles.end());
+    return handles;
+}
+
+double StagePlan::longestTime(int stage, const std::vector<double>& milliseconds) const
+{
+    double after = 0;
+    for (std::size_t index = stage + 1; index < m_stages.size(); ++index) {
+        const std::vector<int>& inputs = m_stages[index].definition.inputs;
+        if (m_stages[index].pieces > 0
+            && std::find(inputs.begin(), inputs.end(), stage) != inputs.end())
+            after = std::max(after, longestTime(static_cast<int>(index), milliseconds));
+    }
+    return milliseconds.at(stage) + after;
+}
+
+}
--- /dev/null
+++ b/src/libserving/stageplan.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "libserving/servingconfig.h"
+#include "libserving/stagework.h"
+
+namespace Apricot {
+
+// The stages of one request: which may start, and the results of those that are done.
+class StagePlan {
+public:
+    // The numbers of pieces stand in the order of the stages; missing ones are zero, which leaves a
+    // stage out. Throws std::invalid_argument when a stage reads one that does not come before it.
+    StagePlan(std::vector<StageDefinition> stages, const std::vector<int>& pieces);
+
+    // Stages that may start now, each returned once.
+    std::vector<int> takeReady();
+    void done(int stage, std::vector<std::string> handles);
+    bool isDone() const { return m_left == 0; }
+
+    const StageDefinition& definition(int stage) const { return m_stages.at(stage).definition; }
+    int pieces(int stage) const { return m_stages.at(stage).pieces; }
+    // Results that a stage's pieces read.
+    std::vector<std::string> inputsOf(int stage) const;
+    // Results that no other stage reads, for the model engine.
+    std::vector<std::string> finalHandles() const;
+    // Every result so far.
+    std::vector<std::string> allHandles() const;
+    // Time from the start of a stage to the end of the last one that needs it, from the times of the
+    // single stages.
+    double longestTime(int stage, const std::vector<double>& milliseconds) const;
+
+private:
+    struct Stage {
+        StageDefinition definition;
+        int pieces = 0;
+        bool isStarted = false;
+        bool isDone = false;
+        std::vector<std::string> handles;
+    };
+
+    bool mayStart(const Stage& stage) const;
+    void skipEmpty();
+
+    std::vector<Stage> m_stages;
+    int m_left = 0;
+};
+
+}
--- /dev/null
+++ b/src/libserving/stagescheduler.cpp
@@ -0,0 +1,383 @@
+#include "libserving/stagescheduler.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace Apricot {
+
+namespace {
+
+    constexpr Milliseconds shortestRetry { 100 };
+
+    Milliseconds toMilliseconds(double milliseconds)
+    {
+        return Milliseconds(static_cast<Milliseconds::rep>(std::ceil(milliseconds)));
+    }
+
+}
+
+StageScheduler::StageScheduler(StageTraits traits, StageSchedulerOptions options)
+    : m_traits(traits)
+    , m_options(options)
+{
+}
+
+void StageScheduler::setServers(const std::vector<StageServer>& servers)
+{
+    for (auto& [id, server] : m_servers)
+        server.isListed = false;
+    for (const StageServer& server : servers) {
+        Server& entry = m_servers[server.id];
+        entry.server = server;
+        entry.isListed = true;
+    }
+    std::erase_if(m_servers,
+        [](const auto& entry) { return !entry.second.isListed && !entry.second.call; });
+}
+
+std::optional<StageWorkResult> StageScheduler::submit(TaskId id, StageWork work, TimePoint now)
+{
+    Task task { .work = std::move(work) };
+    task.objectiveStart = now + task.work.objectiveSlack;
+    task.deadlineStart = now + task.work.deadlineSlack;
+    task.leavesAt = now + task.work.patience;
+    for (int piece = 0; piece < task.work.pieces; ++piece)
+        task.waiting.insert(piece);
+    task.handles.resize(task.waiting.size());
+    if (task.waiting.empty())
+        return StageWorkResult { .end = StageWorkEnd::Done };
+    const Milliseconds wait = estimateWait(task, id, now);
+    if (task.work.isFirst && now + wait > task.deadlineStart) {
+        const auto excess = std::chrono::ceil<Milliseconds>(now + wait - task.deadlineStart);
+        return StageWorkResult { .end = StageWorkEnd::Overloaded,
+            .retryAfter = std::max(excess, shortestRetry) };
+    }
+    m_tasks.emplace(id, std::move(task));
+    return std::nullopt;
+}
+
+void StageScheduler::cancel(TaskId id)
+{
+    const auto found = m_tasks.find(id);
+    if (found == m_tasks.end())
+        return;
+    addOrphans(found->second);
+    m_tasks.erase(found);
+}
+
+void StageScheduler::addOrphans(const Task& task)
+{
+    std::copy_if(task.handles.begin(), task.handles.end(), std::back_inserter(m_orphans),
+        [](const std::string& handle) { return !handle.empty(); });
+}
+
+std::vector<PlannedCall> StageScheduler::plan(TimePoint now)
+{
+    expireResults(now);
+    std::vector<PlannedCall> calls;
+    while (Server* server = chooseServer(now)) {
+        const bool isProbe = server->pace > m_options.slowPace;
+        const std::size_t limit = isProbe ? 1 : static_cast<std::size_t>(m_traits.batchLimit);
+        std::vector<CallPiece> pieces = choosePieces(*server, now, limit);
+        if (pieces.empty()) {
+            // Nothing waits that has room here.
+            server->pausedUntil = now + m_options.fullPause;
+            continue;
+        }
+        server->probeAt = now + m_options.probeInterval;
+        calls.push_back(startCall(*server, std::move(pieces), now));
+    }
+    return calls;
+}
+
+StageScheduler::Server* StageScheduler::chooseServer(TimePoint now)
+{
+    if (waitingPieces() == 0)
+        return nullptr;
+    Server* best = nullptr;
+    for (auto& [id, server] : m_servers) {
+        const bool isSlow = server.pace > m_options.slowPace;
+        if (server.call || !server.isListed || now < server.pausedUntil
+            || (isSlow && now < server.probeAt))
+            continue;
+        if (!best || std::tie(server.pace, server.roomUsed) < std::tie(best->pace, best->roomUsed))
+            best = &server;
+    }
+    return best;
+}
+
+std::vector<StageScheduler::CallPiece> StageScheduler::choosePieces(
+    const Server& server, TimePoint now, std::size_t limit)
+{
+    std::vector<CallPiece> chosen;
+    double room = m_traits.roomBytes - server.roomUsed;
+    for (const TaskId id : orderedTasks(now)) {
+        Task& task = m_tasks.at(id);
+        while (!task.waiting.empty() && chosen.size() < limit) {
+            const double bytes = task.work.resultBytes;
+            if (bytes > room)
+                break;
+            room -= bytes;
+            chosen.push_back({ id, *task.waiting.begin(), bytes });
+            task.waiting.erase(task.waiting.begin());
+            ++task.running;
+        }
+        if (chosen.size() == limit)
+            break;
+    }
+    return chosen;
+}
+
+PlannedCall StageScheduler::startCall(
+    Server& server, std::vector<CallPiece> pieces, TimePoint now)
+{
+    const double expected = callMilliseconds(pieces.size());
+    PlannedCall planned { .id = m_nextCall++, .server = server.server };
+    planned.timeout
+        = toMilliseconds(expected * std::max(server.pace, 1.0) * m_options.patiencePace)
+        + m_options.patienceMargin;
+    for (const CallPiece& piece : pieces) {
+        const Task& task = m_tasks.at(piece.task);
+        server.roomUsed += piece.resultBytes;
+        planned.pieces.push_back({ .requestId = task.work.requestId,
+            .stage = task.work.stage,
+            .piece = piece.piece,
+            .patience = std::chrono::floor<Milliseconds>(task.leavesAt - now),
+            .pieceKey = task.work.pieceKey,
+            .inputs = task.work.inputs });
+    }
+    server.call = planned.id;
+    m_calls[planned.id] = { .server = server.server.id,
+        .pieces = std::move(pieces),
+        .startedAt = now,
+        .expected = toMilliseconds(expected) };
+    return planned;
+}
+
+void StageScheduler::callAnswered(
+    std::uint64_t id, const std::vector<PieceResult>& results, TimePoint now)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end())
+        return;
+    if (results.size() != found->second.pieces.size())
+        return callFailed(id, StageCallFailure::Broken, now);
+    const Call call = found->second;
+    endCall(found);
+    Server& server = m_servers.at(call.server);
+    const double took = std::chrono::duration<double, std::milli>(now - call.startedAt).count();
+    const double pace = took / std::max(static_cast<double>(call.expected.count()), 1.0);
+    server.pace += m_options.paceWeight * (pace - server.pace);
+    for (std::size_t index = 0; index < results.size(); ++index)
+        takeResult(call, call.pieces[index], results[index], now);
+}
+
+void StageScheduler::callFailed(std::uint64_t id, StageCallFailure failure, TimePoint now)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end())
+        return;
+    const Call call = found->second;
+    endCall(found);
+    Server& server = m_servers.at(call.server);
+    server.pausedUntil = now
+        + (failure == StageCallFailure::Refused ? m_options.fullPause : m_options.failurePause);
+    for (const CallPiece& piece : call.pieces) {
+        server.roomUsed -= piece.resultBytes;
+        const auto task = m_tasks.find(piece.task);
+        if (task == m_tasks.end())
+            continue;
+        if (failure == StageCallFailure::Refused) {
+            --task->second.running;
+            task->second.waiting.insert(piece.piece);
+        } else {
+            pieceFailed(piece.task, task->second, piece.piece);
+        }
+    }
+}
+
+void StageScheduler::endCall(std::map<std::uint64_t, Call>::iterator call)
+{
+    m_servers.at(call->second.server).call.reset();
+    m_calls.erase(call);
+}
+
+void StageScheduler::takeResult(
+    const Call& call, const CallPiece& piece, const PieceResult& result, TimePoint now)
+{
+    Server& server = m_servers.at(call.server);
+    if (result.end != PieceEnd::Done)
+        server.roomUsed -= piece.resultBytes;
+    else
+        m_results[result.handle] = { call.server, piece.resultBytes, now + m_traits.resultLifetime };
+    const auto found = m_tasks.find(piece.task);
+    if (found == m_tasks.end()) {
+        if (result.end == PieceEnd::Done)
+            m_orphans.push_back(result.handle);
+        return;
+    }
+    Task& task = found->second;
+    switch (result.end) {
+    case PieceEnd::Done:
+        --task.running;
+        task.handles.at(piece.piece) = result.handle;
+        if (task.running == 0 && task.waiting.empty())
+            end(piece.task, { .end = StageWorkEnd::Done, .handles = task.handles });
+        return;
+    case PieceEnd::Late:
+        return end(piece.task, { .end = StageWorkEnd::Late });
+    case PieceEnd::InputGone:
+        return end(piece.task, { .end = StageWorkEnd::InputGone });
+    case PieceEnd::NoRoom:
+        server.pausedUntil = now + m_options.fullPause;
+        return pieceFailed(piece.task, task, piece.piece);
+    case PieceEnd::Failed:
+        return pieceFailed(piece.task, task, piece.piece);
+    }
+}
+
+void StageScheduler::pieceFailed(TaskId id, Task& task, int piece)
+{
+    --task.running;
+    task.waiting.insert(piece);
+    if (++task.failures >= m_options.attemptLimit * task.work.pieces)
+        end(id, { .end = StageWorkEnd::Failed });
+}
+
+void StageScheduler::end(TaskId id, StageWorkResult result)
+{
+    const Task& task = m_tasks.at(id);
+    if (result.end != StageWorkEnd::Done)
+        addOrphans(task);
+    m_tasks.erase(id);
+    m_ended.push_back({ id, std::move(result) });
+}
+
+void StageScheduler::released(const std::string& handle)
+{
+    const auto found = m_results.find(handle);
+    if (found == m_results.end())
+        return;
+    const auto server = m_servers.find(found->second.server);
+    if (server != m_servers.end())
+        server->second.roomUsed = std::max(server->second.roomUsed - found->second.bytes, 0.0);
+    m_results.erase(found);
+}
+
+std::vector<StageScheduler::Ended> StageScheduler::takeEnded(TimePoint now)
+{
+    dropLate(now);
+    return std::exchange(m_ended, {});
+}
+
+void StageScheduler::dropLate(TimePoint now)
+{
+    std::vector<TaskId> late;
+    for (const auto& [id, task] : m_tasks) {
+        if (task.running == 0 && now > task.deadlineStart)
+            late.push_back(id);
+    }
+    for (const TaskId id : late)
+        end(id, { .end = StageWorkEnd::Late });
+}
+
+void StageScheduler::expireResults(TimePoint now)
+{
+    std::vector<std::string> expired;
+    for (const auto& [handle, result] : m_results) {
+        if (result.expiresAt <= now)
+            expired.push_back(handle);
+    }
+    for (const std::string& handle : expired)
+        released(handle);
+}
+
+std::optional<TimePoint> StageScheduler::nextEvent(TimePoint now) const
+{
+    std::optional<TimePoint> next;
+    const auto consider = [&](TimePoint time) {
+        if (time > now && (!next || time < *next))
+            next = time;
+    };
+    for (const auto& [id, task] : m_tasks)
+        consider(task.deadlineStart + Milliseconds(1));
+    if (waitingPieces() == 0)
+        return next;
+    for (const auto& [id, server] : m_servers) {
+        if (server.call || !server.isListed)
+            continue;
+        consider(server.pausedUntil);
+        if (server.pace > m_options.slowPace)
+            consider(server.probeAt);
+    }
+    return next;
+}
+
+std::size_t StageScheduler::waitingPieces() const
+{
+    std::size_t pieces = 0;
+    for (const auto& [id, task] : m_tasks)
+        pieces += task.waiting.size();
+    return pieces;
+}
+
+std::size_t StageScheduler::busyServers() const
+{
+    return m_calls.size();
+}
+
+bool StageScheduler::goesBefore(const Task& left, TaskId leftId, const Task& right,
+    TaskId rightId, TimePoint now) const
+{
+    const auto place = [now](const Task& task, TaskId id) {
+        return std::make_tuple(task.objectiveStart < now, task.work.rank, task.objectiveStart, id);
+    };
+    return place(left, leftId) < place(right, rightId);
+}
+
+std::vector<StageScheduler::TaskId> StageScheduler::orderedTasks(TimePoint now) const
+{
+    std::vector<TaskId> order;
+    for (const auto& [id, task] : m_tasks) {
+        if (!task.waiting.empty())
+            order.push_back(id);
+    }
+    std::sort(order.begin(), order.end(), [&](TaskId left, TaskId right) {
+        return goesBefore(m_tasks.at(left), left, m_tasks.at(right), right, now);
+    });
+    return order;
+}
+
+double StageScheduler::callMilliseconds(std::size_t pieces) const
+{
+    return static_cast<double>(m_traits.callTime.count())
+        + m_traits.pieceMilliseconds * static_cast<double>(pieces);
+}
+
+double StageScheduler::workingServers(TimePoint now) const
+{
+    double working = 0;
+    for (const auto& [id, server] : m_servers) {
+        if (server.isListed && now >= server.pausedUntil && server.pace <= m_options.slowPace)
+            working += 1 / std::max(server.pace, 1.0);
+    }
+    return working;
+}
+
+Milliseconds StageScheduler::estimateWait(const Task& task, TaskId id, TimePoint now) const
+{
+    double ahead = 0;
+    for (const auto& [otherId, other] : m_tasks) {
+        if (goesBefore(other, otherId, task, id, now))
+            ahead += static_cast<double>(other.waiting.size());
+    }
+    const double batch = std::max(m_traits.batchLimit, 1);
+    const double callTime = callMilliseconds(static_cast<std::size_t>(batch));
+    const double working = std::max(workingServers(now), 0.5);
+    const bool isIdle = static_cast<double>(m_calls.size()) + 0.5 < working;
+    const double calls = std::floor((ahead + task.work.pieces) / batch) / working;
+    return toMilliseconds(calls * callTime + (isIdle ? 0 : callTime / (2 * working)));
+}
+
+}
--- /dev/null
+++ b/src/libserving/stagescheduler.h
@@ -0,0 +1,163 @@
+#pragma once
+
+#include "libapricot/endpoint.h"
+#include "libserving/servingconfig.h"
+#include "libserving/stagework.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace Apricot {
+
+struct StageSchedulerOptions {
+    // A server that takes so many times its stated time is used only to see whether it has recovered.
+    double slowPace = 2.2;
+    // Time between two such looks.
+    Milliseconds probeInterval { 2000 };
+    // A call is given up after so many times the time that it should take, and so much more.
+    double patiencePace = 2.0;
+    Milliseconds patienceMargin { 400 };
+    // How long a server that failed a call gets no other one.
+    Milliseconds failurePause { 300 };
+    // How long a server that was full gets no other call.
+    Milliseconds fullPause { 60 };
+    // Calls in which one piece may fail.
+    int attemptLimit = 3;
+    // Weight of the newest call in a server's pace.
+    double paceWeight = 0.4;
+};
+
+// A server that runs pieces.
+struct StageServer {
+    BackendServerId id;
+    Endpoint endpoint;
+    FailureDomainId domain;
+
+    auto operator<=>(const StageServer&) const = default;
+};
+
+// A call to make now.
+struct PlannedCall {
+    std::uint64_t id = 0;
+    StageServer server;
+    std::vector<PlannedPiece> pieces;
+    Milliseconds timeout { 0 };
+};
+
+// Why a call brought no results.
+enum class StageCallFailure {
+    // The server ran nothing.
+    Refused,
+    // The server can't be reached, broke off, or gave no answer in time.
+    Broken,
+};
+
+// Gathers the pieces of a pool's stage from all requests into full calls, one at a time for each
+// server, the most urgent request first. Answers the load at which the servers are always busy: a
+// call costs far more than a piece, so pieces wait while every server is busy and leave together.
+// Under more load than the servers bear, what can still meet its objective goes before what cannot,
+// by rank, and what cannot be done at all is turned away on arrival or as soon as that is known.
+class StageScheduler {
+public:
+    using TaskId = std::uint64_t;
+    struct Ended {
+        TaskId task = 0;
+        StageWorkResult result;
+    };
+
+    StageScheduler(StageTraits traits, StageSchedulerOptions options = {});
+
+    void setTraits(const StageTraits& traits) { m_traits = traits; }
+    void setServers(const std::vector<StageServer>& servers);
+
+    // Takes work in. An overload is returned at once, and the work is not taken.
+    std::optional<StageWorkResult> submit(TaskId id, StageWork work, TimePoint now);
+    // Drops work whose caller left.
+    void cancel(TaskId id);
+    // Calls to make now.
+    std::vector<PlannedCall> plan(TimePoint now);
+    // A call's answer, with one result for each piece.
+    void callAnswered(std::uint64_t call, const std::vector<PieceResult>& results, TimePoint now);
+    void callFailed(std::uint64_t call, StageCallFailure failure, TimePoint now);
+    // A result was released, or its lifetime has passed.
+    void released(const std::string& handle);
+    // Work that has ended since the last call of this function.
+    std::vector<Ended> takeEnded(TimePoint now);
+
+    // Results whose request has ended meanwhile, to be released.
+    std::vector<std::string> takeOrphans() { return std::exchange(m_orphans, {}); }
+
+    // When plan() or takeEnded() may have something new though nothing else happens.
+    std::optional<TimePoint> nextEvent(TimePoint now) const;
+    std::size_t waitingPieces() const;
+    std::size_t busyServers() const;
+
+private:
+    struct Task {
+        StageWork work;
+        TimePoint objectiveStart {};
+        TimePoint deadlineStart {};
+        TimePoint leavesAt {};
+        std::set<int> waiting;
+        int running = 0;
+        int failures = 0;
+        std::vector<std::string> handles;
+    };
+    struct Server {
+        StageServer server;
+        std::optional<std::uint64_t> call;
+        double pace = 1;
+        TimePoint pausedUntil {};
+        TimePoint probeAt {};
+        double roomUsed = 0;
+        bool isListed = true;
+    };
+    struct CallPiece {
+        TaskId task = 0;
+        int piece = 0;
+        double resultBytes = 0;
+    };
+    struct Call {
+        BackendServerId server;
+        std::vector<CallPiece> pieces;
+        TimePoint startedAt {};
+        Milliseconds expected { 0 };
+    };
+    struct Result {
+        BackendServerId server;
+        double bytes = 0;
+        TimePoint expiresAt {};
+    };
+
+    bool goesBefore(const Task& left, TaskId leftId, const Task& right, TaskId rightId,
+        TimePoint now) const;
+    std::vector<TaskId> orderedTasks(TimePoint now) const;
+    double callMilliseconds(std::size_t pieces) const;
+    Milliseconds estimateWait(const Task& task, TaskId id, TimePoint now) const;
+    double workingServers(TimePoint now) const;
+    Server* chooseServer(TimePoint now);
+    std::vector<CallPiece> choosePieces(const Server& server, TimePoint now, std::size_t limit);
+    PlannedCall startCall(Server& server, std::vector<CallPiece> pieces, TimePoint now);
+    void takeResult(const Call& call, const CallPiece& piece, const PieceResult& result, TimePoint now);
+    void pieceFailed(TaskId id, Task& task, int piece);
+    void end(TaskId id, StageWorkResult result);
+    void addOrphans(const Task& task);
+    void dropLate(TimePoint now);
+    void expireResults(TimePoint now);
+    void endCall(std::map<std::uint64_t, Call>::iterator call);
+
+    StageTraits m_traits;
+    StageSchedulerOptions m_options;
+    std::map<TaskId, Task> m_tasks;
+    std::map<BackendServerId, Server> m_servers;
+    std::map<std::uint64_t, Call> m_calls;
+    std::map<std::string, Result> m_results;
+    std::vector<Ended> m_ended;
+    std::vector<std::string> m_orphans;
+    std::uint64_t m_nextCall = 1;
+};
+
+}
--- a/tests/scenarios/fleet.py
+++ b/tests/scenarios/fleet.py
@@ -134,7 +134,11 @@
         return http_json(self.processes["platform"].ports["port"], method, path, body)
 
     def put(self, key, value):
-        status, answer = self.platform("PUT", f"/objects/{key}", value)
+        kind, name = key.split("/", 1)
+        written = {"metadata": {"name": name}, "spec": value}
+        status, answer = self.platform("PUT", f"/-/objects/{key}", written)
+        if status == 404:
+            status, answer = self.platform("POST", f"/-/objects/{kind}", written)
         if status != 200:
             raise RuntimeError(f"PUT {key}: {status} {answer}")
 
@@ -228,8 +232,8 @@
         wait_until(settled, seconds, f"{wanted} are ready")
 
     def homes(self):
-        _, cell = self.platform("GET", "/objects/cells/cell-1")
-        return cell["value"]["homes"]
+        _, cell = self.platform("GET", "/-/objects/cells/cell-1")
+        return cell["spec"]["homes"]
 
     def wait_homes(self, seconds=START_SECONDS):
         """Waits until every server has a home and no home has moved for SETTLED_SECONDS."""
--- a/tests/scenarios/scenario.py
+++ b/tests/scenarios/scenario.py
@@ -417,12 +417,12 @@
     def do_expect_config(self, rest):
         """Every dispatch daemon that runs has the newest version of an object in force."""
         key, _, seconds = rest.split()
-        _, stands = self.fleet.platform("GET", f"/objects/{key}")
+        _, stands = self.fleet.platform("GET", f"/-/objects/{key}")
         running = [name for name, process in self.fleet.processes.items()
                    if name.startswith("dispatch-") and process.running()]
 
         def in_force():
-            return all(self.fleet.state(name)["control"]["catalogue_version"] >= stands["version"]
+            return all(self.fleet.state(name)["control"]["catalogue_version"] >= stands["metadata"]["revision"]
                        for name in running)
         wait_until(in_force, float(seconds), f"{key} is in force everywhere")
 
--- a/tests/unit/platformclienttest.cpp
+++ b/tests/unit/platformclienttest.cpp
@@ -35,9 +35,9 @@
 {
     runToEnd([this]() -> asio::awaitable<void> {
         co_await setFaults(R"({"lose_answers":1.0})");
-        CHECK(std::holds_alternative<WriteUnknown>(co_await client.put("a", "mine", 0)));
+        CHECK(std::holds_alternative<WriteUnknown>(co_await client.put("a/x", "mine", 0)));
         co_await setFaults("{}");
-        const std::optional<PlatformObject> standing = co_await client.get("a");
+        const std::optional<PlatformObject> standing = co_await client.get("a/x");
         CHECK(standing && standing->value == "mine");
         // Half of the answers are lost, so that several writes in a row need to be settled.
         co_await setFaults(R"({"lose_answers":0.5,"seed":7})");
@@ -58,14 +58,14 @@
         co_await setFaults(R"({"outage":true})");
         bool isUnavailable = false;
         try {
-            co_await client.put("a", 1, std::nullopt);
+            co_await client.put("a/x", 1, std::nullopt);
         } catch (const PlatformUnavailable& error) {
             isUnavailable = error.retryAfter() == Milliseconds(1000);
         }
         CHECK(isUnavailable);
         co_await setFaults(R"({"cut_hosts":["h1"]})");
-        CHECK(std::holds_alternative<WriteUnknown>(co_await client.put("a", 1, std::nullopt)));
+        CHECK(std::holds_alternative<WriteUnknown>(co_await client.put("a/x", 1, std::nullopt)));
         co_await setFaults("{}");
-        CHECK(!(co_await client.get("a")));
+        CHECK(!(co_await client.get("a/x")));
     });
 }
--- a/tests/unit/platformfixture.h
+++ b/tests/unit/platformfixture.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "emulator/platform/platformserver.h"
-#include "libnet/platformclient.h"
+#include "platform/platformclient.h"
 
 #include <functional>
 #include <string>
