Name the emulator's answer before it is awaited

Cause: g++ 12 destroys a conditional temporary in a co_await expression twice; the test PlatformClient.reportsALostAnswerAsUnknownAndSettlesItByTheToken crashed on it.

--- a/src/emulator/platform/platformserver.cpp
+++ b/src/emulator/platform/platformserver.cpp
@@ -298,8 +298,8 @@
     }
     if (std::holds_alternative<StoreAccepted>(result)) {
         const std::optional<StoreObject> object = m_store.get(written, m_store.revision());
-        co_return co_await respondJson(
-            exchange, 200, object ? objectJson(*object) : json::value(json::object()));
+        const json::value answer = object ? objectJson(*object) : json::value(json::object());
+        co_return co_await respondJson(exchange, 200, answer);
     }
     const auto& conflict = std::get<StoreConflict>(result);
     if (!conflict.current)
