Order by owner and route, free results early, and run stages near what they read

Cause: all owners had one rank, so the routes' ranks never ordered anything; results stayed at stage servers until their request ended, and 12 in 100 pieces found no room; the pieces of later stages read every input across zones; requests were admitted by the first stage's queue alone; each change of an entry cost each host a store call. Change: an owner's rank goes first and the route's second; results are released once every stage that reads them is done; work waits a bounded time for a server where its inputs lie; homes tell their backlog with each answer and admission counts the waits of later stages; watches wait 15 s with keep-alive probes and gather changes for 300 ms.

--- a/src/gateway/requestservice.cpp
+++ b/src/gateway/requestservice.cpp
@@ -37,6 +37,13 @@
         return route.pools.back().pool;
     }
 
+    // An owner's rank goes before the route's, which orders the requests of owners of one rank.
+    int rankOf(const Route& route, const Owner* owner)
+    {
+        constexpr int routeRanks = 100;
+        return (owner && owner->rank ? *owner->rank * routeRanks : 0) + route.rank;
+    }
+
     ServedEnd refusedWith(GatewayRefusal reason)
     {
         return { .status = refusalStatus(reason), .refusal = refusalName(reason) };
@@ -112,7 +119,7 @@
         .config = config,
         .route = *route,
         .pool = std::move(pool),
-        .rank = owner && owner->rank ? *owner->rank : route->rank,
+        .rank = rankOf(*route, owner),
         .arrivedAt = now,
         .objectiveAt = now + route->objective,
         .deadlineAt = now + bound };
--- a/src/gateway/stagerouter.cpp
+++ b/src/gateway/stagerouter.cpp
@@ -19,6 +19,8 @@
     constexpr Milliseconds avoidTime { 1500 };
     // Homes that are asked for one stage.
     constexpr std::size_t homeLimit = 3;
+    // A backlog tells nothing any more after so long without news.
+    constexpr Milliseconds backlogLifetime { 1000 };
 
 }
 
@@ -56,6 +58,29 @@
 
 Asio::awaitable<StageWorkResult> StageRouter::run(
     StageWork work, std::shared_ptr<HttpCancel> cancel, HostId& ranAt)
+{
+    const std::pair group(work.pool, work.group);
+    StageWorkResult result = co_await runAtHome(std::move(work), std::move(cancel), ranAt);
+    m_backlogs[group] = { result.backlog, RuntimeClock::now() };
+    co_return result;
+}
+
+Milliseconds StageRouter::expectedWait(const PoolId& pool, int group, int rank) const
+{
+    const auto seen = m_backlogs.find({ pool, group });
+    if (seen == m_backlogs.end()
+        || RuntimeClock::now() > seen->second.seenAt + backlogLifetime)
+        return Milliseconds(0);
+    Milliseconds wait { 0 };
+    for (const StageBacklog& entry : seen->second.backlog) {
+        if (entry.rank <= rank)
+            wait = entry.wait;
+    }
+    return wait;
+}
+
+Asio::awaitable<StageWorkResult> StageRouter::runAtHome(
+    StageWork work, std::shared_ptr<HttpCancel> cancel, HostId& ranAt)
 {
     for (const HostId& host : homesFor(work.pool, work.group)) {
         if (cancel->isCancelled())
--- a/src/gateway/stagerouter.h
+++ b/src/gateway/stagerouter.h
@@ -9,10 +9,14 @@
 
 // Results of one stage, and where they can be released.
 struct StageResults {
+    int stage = 0;
     PoolId pool;
     int group = 0;
     HostId home;
     std::vector<std::string> handles;
+    // Where most of them lie, and their size together.
+    FailureDomainId domain;
+    double bytes = 0;
 };
 
 // Brings stages of requests to the home of their group of servers. All hosts agree on the home by
@@ -28,6 +32,8 @@
     // Runs one stage; sets the host that ran it.
     boost::asio::awaitable<StageWorkResult> run(
         StageWork work, std::shared_ptr<HttpCancel> cancel, HostId& ranAt);
+    // How long new work of a rank waits at a group, by what its home last said.
+    Milliseconds expectedWait(const PoolId& pool, int group, int rank) const;
     // Releases results in the background.
     void release(const StageResults& results);
     // Serves the question of a peer.
@@ -35,6 +41,8 @@
 
 private:
     std::vector<HostId> homesFor(const PoolId& pool, int group) const;
+    boost::asio::awaitable<StageWorkResult> runAtHome(
+        StageWork work, std::shared_ptr<HttpCancel> cancel, HostId& ranAt);
     boost::asio::awaitable<std::optional<StageWorkResult>> ask(
         HostId host, StageWork work, std::shared_ptr<HttpCancel> cancel);
     boost::asio::awaitable<void> tellRelease(Endpoint endpoint, StageResults results);
@@ -44,7 +52,13 @@
     ServingView& m_view;
     StageHome& m_home;
     PeerClient& m_peers;
+    struct SeenBacklog {
+        std::vector<StageBacklog> backlog;
+        TimePoint seenAt {};
+    };
+
     std::map<HostId, TimePoint> m_avoidedUntil;
+    std::map<std::pair<PoolId, int>, SeenBacklog> m_backlogs;
 };
 
 }
--- a/src/gateway/stagerunner.cpp
+++ b/src/gateway/stagerunner.cpp
@@ -13,6 +13,8 @@
 
     // Events of a stream after the first take so long at least.
     constexpr Milliseconds streamTime { 150 };
+    // Results of at least so many bytes are made where the engine will likely read them.
+    constexpr double engineBytes = 200'000;
 
     // Time of one stage when its servers are free.
     double stageMilliseconds(const ServingConfig& config, const StageDefinition& stage, int pieces)
@@ -27,29 +29,21 @@
 }
 
 struct StageRunner::Progress {
-    Progress(Asio::io_context& context, ServedRequest& served, Milliseconds engine)
+    Progress(Asio::io_context& context, ServedRequest& served, Milliseconds engine,
+        FailureDomainId domain)
         : request(served)
-        , caller(served.caller)
-        , config(served.config)
-        , scope(served.scope)
         , plan(served.route.stages, served.caller.stagePieces)
         , engineTime(engine)
+        , engineDomain(std::move(domain))
         , changed(context.get_executor())
     {
-        for (std::size_t index = 0; index < served.route.stages.size(); ++index)
-            milliseconds.push_back(stageMilliseconds(*config, served.route.stages[index],
-                plan.pieces(static_cast<int>(index))));
     }
 
-    // Valid until the coroutine that serves the request goes on; stages that end later use the rest.
     ServedRequest& request;
-    CallerRequest caller;
-    std::shared_ptr<const ServingConfig> config;
-    std::shared_ptr<RequestScope> scope;
     StagePlan plan;
     Milliseconds engineTime;
+    FailureDomainId engineDomain;
     AsyncEvent changed;
-    std::vector<double> milliseconds;
     std::vector<std::shared_ptr<HttpCancel>> calls;
     StagesEnd end;
     int running = 0;
@@ -62,19 +56,23 @@
 {
 }
 
-Asio::awaitable<StagesEnd> StageRunner::run(ServedRequest& request, Milliseconds engineTime)
+Asio::awaitable<StagesEnd> StageRunner::run(
+    ServedRequest& request, Milliseconds engineTime, FailureDomainId engineDomain)
 {
-    auto progress = std::make_shared<Progress>(m_context, request, engineTime);
+    auto progress = std::make_shared<Progress>(
+        m_context, request, engineTime, std::move(engineDomain));
     startReady(progress);
     while (progress->running > 0)
         co_await progress->changed.wait();
     progress->end.inputs = progress->plan.finalHandles();
+    for (const StageResults& results : progress->end.results)
+        progress->end.inputBytes[results.domain] += results.bytes;
     co_return std::move(progress->end);
 }
 
 void StageRunner::startReady(const std::shared_ptr<Progress>& progress)
 {
-    if (progress->scope->isOver() || progress->end.end != StageWorkEnd::Done)
+    if (progress->request.scope->isOver() || progress->end.end != StageWorkEnd::Done)
         return;
     for (const int stage : progress->plan.takeReady()) {
         ++progress->running;
@@ -85,39 +83,98 @@
 StageWork StageRunner::makeWork(const Progress& progress, int stage)
 {
     const TimePoint now = RuntimeClock::now();
+    const ServedRequest& request = progress.request;
     const StageDefinition& definition = progress.plan.definition(stage);
-    const Milliseconds rest = progress.engineTime
-        + Milliseconds(static_cast<Milliseconds::rep>(
-            progress.plan.longestTime(stage, progress.milliseconds)));
+    const Milliseconds rest = progress.engineTime + timeFrom(progress, stage);
     const auto left = [now](TimePoint time) { return std::chrono::floor<Milliseconds>(time - now); };
-    return { .pool = definition.pool,
-        .group = m_router.groupOf(definition.pool, progress.caller.id),
-        .requestId = progress.caller.id,
+    StageWork work { .pool = definition.pool,
+        .group = m_router.groupOf(definition.pool, progress.request.caller.id),
+        .requestId = progress.request.caller.id,
         .stage = stage,
         .pieces = progress.plan.pieces(stage),
-        .pieceKey = definition.inputs.empty() ? progress.caller.pieceKey : "",
+        .pieceKey = definition.inputs.empty() ? progress.request.caller.pieceKey : "",
         .inputs = progress.plan.inputsOf(stage),
-        .rank = progress.request.rank,
-        .objectiveSlack = left(progress.request.objectiveAt - rest),
-        .deadlineSlack = left(progress.request.deadlineAt - rest - streamTime),
-        .patience = left(progress.request.deadlineAt),
+        .rank = request.rank,
+        .objectiveSlack = left(request.objectiveAt - rest),
+        .deadlineSlack = left(request.deadlineAt - rest - streamTime),
+        .patience = left(request.deadlineAt),
         .resultBytes = definition.resultBytes,
         .isFirst = !progress.hasBegun };
+    chooseDomain(progress, work);
+    return work;
+}
+
+Milliseconds StageRunner::timeFrom(const Progress& progress, int stage) const
+{
+    const ServedRequest& request = progress.request;
+    std::vector<double> milliseconds;
+    for (std::size_t index = 0; index < request.route.stages.size(); ++index) {
+        const StageDefinition& definition = request.route.stages[index];
+        const int pieces = progress.plan.pieces(static_cast<int>(index));
+        double time = stageMilliseconds(*request.config, definition, pieces);
+        // The stage's own wait is its home's to estimate.
+        if (static_cast<int>(index) != stage && pieces > 0) {
+            const int group = m_router.groupOf(definition.pool, request.caller.id);
+            time += static_cast<double>(
+                m_router.expectedWait(definition.pool, group, request.rank).count());
+        }
+        milliseconds.push_back(time);
+    }
+    return Milliseconds(
+        static_cast<Milliseconds::rep>(progress.plan.longestTime(stage, milliseconds)));
+}
+
+void StageRunner::chooseDomain(const Progress& progress, StageWork& work) const
+{
+    const double ownBytes = work.resultBytes * work.pieces;
+    std::map<FailureDomainId, double> bytes;
+    if (ownBytes >= engineBytes && progress.plan.isLast(work.stage))
+        bytes[progress.engineDomain] += ownBytes;
+    const std::vector<int>& inputs = progress.plan.definition(work.stage).inputs;
+    for (const StageResults& results : progress.end.results) {
+        // Each piece reads every input.
+        if (std::find(inputs.begin(), inputs.end(), results.stage) != inputs.end())
+            bytes[results.domain] += results.bytes * work.pieces;
+    }
+    for (const auto& [domain, crossing] : bytes) {
+        if (crossing > work.crossingBytes && !domain.empty()) {
+            work.domain = domain;
+            work.crossingBytes = crossing;
+        }
+    }
+}
+
+void StageRunner::releaseReadOut(Progress& progress)
+{
+    std::vector<StageResults>& all = progress.end.results;
+    for (const int stage : progress.plan.takeReadOut()) {
+        const auto found = std::find_if(all.begin(), all.end(),
+            [stage](const StageResults& results) { return results.stage == stage; });
+        if (found == all.end())
+            continue;
+        m_router.release(*found);
+        all.erase(found);
+    }
 }
 
 Asio::awaitable<void> StageRunner::runStage(std::shared_ptr<Progress> progress, int stage)
 {
     StageWork work = makeWork(*progress, stage);
-    StageResults results { .pool = work.pool, .group = work.group };
-    const std::shared_ptr<HttpCancel> cancel = progress->scope->addCall();
+    StageResults results { .stage = stage,
+        .pool = work.pool,
+        .group = work.group,
+        .bytes = work.resultBytes * work.pieces };
+    const std::shared_ptr<HttpCancel> cancel = progress->request.scope->addCall();
     progress->calls.push_back(cancel);
     StageWorkResult result = co_await m_router.run(std::move(work), cancel, results.home);
     --progress->running;
     if (result.end == StageWorkEnd::Done) {
         progress->hasBegun = true;
         results.handles = result.handles;
+        results.domain = result.domain;
         progress->end.results.push_back(std::move(results));
         progress->plan.done(stage, std::move(result.handles));
+        releaseReadOut(*progress);
         startReady(progress);
     } else if (progress->end.end == StageWorkEnd::Done) {
         progress->end.end = result.end;
--- a/src/gateway/stagerunner.h
+++ b/src/gateway/stagerunner.h
@@ -13,7 +13,9 @@
     Milliseconds retryAfter { 0 };
     // Results for the model engine.
     std::vector<std::string> inputs;
-    // All results, to be released.
+    // Bytes of them in each failure domain.
+    std::map<FailureDomainId, double> inputBytes;
+    // Results that are not released yet.
     std::vector<StageResults> results;
 };
 
@@ -22,8 +24,10 @@
 public:
     StageRunner(boost::asio::io_context& context, StageRouter& router);
 
-    // Runs all stages. The engine's time is what the request needs after them to its first event.
-    boost::asio::awaitable<StagesEnd> run(ServedRequest& request, Milliseconds engineTime);
+    // Runs all stages. The engine's time is what the request needs after them to its first event, and
+    // its failure domain is where it will likely run.
+    boost::asio::awaitable<StagesEnd> run(
+        ServedRequest& request, Milliseconds engineTime, FailureDomainId engineDomain);
     void release(const std::vector<StageResults>& results);
 
 private:
@@ -32,6 +36,12 @@
 
     void startReady(const std::shared_ptr<Progress>& progress);
     StageWork makeWork(const Progress& progress, int stage);
+    // Time from the start of a stage to the end of the last one that needs it, with the expected waits
+    // of the later ones.
+    Milliseconds timeFrom(const Progress& progress, int stage) const;
+    // Sets where a stage is best run.
+    void chooseDomain(const Progress& progress, StageWork& work) const;
+    void releaseReadOut(Progress& progress);
     boost::asio::awaitable<void> runStage(std::shared_ptr<Progress> progress, int stage);
 
     boost::asio::io_context& m_context;
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -63,6 +63,8 @@
     for (const PlatformEvent& event : events.events)
         m_handlers.changed(event);
     m_revision = std::max(m_revision, events.revision);
+    if (!events.events.empty())
+        co_await sleepFor(m_context.get_executor(), m_options.gatherTime);
 }
 
 void StoreFollower::noteLost(const std::string& reason)
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -9,8 +9,11 @@
 struct StoreFollowerOptions {
     // Kind of objects to follow, with its slash.
     std::string prefix;
-    // How long one watch waits. A connection that went silent is found so late.
-    Milliseconds watchTime { 2500 };
+    // How long one watch waits. Keep-alive probes find a connection that went silent meanwhile.
+    Milliseconds watchTime { 15'000 };
+    // Time between an answer with changes and the next watch, so that changes that come together cost
+    // one call.
+    Milliseconds gatherTime { 300 };
     // Time between two tries while the store does not answer.
     Milliseconds retryTime { 250 };
 };
--- a/src/gateway/streamforwarder.cpp
+++ b/src/gateway/streamforwarder.cpp
@@ -49,8 +49,8 @@
     Relay relay;
     m_retries.countRequest(request.pool, RuntimeClock::now());
     if (!request.route.stages.empty())
-        relay.stages
-            = co_await m_stages.run(request, m_times.expected(request.caller.promptTokens));
+        relay.stages = co_await m_stages.run(request,
+            m_times.expected(request.caller.promptTokens), likelyDomain(request));
     if (relay.stages.end == StageWorkEnd::Done && !request.scope->isOver())
         co_await sendToEngines(request, relay);
     m_stages.release(std::exchange(relay.stages.results, {}));
@@ -101,12 +101,20 @@
     }
 }
 
+FailureDomainId StreamForwarder::likelyDomain(const ServedRequest& request) const
+{
+    const TimePoint now = RuntimeClock::now();
+    const auto engines = m_placement.rank(request.caller,
+        m_view.servers().usable(request.pool, now), {}, m_caller.tracker(), now);
+    return engines.empty() ? FailureDomainId() : engines.front()->server.domain;
+}
+
 const KnownServer* StreamForwarder::choose(const ServedRequest& request, const Relay& relay)
 {
     const TimePoint now = RuntimeClock::now();
     const Pool* pool = request.config->findPool(request.pool);
-    const auto engines = m_placement.rank(
-        request.caller, m_view.servers().usable(request.pool, now), m_caller.tracker(), now);
+    const auto engines = m_placement.rank(request.caller,
+        m_view.servers().usable(request.pool, now), relay.stages.inputBytes, m_caller.tracker(), now);
     for (const KnownServer* engine : engines) {
         if (relay.tried.contains(engine->server.id))
             continue;
--- a/src/gateway/streamforwarder.h
+++ b/src/gateway/streamforwarder.h
@@ -34,6 +34,8 @@
         bool hasLostInputs = false;
     };
 
+    // Failure domain of the engine that the request would go to now.
+    FailureDomainId likelyDomain(const ServedRequest& request) const;
     const KnownServer* choose(const ServedRequest& request, const Relay& relay);
     boost::asio::awaitable<void> sendToEngines(ServedRequest& request, Relay& relay);
     // Passes the answer on; true when it came to its end.
--- a/src/libnet/httpclient.cpp
+++ b/src/libnet/httpclient.cpp
@@ -21,6 +21,21 @@
     // process is paused, so that they can't arrive after a cut has healed.
     constexpr int unacknowledgedLimitMs = 3000;
 
+    // A peer that does not acknowledge probes ends the connection after some two seconds.
+    void probeWhenIdle(Asio::ip::tcp::socket& socket)
+    {
+        constexpr int idleSeconds = 1;
+        constexpr int intervalSeconds = 1;
+        constexpr int probes = 2;
+        using Idle = Asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+        using Interval = Asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+        using Count = Asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+        socket.set_option(Asio::socket_base::keep_alive(true));
+        socket.set_option(Idle(idleSeconds));
+        socket.set_option(Interval(intervalSeconds));
+        socket.set_option(Count(probes));
+    }
+
     bool isReusable(HttpConnection& connection)
     {
         boost::system::error_code error;
@@ -76,6 +91,8 @@
         connection->socket().set_option(
             Asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(
                 unacknowledgedLimitMs));
+        if (m_options.isProbed)
+            probeWhenIdle(connection->socket());
         co_return connection;
     }
 
--- a/src/libnet/httpclient.h
+++ b/src/libnet/httpclient.h
@@ -75,6 +75,8 @@
     Milliseconds connectTimeout { 1000 };
     // Longest idle time of a kept connection; a shorter one that the server states goes before it.
     Milliseconds idleTimeout { 60'000 };
+    // Whether probes find a peer that went silent while a call waits for its answer.
+    bool isProbed = false;
 };
 
 // Outcome of the last step before the bytes of a call leave: a call may be withdrawn here.
--- a/src/libserving/engineplacement.cpp
+++ b/src/libserving/engineplacement.cpp
@@ -29,6 +29,18 @@
         return stableHash(shared == 0 ? request.id : request.promptParts[shared - 1].id);
     }
 
+    double megabytesElsewhere(
+        const std::map<FailureDomainId, double>& inputBytes, const FailureDomainId& domain)
+    {
+        constexpr double bytesPerMegabyte = 1e6;
+        double bytes = 0;
+        for (const auto& [place, count] : inputBytes) {
+            if (place != domain)
+                bytes += count;
+        }
+        return bytes / bytesPerMegabyte;
+    }
+
 }
 
 EnginePlacement::EnginePlacement(EnginePlacementOptions options)
@@ -37,7 +49,8 @@
 }
 
 std::vector<const KnownServer*> EnginePlacement::rank(const CallerRequest& request,
-    const std::vector<const KnownServer*>& engines, const ServerTracker& tracker,
+    const std::vector<const KnownServer*>& engines,
+    const std::map<FailureDomainId, double>& inputBytes, const ServerTracker& tracker,
     TimePoint now) const
 {
     struct Ranked {
@@ -68,7 +81,8 @@
             pending = memory->second.pendingTokens;
         }
         entry.cost = request.promptTokens - held + m_options.pendingWeight * pending
-            + m_options.runningTokens * tracker.inFlight(id);
+            + m_options.runningTokens * tracker.inFlight(id)
+            + m_options.crossingTokens * megabytesElsewhere(inputBytes, entry.engine->server.domain);
     }
     std::sort(ranked.begin(), ranked.end(), [](const Ranked& left, const Ranked& right) {
         if (left.isAvoided != right.isAvoided)
--- a/src/libserving/engineplacement.h
+++ b/src/libserving/engineplacement.h
@@ -17,6 +17,8 @@
     double runningTokens = 150;
     // Part of the shared tokens that the engine which comes first for them is expected to hold.
     double expectedHit = 0.7;
+    // Tokens that a megabyte of inputs from another failure domain counts for.
+    double crossingTokens = 370;
 };
 
 // Chooses the model engine for a request: where the shared parts of its prompt are likely in memory,
@@ -27,8 +29,10 @@
     explicit EnginePlacement(EnginePlacementOptions options = {});
 
     // Engines in order of preference. Avoided ones come last.
+    // The inputs' bytes lie in the failure domains named.
     std::vector<const KnownServer*> rank(const CallerRequest& request,
-        const std::vector<const KnownServer*>& engines, const ServerTracker& tracker,
+        const std::vector<const KnownServer*>& engines,
+        const std::map<FailureDomainId, double>& inputBytes, const ServerTracker& tracker,
         TimePoint now) const;
 
     // A request was sent to an engine whose memory holds so many tokens.
--- a/src/libserving/stageplan.cpp
+++ b/src/libserving/stageplan.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <stdexcept>
+#include <utility>
 
 namespace Apricot {
 
@@ -66,27 +67,39 @@
     return inputs;
 }
 
-std::vector<std::string> StagePlan::finalHandles() const
+std::vector<const StagePlan::Stage*> StagePlan::readersOf(int stage) const
 {
-    std::vector<std::string> handles;
+    std::vector<const Stage*> readers;
+    for (const Stage& other : m_stages) {
+        const std::vector<int>& inputs = other.definition.inputs;
+        if (other.pieces > 0 && std::find(inputs.begin(), inputs.end(), stage) != inputs.end())
+            readers.push_back(&other);
+    }
+    return readers;
+}
+
+std::vector<int> StagePlan::takeReadOut()
+{
+    std::vector<int> stages;
     for (std::size_t index = 0; index < m_stages.size(); ++index) {
-        const bool isRead = std::any_of(m_stages.begin(), m_stages.end(), [index](const Stage& other) {
-            const std::vector<int>& inputs = other.definition.inputs;
-            return other.pieces > 0
-                && std::find(inputs.begin(), inputs.end(), static_cast<int>(index)) != inputs.end();
-        });
-        if (!isRead)
-            handles.insert(
-                handles.end(), m_stages[index].handles.begin(), m_stages[index].handles.end());
+        const auto readers = readersOf(static_cast<int>(index));
+        const bool isReadOut = !readers.empty()
+            && std::all_of(readers.begin(), readers.end(),
+                [](const Stage* reader) { return reader->isDone; });
+        if (isReadOut && !std::exchange(m_stages[index].isReadOut, true))
+            stages.push_back(static_cast<int>(index));
     }
-    return handles;
+    return stages;
 }
 
-std::vector<std::string> StagePlan::allHandles() const
+std::vector<std::string> StagePlan::finalHandles() const
 {
     std::vector<std::string> handles;
-    for (const Stage& stage : m_stages)
-        handles.insert(handles.end(), stage.handles.begin(), stage.handles.end());
+    for (std::size_t index = 0; index < m_stages.size(); ++index) {
+        if (readersOf(static_cast<int>(index)).empty())
+            handles.insert(
+                handles.end(), m_stages[index].handles.begin(), m_stages[index].handles.end());
+    }
     return handles;
 }
 
--- a/src/libserving/stageplan.h
+++ b/src/libserving/stageplan.h
@@ -16,15 +16,17 @@
     std::vector<int> takeReady();
     void done(int stage, std::vector<std::string> handles);
     bool isDone() const { return m_left == 0; }
+    // Stages whose results no stage will read any more, though some did; each returned once.
+    std::vector<int> takeReadOut();
 
     const StageDefinition& definition(int stage) const { return m_stages.at(stage).definition; }
     int pieces(int stage) const { return m_stages.at(stage).pieces; }
+    // Whether no other stage reads this one.
+    bool isLast(int stage) const { return readersOf(stage).empty(); }
     // Results that a stage's pieces read.
     std::vector<std::string> inputsOf(int stage) const;
     // Results that no other stage reads, for the model engine.
     std::vector<std::string> finalHandles() const;
-    // Every result so far.
-    std::vector<std::string> allHandles() const;
     // Time from the start of a stage to the end of the last one that needs it, from the times of the
     // single stages.
     double longestTime(int stage, const std::vector<double>& milliseconds) const;
@@ -35,10 +37,12 @@
         int pieces = 0;
         bool isStarted = false;
         bool isDone = false;
+        bool isReadOut = false;
         std::vector<std::string> handles;
     };
 
     bool mayStart(const Stage& stage) const;
+    std::vector<const Stage*> readersOf(int stage) const;
     void skipEmpty();
 
     std::vector<Stage> m_stages;
--- a/src/libserving/stagescheduler.cpp
+++ b/src/libserving/stagescheduler.cpp
@@ -51,8 +51,14 @@
     if (task.work.isFirst && now + wait > task.deadlineStart) {
         const auto excess = std::chrono::ceil<Milliseconds>(now + wait - task.deadlineStart);
         return StageWorkResult { .end = StageWorkEnd::Overloaded,
-            .retryAfter = std::max(excess, shortestRetry) };
+            .retryAfter = std::max(excess, shortestRetry),
+            .backlog = backlog(now) };
     }
+    const double share = std::min(task.work.crossingBytes / m_options.domainWaitBytes, 1.0);
+    const auto domainWait = toMilliseconds(share * static_cast<double>(m_options.domainWait.count()));
+    task.domainUntil = hasServerIn(task.work.domain)
+        ? std::min(now + domainWait, task.objectiveStart)
+        : now;
     m_tasks.emplace(id, std::move(task));
     return std::nullopt;
 }
@@ -76,52 +82,72 @@
 {
     expireResults(now);
     std::vector<PlannedCall> calls;
-    while (Server* server = chooseServer(now)) {
+    for (Server* server : freeServers(now)) {
         const bool isProbe = server->pace > m_options.slowPace;
         const std::size_t limit = isProbe ? 1 : static_cast<std::size_t>(m_traits.batchLimit);
         std::vector<CallPiece> pieces = choosePieces(*server, now, limit);
-        if (pieces.empty()) {
-            // Nothing waits that has room here.
-            server->pausedUntil = now + m_options.fullPause;
+        if (pieces.empty())
             continue;
-        }
         server->probeAt = now + m_options.probeInterval;
         calls.push_back(startCall(*server, std::move(pieces), now));
     }
     return calls;
 }
 
-StageScheduler::Server* StageScheduler::chooseServer(TimePoint now)
+std::vector<StageScheduler::Server*> StageScheduler::freeServers(TimePoint now)
 {
+    std::vector<Server*> servers;
     if (waitingPieces() == 0)
-        return nullptr;
-    Server* best = nullptr;
+        return servers;
     for (auto& [id, server] : m_servers) {
         const bool isSlow = server.pace > m_options.slowPace;
-        if (server.call || !server.isListed || now < server.pausedUntil
-            || (isSlow && now < server.probeAt))
-            continue;
-        if (!best || std::tie(server.pace, server.roomUsed) < std::tie(best->pace, best->roomUsed))
-            best = &server;
+        if (!server.call && server.isListed && now >= server.pausedUntil
+            && (!isSlow || now >= server.probeAt))
+            servers.push_back(&server);
     }
-    return best;
+    std::sort(servers.begin(), servers.end(), [](const Server* left, const Server* right) {
+        return std::tie(left->pace, left->roomUsed, left->server.id)
+            < std::tie(right->pace, right->roomUsed, right->server.id);
+    });
+    return servers;
+}
+
+bool StageScheduler::mayRunIn(const Task& task, const Server& server, TimePoint now) const
+{
+    return task.work.domain.empty() || task.work.domain == server.server.domain
+        || now >= task.domainUntil;
+}
+
+bool StageScheduler::hasServerIn(const FailureDomainId& domain) const
+{
+    return std::any_of(m_servers.begin(), m_servers.end(), [&](const auto& entry) {
+        const Server& server = entry.second;
+        return server.isListed && server.server.domain == domain
+            && server.pace <= m_options.slowPace;
+    });
 }
 
 std::vector<StageScheduler::CallPiece> StageScheduler::choosePieces(
     const Server& server, TimePoint now, std::size_t limit)
 {
     std::vector<CallPiece> chosen;
-    double room = m_traits.roomBytes - server.roomUsed;
+    double room = m_options.plannedRoom * m_traits.roomBytes - server.roomUsed;
     for (const TaskId id : orderedTasks(now)) {
         Task& task = m_tasks.at(id);
-        while (!task.waiting.empty() && chosen.size() < limit) {
-            const double bytes = task.work.resultBytes;
-            if (bytes > room)
-                break;
+        if (!mayRunIn(task, server, now))
+            continue;
+        const double bytes = task.work.resultBytes;
+        bool hasChosen = false;
+        while (!task.waiting.empty() && chosen.size() < limit && bytes <= room) {
             room -= bytes;
             chosen.push_back({ id, *task.waiting.begin(), bytes });
             task.waiting.erase(task.waiting.begin());
             ++task.running;
+            hasChosen = true;
+        }
+        if (hasChosen && bytes >= m_options.gatheredBytes && task.work.domain.empty()) {
+            task.work.domain = server.server.domain;
+            task.domainUntil = std::min(now + m_options.domainWait, task.objectiveStart);
         }
         if (chosen.size() == limit)
             break;
@@ -223,7 +249,7 @@
         --task.running;
         task.handles.at(piece.piece) = result.handle;
         if (task.running == 0 && task.waiting.empty())
-            end(piece.task, { .end = StageWorkEnd::Done, .handles = task.handles });
+            finish(piece.task, task);
         return;
     case PieceEnd::Late:
         return end(piece.task, { .end = StageWorkEnd::Late });
@@ -237,6 +263,29 @@
     }
 }
 
+void StageScheduler::finish(TaskId id, const Task& task)
+{
+    StageWorkResult result { .end = StageWorkEnd::Done, .handles = task.handles };
+    result.domain = domainOfMost(result.handles);
+    end(id, std::move(result));
+}
+
+FailureDomainId StageScheduler::domainOfMost(const std::vector<std::string>& handles) const
+{
+    std::map<FailureDomainId, int> counts;
+    for (const std::string& handle : handles) {
+        const auto result = m_results.find(handle);
+        if (result == m_results.end())
+            continue;
+        const auto server = m_servers.find(result->second.server);
+        if (server != m_servers.end())
+            ++counts[server->second.server.domain];
+    }
+    const auto most = std::max_element(counts.begin(), counts.end(),
+        [](const auto& left, const auto& right) { return left.second < right.second; });
+    return most == counts.end() ? FailureDomainId() : most->first;
+}
+
 void StageScheduler::pieceFailed(TaskId id, Task& task, int piece)
 {
     --task.running;
@@ -268,6 +317,11 @@
 std::vector<StageScheduler::Ended> StageScheduler::takeEnded(TimePoint now)
 {
     dropLate(now);
+    if (m_ended.empty())
+        return {};
+    const std::vector<StageBacklog> standing = backlog(now);
+    for (Ended& ended : m_ended)
+        ended.result.backlog = standing;
     return std::exchange(m_ended, {});
 }
 
@@ -304,12 +358,15 @@
         consider(task.deadlineStart + Milliseconds(1));
     if (waitingPieces() == 0)
         return next;
+    for (const auto& [id, task] : m_tasks) {
+        if (!task.waiting.empty())
+            consider(task.domainUntil);
+    }
     for (const auto& [id, server] : m_servers) {
         if (server.call || !server.isListed)
             continue;
         consider(server.pausedUntil);
-        if (server.pace > m_options.slowPace)
-            consider(server.probeAt);
+        consider(server.pace > m_options.slowPace ? server.probeAt : now + m_options.roomPoll);
     }
     return next;
 }
@@ -322,9 +379,21 @@
     return pieces;
 }
 
-std::size_t StageScheduler::busyServers() const
+std::vector<StageBacklog> StageScheduler::backlog(TimePoint now) const
 {
-    return m_calls.size();
+    std::map<int, double> pieces;
+    for (const auto& [id, task] : m_tasks) {
+        // Late work gives way to all that is on time.
+        if (!task.waiting.empty() && task.objectiveStart >= now)
+            pieces[task.work.rank] += static_cast<double>(task.waiting.size());
+    }
+    std::vector<StageBacklog> backlog;
+    double ahead = 0;
+    for (const auto& [rank, count] : pieces) {
+        ahead += count;
+        backlog.push_back({ rank, waitBehind(ahead, 0, now) });
+    }
+    return backlog;
 }
 
 bool StageScheduler::goesBefore(const Task& left, TaskId leftId, const Task& right,
@@ -372,11 +441,16 @@
         if (goesBefore(other, otherId, task, id, now))
             ahead += static_cast<double>(other.waiting.size());
     }
+    return waitBehind(ahead, task.work.pieces, now);
+}
+
+Milliseconds StageScheduler::waitBehind(double piecesAhead, int pieces, TimePoint now) const
+{
     const double batch = std::max(m_traits.batchLimit, 1);
     const double callTime = callMilliseconds(static_cast<std::size_t>(batch));
     const double working = std::max(workingServers(now), 0.5);
     const bool isIdle = static_cast<double>(m_calls.size()) + 0.5 < working;
-    const double calls = std::floor((ahead + task.work.pieces) / batch) / working;
+    const double calls = std::floor((piecesAhead + pieces) / batch) / working;
     return toMilliseconds(calls * callTime + (isIdle ? 0 : callTime / (2 * working)));
 }
 
--- a/src/libserving/stagescheduler.h
+++ b/src/libserving/stagescheduler.h
@@ -24,6 +24,16 @@
     Milliseconds failurePause { 300 };
     // How long a server that was full gets no other call.
     Milliseconds fullPause { 60 };
+    // Part of a server's room that is planned with; sizes of results are approximate.
+    double plannedRoom = 0.9;
+    // Longest wait for a server in the work's own failure domain, and the bytes for which it is waited
+    // so long; for fewer bytes it is shorter in proportion.
+    Milliseconds domainWait { 300 };
+    double domainWaitBytes = 1'000'000;
+    // Results of at least so many bytes keep the pieces of one stage in one failure domain.
+    double gatheredBytes = 30'000;
+    // Time between two looks for room while pieces wait for it.
+    Milliseconds roomPoll { 40 };
     // Calls in which one piece may fail.
     int attemptLimit = 3;
     // Weight of the newest call in a server's pace.
@@ -93,7 +103,8 @@
     // When plan() or takeEnded() may have something new though nothing else happens.
     std::optional<TimePoint> nextEvent(TimePoint now) const;
     std::size_t waitingPieces() const;
-    std::size_t busyServers() const;
+    // How long new work waits, for each rank that has work waiting, by rising rank.
+    std::vector<StageBacklog> backlog(TimePoint now) const;
 
 private:
     struct Task {
@@ -101,6 +112,8 @@
         TimePoint objectiveStart {};
         TimePoint deadlineStart {};
         TimePoint leavesAt {};
+        // Until then only servers of the work's failure domain take it.
+        TimePoint domainUntil {};
         std::set<int> waiting;
         int running = 0;
         int failures = 0;
@@ -138,7 +151,12 @@
     double callMilliseconds(std::size_t pieces) const;
     Milliseconds estimateWait(const Task& task, TaskId id, TimePoint now) const;
     double workingServers(TimePoint now) const;
-    Server* chooseServer(TimePoint now);
+    Milliseconds waitBehind(double piecesAhead, int pieces, TimePoint now) const;
+    std::vector<Server*> freeServers(TimePoint now);
+    bool mayRunIn(const Task& task, const Server& server, TimePoint now) const;
+    bool hasServerIn(const FailureDomainId& domain) const;
+    FailureDomainId domainOfMost(const std::vector<std::string>& handles) const;
+    void finish(TaskId id, const Task& task);
     std::vector<CallPiece> choosePieces(const Server& server, TimePoint now, std::size_t limit);
     PlannedCall startCall(Server& server, std::vector<CallPiece> pieces, TimePoint now);
     void takeResult(const Call& call, const CallPiece& piece, const PieceResult& result, TimePoint now);
--- a/src/libserving/stagework.h
+++ b/src/libserving/stagework.h
@@ -30,6 +30,10 @@
     // Until the caller leaves.
     Milliseconds patience { 0 };
     double resultBytes = 0;
+    // Where the stage is best run, because its inputs or its readers are there; empty for anywhere.
+    FailureDomainId domain;
+    // Bytes that cross failure domains when it is run elsewhere.
+    double crossingBytes = 0;
     // Whether nothing has been done for this request yet.
     bool isFirst = false;
 
@@ -39,7 +43,7 @@
     void serialize(Archive& archive)
     {
         archive(pool, group, requestId, stage, pieces, pieceKey, inputs, rank, objectiveSlack,
-            deadlineSlack, patience, resultBytes, isFirst);
+            deadlineSlack, patience, resultBytes, domain, crossingBytes, isFirst);
     }
 };
 
@@ -55,18 +59,33 @@
     Failed,
 };
 
+// How long new work of a rank waits for a group of stage servers.
+struct StageBacklog {
+    int rank = 0;
+    Milliseconds wait { 0 };
+
+    auto operator<=>(const StageBacklog&) const = default;
+
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(rank, wait); }
+};
+
 // How one stage of one request ended.
 struct StageWorkResult {
     StageWorkEnd end = StageWorkEnd::Failed;
     // One result for each piece, when it is done.
     std::vector<std::string> handles;
+    // Where most of the results lie.
+    FailureDomainId domain;
     // When the work could be taken, where it was not.
     Milliseconds retryAfter { 0 };
+    // The group's backlog as the stage ended, by rising rank.
+    std::vector<StageBacklog> backlog;
 
     auto operator<=>(const StageWorkResult&) const = default;
 
     template <typename Archive>
-    void serialize(Archive& archive) { archive(end, handles, retryAfter); }
+    void serialize(Archive& archive) { archive(end, handles, domain, retryAfter, backlog); }
 };
 
 // One piece in a call of a stage server.
