--- a/src/gateway/beliefkeeper.cpp
+++ b/src/gateway/beliefkeeper.cpp
@@ -19,6 +19,12 @@
     // Kind of the entries of this system's own hosts.
     constexpr std::string_view hostsPrefix = "apricot-hosts/";
     constexpr Milliseconds registerRetry { 500 };
+    // Changes that come within these times cost each host one call of the store. Configurations and
+    // evacuations have to be in force within two seconds; servers announce their leaving that long
+    // before they stop, and hosts are only slowly added and removed.
+    constexpr Milliseconds configGatherTime { 300 };
+    constexpr Milliseconds serversGatherTime { 800 };
+    constexpr Milliseconds hostsGatherTime { 1500 };
 
     std::string nameOf(const std::string& key) { return key.substr(key.find('/') + 1); }
 
@@ -51,7 +57,7 @@
     , m_self(std::move(self))
     , m_selfEntry(std::move(selfEntry))
     , m_config(makeFollower(
-          std::string(PlatformNames::configurationPrefix),
+          std::string(PlatformNames::configurationPrefix), configGatherTime,
           [this](const PlatformList& list) {
               for (const PlatformObject& object : list.objects)
                   takeConfig(object.key, object.version, object.value);
@@ -61,11 +67,11 @@
                   takeConfig(event.key, event.version, *event.value);
           }))
     , m_servers(makeFollower(
-          std::string(PlatformNames::serversPrefix),
+          std::string(PlatformNames::serversPrefix), serversGatherTime,
           [this](const PlatformList& list) { takeServers(list); },
           [this](const PlatformEvent& event) { takeServer(event); }))
     , m_evacuations(makeFollower(
-          std::string(PlatformNames::evacuationsPrefix),
+          std::string(PlatformNames::evacuationsPrefix), configGatherTime,
           [this](const PlatformList& list) {
               m_domainsOut.clear();
               for (const PlatformObject& object : list.objects)
@@ -81,12 +87,13 @@
               takeEvacuations();
           }))
     , m_hosts(makeFollower(
-          std::string(hostsPrefix), [this](const PlatformList& list) { takeHosts(list); },
+          std::string(hostsPrefix), hostsGatherTime,
+          [this](const PlatformList& list) { takeHosts(list); },
           [this](const PlatformEvent& event) { takeHost(event); }))
 {
 }
 
-StoreFollower BeliefKeeper::makeFollower(std::string prefix,
+StoreFollower BeliefKeeper::makeFollower(std::string prefix, Milliseconds gatherTime,
     std::function<void(const PlatformList&)> listed,
     std::function<void(const PlatformEvent&)> changed)
 {
@@ -102,7 +109,8 @@
             m_view.servers().storeRegained(RuntimeClock::now());
         writeLog(LogLevel::Info, "store_regained", { { "kind", prefix } });
     };
-    return { m_context, m_store, { .prefix = std::move(prefix) }, std::move(handlers) };
+    return { m_context, m_store, { .prefix = std::move(prefix), .gatherTime = gatherTime },
+        std::move(handlers) };
 }
 
 void BeliefKeeper::start()
@@ -114,6 +122,16 @@
     Asio::co_spawn(m_context, keepRegistered(), Asio::detached);
 }
 
+std::vector<StoreFollower*> BeliefKeeper::followers()
+{
+    return { &m_config, &m_servers, &m_evacuations, &m_hosts };
+}
+
+bool BeliefKeeper::isStoreLost() const
+{
+    return m_config.isLost() || m_servers.isLost() || m_evacuations.isLost() || m_hosts.isLost();
+}
+
 void BeliefKeeper::takeConfig(
     const std::string& key, ObjectVersion revision, const json::value& value)
 {
--- a/src/gateway/beliefkeeper.h
+++ b/src/gateway/beliefkeeper.h
@@ -14,11 +14,15 @@
     void start();
     // Takes this host's entry out of the store, so that the others stop to count on it.
     boost::asio::awaitable<void> deregister();
+    std::vector<StoreFollower*> followers();
+    // Whether the store does not answer this host at present, for any kind of objects.
+    bool isStoreLost() const;
     // Called after each change of the view.
     void setChangeHandler(std::function<void()> handler) { m_changed = std::move(handler); }
 
 private:
-    StoreFollower makeFollower(std::string prefix, std::function<void(const PlatformList&)> listed,
+    StoreFollower makeFollower(std::string prefix, Milliseconds gatherTime,
+        std::function<void(const PlatformList&)> listed,
         std::function<void(const PlatformEvent&)> changed);
     void takeConfig(const std::string& key, ObjectVersion revision, const boost::json::value& value);
     void takeServers(const PlatformList& list);
--- a/src/gateway/gatewaydaemon.cpp
+++ b/src/gateway/gatewaydaemon.cpp
@@ -62,6 +62,8 @@
           { endpointOf(settings.peers), settings.process.failureDomain })
     , m_caller(m_context, m_view, m_tracker)
     , m_peers(m_context)
+    , m_relay(m_context, m_belief, m_view, m_peers, settings.process.host,
+          parseEndpoints(settings.seeds).value_or(std::vector<Endpoint>()))
     , m_stageHome(m_context, m_view, m_caller)
     , m_stageRouter(m_context, settings.process.host, m_view, m_stageHome, m_peers)
     , m_stageRunner(m_context, m_stageRouter)
@@ -98,6 +100,7 @@
         { { "callers", m_settings.callers }, { "peers", m_settings.peers },
             { "store", m_settings.store }, { "version", APRICOT_VERSION } });
     m_belief.start();
+    m_relay.start();
     Asio::co_spawn(m_context, waitForStop(), Asio::detached);
     Asio::co_spawn(m_context, waitForReload(), Asio::detached);
     m_context.run();
@@ -136,10 +139,21 @@
         co_return;
     if (auto* work = std::get_if<StageWorkMessage>(&*first))
         co_await m_stageRouter.serve(std::move(stream), std::move(work->work));
+    else if (const auto* question = std::get_if<TextMessage>(&*first))
+        co_await answerPeer(std::move(stream), *question);
     else if (const auto* released = std::get_if<ReleaseResultsMessage>(&*first))
         m_stageHome.release(released->pool, released->group, released->handles);
 }
 
+Asio::awaitable<void> GatewayDaemon::answerPeer(
+    std::shared_ptr<PeerStream> stream, TextMessage question)
+{
+    if (question.topic != ViewRelay::topic)
+        co_return;
+    Message answer = TextMessage { question.topic, m_relay.answer(question.json) };
+    co_await stream->write(std::move(answer));
+}
+
 Asio::awaitable<void> GatewayDaemon::waitForStop()
 {
     co_await m_stopSignals.async_wait(Asio::use_awaitable);
--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -2,6 +2,7 @@
 
 #include "gateway/beliefkeeper.h"
 #include "gateway/requestservice.h"
+#include "gateway/viewrelay.h"
 #include "libnet/adminserver.h"
 #include "libserving/gatewaysettings.h"
 
@@ -20,6 +21,8 @@
 private:
     boost::asio::awaitable<void> answerReadiness(HttpExchange& exchange);
     boost::asio::awaitable<void> servePeer(std::shared_ptr<PeerStream> stream);
+    boost::asio::awaitable<void> answerPeer(
+        std::shared_ptr<PeerStream> stream, TextMessage question);
     boost::asio::awaitable<void> waitForStop();
     boost::asio::awaitable<void> waitForReload();
     boost::asio::awaitable<void> shutDown();
@@ -38,6 +41,7 @@
     BeliefKeeper m_belief;
     BackendCaller m_caller;
     PeerClient m_peers;
+    ViewRelay m_relay;
     StageHome m_stageHome;
     StageRouter m_stageRouter;
     StageRunner m_stageRunner;
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -47,8 +47,9 @@
         const PlatformList list = co_await m_store.list(m_options.prefix);
         // Before the list is taken in: what lapsed in an outage is then known to have.
         noteRegained();
-        m_handlers.listed(list);
-        m_revision = list.revision;
+        // A list that was read before a peer's was absorbed may be older.
+        if (list.revision >= m_revision)
+            takeList(list);
         m_mustList = false;
         co_return;
     }
@@ -61,12 +62,50 @@
     }
     const auto& events = std::get<PlatformEvents>(watched);
     for (const PlatformEvent& event : events.events)
-        m_handlers.changed(event);
+        takeEvent(event);
     m_revision = std::max(m_revision, events.revision);
     if (!events.events.empty())
         co_await sleepFor(m_context.get_executor(), m_options.gatherTime);
 }
 
+PlatformList StoreFollower::list() const
+{
+    PlatformList list { .revision = m_revision };
+    for (const auto& [key, object] : m_objects)
+        list.objects.push_back(object);
+    return list;
+}
+
+bool StoreFollower::absorb(const PlatformList& list)
+{
+    if (list.revision <= m_revision)
+        return false;
+    takeList(list);
+    return true;
+}
+
+void StoreFollower::takeList(const PlatformList& list)
+{
+    m_objects.clear();
+    for (const PlatformObject& object : list.objects)
+        m_objects[object.key] = object;
+    m_revision = list.revision;
+    m_handlers.listed(list);
+}
+
+void StoreFollower::takeEvent(const PlatformEvent& event)
+{
+    // A watch that was sent before a peer's list was absorbed tells what is known already.
+    const auto known = m_objects.find(event.key);
+    if (known != m_objects.end() && known->second.version >= event.version)
+        return;
+    if (event.value)
+        m_objects[event.key] = { event.key, event.version, *event.value };
+    else
+        m_objects.erase(event.key);
+    m_handlers.changed(event);
+}
+
 void StoreFollower::noteLost(const std::string& reason)
 {
     if (!std::exchange(m_isLost, true))
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -3,6 +3,7 @@
 #include "platform/platformclient.h"
 
 #include <functional>
+#include <map>
 
 namespace Apricot {
 
@@ -36,13 +37,20 @@
     // Follows for as long as the io_context runs.
     void start();
     bool isLost() const { return m_isLost; }
+    const std::string& prefix() const { return m_options.prefix; }
+    // Revision of the store up to which the objects are known.
     ObjectVersion revision() const { return m_revision; }
-    // Takes a revision up to which the objects are known from elsewhere.
-    void noteRevision(ObjectVersion revision) { m_revision = std::max(m_revision, revision); }
+    // The objects as they are known.
+    PlatformList list() const;
+    // Takes a list that another host has of the store. An older one than is known here is dropped;
+    // returns whether it was taken.
+    bool absorb(const PlatformList& list);
 
 private:
     boost::asio::awaitable<void> follow();
     boost::asio::awaitable<void> readOnce();
+    void takeList(const PlatformList& list);
+    void takeEvent(const PlatformEvent& event);
     void noteLost(const std::string& reason);
     void noteRegained();
 
@@ -51,6 +59,7 @@
     StoreFollowerOptions m_options;
     Handlers m_handlers;
     ObjectVersion m_revision = 0;
+    std::map<std::string, PlatformObject> m_objects;
     bool m_mustList = true;
     bool m_isLost = false;
 };
--- /dev/null
+++ b/tests/platform/objecttranslationtest.cpp
@@ -0,0 +1,111 @@
+#include "platform/objecttranslation.h"
+#include "platform/stagetranslation.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <boost/json/parse.hpp>
+
+using namespace Apricot;
+
+namespace {
+
+constexpr const char* configText = R"({"version":7,
+  "routes":[{"name":"r1","host":"pule.example","pathPrefix":"/pu/","routeKind":"streaming",
+     "timeoutMs":6000,"sloMs":1600,"priority":1,"split":[{"service":"m1","weight":90},
+     {"service":"m2","weight":10}],"maxAttempts":2,"stages":[{"service":"k","after":[],
+     "byteCount":1500000},{"service":"f","after":[0],"byteCount":60000}],"public":false,
+     "sticky":true,"resumable":true,"itlTargetMs":800},
+    {"name":"r2","host":"jepu.example","pathPrefix":"/c/","routeKind":"non_idempotent",
+     "timeoutMs":1000,"sloMs":100,"service":"l","public":true,"unheardOf":[1]}],
+  "services":[{"name":"m1","healthPath":"/healthz","maxConns":360,"coldStartS":3.0,
+     "coldPerS":8.8,"runtime":{"slots":64,"kvCapacity":308065}},
+    {"name":"k","segments":{"slots":1,"queue":2,"batch":8,"callMs":200.0,"itemMs":21.0,
+     "headroomMb":18.0,"handleTtlS":4.0}}],
+  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,
+     "idleTimeoutMs":15000},
+  "tenants":[{"name":"bozi","apiKeys":["a","b"],"priority":1},{"name":"free","apiKeys":[]}]})";
+
+constexpr const char* serverText = R"({"service":"m1","addr":"10.128.0.9:8080","zone":"fes-a",
+  "version":"v1","slots":64,"state":"ready","coldLeftMs":120,"seq":4,"born":1785116738020})";
+
+std::optional<ServerEntry> readServer(const std::string& text)
+{
+    return Platform::readServerEntry("i-1", boost::json::parse(text));
+}
+
+}
+
+TEST_GROUP(ObjectTranslation) {};
+
+TEST(ObjectTranslation, readsAWholeConfiguration)
+{
+    const ServingConfig config = Platform::readServingConfig(boost::json::parse(configText));
+    LONGS_EQUAL(7, config.version);
+    const Route& stream = config.routes.at(0);
+    CHECK(stream.repeatRule == RepeatRule::Stream && stream.isResumable);
+    LONGS_EQUAL(1600, stream.objective.count());
+    CHECK(stream.pools == std::vector<PoolShare>({ { PoolId("m1"), 90 }, { PoolId("m2"), 10 } }));
+    CHECK(stream.stages.at(1).inputs == std::vector<int>({ 0 }));
+    const Route& charge = config.routes.at(1);
+    CHECK(charge.repeatRule == RepeatRule::NotIdempotent && charge.isPublic);
+    CHECK(!charge.mayRunAgain());
+    const Pool* kitchen = config.findPool(PoolId("k"));
+    LONGS_EQUAL(8, kitchen->stage->batchLimit);
+    DOUBLES_EQUAL(18e6, kitchen->stage->roomBytes, 1);
+    LONGS_EQUAL(4000, kitchen->stage->resultLifetime.count());
+    DOUBLES_EQUAL(308065, config.findPool(PoolId("m1"))->engine->memoryTokens, 0);
+    LONGS_EQUAL(16384, config.limits.headerBytes);
+    CHECK(config.owners.at(0).rank == 1);
+    CHECK(!config.owners.at(1).rank);
+}
+
+TEST(ObjectTranslation, whatIsNoConfigurationIsRejected)
+{
+    for (const char* text : { "null", "[]", "{}", R"({"version":"new"})",
+             R"({"version":1,"routes":[{"host":"a"}]})", R"({"version":1,"routes":{}})" })
+        CHECK_THROWS(std::exception, Platform::readServingConfig(boost::json::parse(text)));
+}
+
+TEST(ObjectTranslation, readsAServerEntry)
+{
+    const auto server = readServer(serverText);
+    CHECK(server.has_value());
+    CHECK(server->endpoint == (Endpoint { "10.128.0.9", 8080 }));
+    LONGS_EQUAL(120, server->coldLeft.count());
+    CHECK(!server->isDraining);
+}
+
+TEST(ObjectTranslation, entriesOfOtherWritersNameNoServer)
+{
+    for (const char* text : { "null", "7", "[]", "{}", R"("text")",
+             R"({"service":"m1","addr":"10.0.0.1:1","zone":"a","state":"asleep"})",
+             R"({"service":"m1","addr":"nowhere","zone":"a","state":"ready"})",
+             R"({"service":7,"addr":"10.0.0.1:1","zone":"a","state":"ready"})",
+             R"({"service":"m1","addr":"10.0.0.1:1","state":"ready"})",
+             R"({"service":"m1","addr":"10.0.0.1:1","zone":"a","state":"ready","slots":"x"})" })
+        CHECK_TEXT(!readServer(text), text);
+}
+
+TEST(ObjectTranslation, stageCallsNameKeysOrInputs)
+{
+    const HttpCall call = Platform::makeStageCall(BackendServerId("i-9"),
+        { { .requestId = "e5", .stage = 0, .piece = 2, .patience = Milliseconds(900), .pieceKey = "7c" },
+            { .requestId = "14", .stage = 2, .patience = Milliseconds(5), .inputs = { "a:1/h" } } },
+        Milliseconds(700));
+    STRCMP_EQUAL("/-/stage-run", call.target.c_str());
+    STRCMP_EQUAL(R"({"entries":[{"id":"e5","phase":0,"segment":2,"remainingMs":900,"key":"7c"},)"
+                 R"({"id":"14","phase":2,"segment":0,"remainingMs":5,"inputs":["a:1/h"]}]})",
+        call.body.c_str());
+}
+
+TEST(ObjectTranslation, pieceResultsKeepTheirOrderAndReasons)
+{
+    const auto results = Platform::readPieceResults(
+        R"({"entries":[{"handle":"h"},{"reason":"gone"},{"reason":"room"},{"reason":"late"},
+            {"reason":"error"}]})");
+    CHECK(results
+        == std::vector<PieceResult>({ { PieceEnd::Done, "h" }, { PieceEnd::InputGone, "" },
+            { PieceEnd::NoRoom, "" }, { PieceEnd::Late, "" }, { PieceEnd::Failed, "" } }));
+    CHECK_THROWS(std::exception, Platform::readPieceResults("{}"));
+    CHECK_THROWS(std::exception, Platform::readPieceResults(R"({"entries":[{}]})"));
+}
--- /dev/null
+++ b/tests/serving/limitstest.cpp
@@ -0,0 +1,108 @@
+#include "libserving/coldlimiter.h"
+#include "libserving/retrywindow.h"
+#include "libserving/servertracker.h"
+
+#include "unit/property.h"
+
+using namespace Apricot;
+
+namespace {
+
+std::vector<HostId> makeHosts(int count)
+{
+    std::vector<HostId> hosts;
+    for (int index = 0; index < count; ++index)
+        hosts.emplace_back("host-" + std::to_string(index));
+    return hosts;
+}
+
+}
+
+TEST_GROUP(ServingLimits)
+{
+    TimePoint now {};
+    const PoolId pool { "ledger" };
+    const BackendServerId server { "s1" };
+};
+
+TEST(ServingLimits, allHostsTogetherStayBelowTheColdBound)
+{
+    checkProperty("sends of all hosts within a second", [] {
+        const int count = *rc::gen::inRange(1, 120);
+        const double coldRate = *rc::gen::inRange(1, 60);
+        const std::vector<HostId> hosts = makeHosts(count);
+        const BackendServerId cold("s" + std::to_string(*rc::gen::inRange(0, 1000)));
+        double sent = 0;
+        const TimePoint start {};
+        for (const HostId& host : hosts) {
+            ColdLimiter limiter({ .overshoot = 1.5, .tolerance = 5 });
+            limiter.setHosts(host, hosts);
+            for (int try_ = 0; try_ < 100; ++try_)
+                sent += limiter.take(cold, coldRate, start + Milliseconds(10 * try_)) ? 1 : 0;
+        }
+        RC_ASSERT(sent <= coldRate * 1.5 + 5);
+        RC_ASSERT(sent >= 1);
+    });
+}
+
+TEST(ServingLimits, aHostThatKnowsNoOthersSendsNothingToAColdServer)
+{
+    ColdLimiter limiter;
+    CHECK(!limiter.take(server, 10, now));
+}
+
+TEST(ServingLimits, allHostsTogetherStayWithinTheRetryBudget)
+{
+    checkProperty("repeats of all hosts within a window", [] {
+        const int count = *rc::gen::inRange(1, 90);
+        const int requests = *rc::gen::inRange(0, 40);
+        const PoolId ledger("ledger");
+        const RetryWindowOptions options { .ratio = 0.2, .slack = 52 };
+        double repeats = 0;
+        for (int host = 0; host < count; ++host) {
+            RetryWindow window(options);
+            window.setHosts(static_cast<std::size_t>(count));
+            for (int index = 0; index < requests; ++index)
+                window.countRequest(ledger, TimePoint());
+            while (window.takeRepeat(ledger, TimePoint() + Milliseconds(10)))
+                ++repeats;
+        }
+        RC_ASSERT(repeats <= 0.2 * requests * count + 52);
+    });
+}
+
+TEST(ServingLimits, repeatsAreAllowedAgainAfterTheWindow)
+{
+    RetryWindow window({ .ratio = 0, .slack = 1.25 });
+    CHECK(window.takeRepeat(pool, now));
+    CHECK(!window.takeRepeat(pool, now + Milliseconds(9'999)));
+    CHECK(window.takeRepeat(pool, now + Milliseconds(10'000)));
+}
+
+TEST(ServingLimits, avoidsASilentServerForLongerEachTime)
+{
+    ServerTracker tracker;
+    const auto silent = [&] {
+        tracker.callStarted(server);
+        tracker.callEnded(server, CallEnd::Silent, Milliseconds(350), now);
+    };
+    silent();
+    CHECK(tracker.isAvoided(server, now + Milliseconds(399)));
+    CHECK(!tracker.isAvoided(server, now + Milliseconds(401)));
+    silent();
+    CHECK(tracker.isAvoided(server, now + Milliseconds(799)));
+}
+
+TEST(ServingLimits, aServerThatFailsOftenCostsMore)
+{
+    ServerTracker tracker;
+    const BackendServerId good("s2");
+    for (int index = 0; index < 3; ++index) {
+        tracker.callEnded(server, CallEnd::Failed, Milliseconds(15), now);
+        tracker.callEnded(good, CallEnd::Answered, Milliseconds(15), now);
+    }
+    CHECK(tracker.cost(server) > tracker.cost(good) || tracker.cost(server) > 1);
+    for (int index = 0; index < 20; ++index)
+        tracker.callEnded(server, CallEnd::Broken, Milliseconds(15), now);
+    CHECK(tracker.isAvoided(server, now + Milliseconds(100'000)));
+}
--- /dev/null
+++ b/tests/serving/servingconfigtest.cpp
@@ -0,0 +1,47 @@
+#include "libserving/servingview.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace Apricot;
+
+TEST_GROUP(ServingConfig)
+{
+    ServingConfig config {
+        .version = 1,
+        .routes = { { .name = "all", .host = "a.example", .pathPrefix = "/p/" },
+            { .name = "part", .host = "a.example", .pathPrefix = "/p/q/" },
+            { .name = "other", .host = "b.example", .pathPrefix = "/p/" } },
+        .owners = { { .id = OwnerId("kitchen"), .keys = { "k1", "k2" } } },
+    };
+
+    std::string routeOf(const char* host, const char* path) const
+    {
+        const Route* route = config.findRoute(host, path);
+        return route ? route->name : "none";
+    }
+};
+
+TEST(ServingConfig, findsTheLongestPrefixOfTheHost)
+{
+    STRCMP_EQUAL("part", routeOf("a.example", "/p/q/x").c_str());
+    STRCMP_EQUAL("all", routeOf("A.Example:8080", "/p/qx").c_str());
+    STRCMP_EQUAL("other", routeOf("b.example", "/p/q/x").c_str());
+    STRCMP_EQUAL("none", routeOf("c.example", "/p/q/x").c_str());
+    STRCMP_EQUAL("none", routeOf("a.example", "/p").c_str());
+}
+
+TEST(ServingConfig, findsOwnersByAnyOfTheirKeys)
+{
+    CHECK(config.findOwner("k2") != nullptr);
+    CHECK(config.findOwner("") == nullptr);
+    CHECK(config.findOwner("k3") == nullptr);
+}
+
+TEST(ServingConfig, neverReturnsToAnOlderVersion)
+{
+    ServingView view;
+    CHECK(view.takeConfig({ .version = 7 }, 70));
+    CHECK(!view.takeConfig({ .version = 5 }, 60));
+    CHECK(!view.takeConfig({ .version = 7 }, 70));
+    LONGS_EQUAL(7, view.config()->version);
+}
--- /dev/null
+++ b/tests/serving/streamtest.cpp
@@ -0,0 +1,71 @@
+#include "libserving/eventsplitter.h"
+#include "libserving/stageplan.h"
+
+#include "unit/property.h"
+
+using namespace Apricot;
+
+TEST_GROUP(StreamParts) {};
+
+TEST(StreamParts, wholeEventsAreTheSameHoweverTheBytesArrive)
+{
+    checkProperty("cuts do not matter", [](const std::vector<int>& cuts) {
+        const std::string stream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c";
+        EventSplitter splitter;
+        std::string events;
+        std::size_t at = 0;
+        for (const int cut : cuts) {
+            const std::size_t next
+                = std::min(stream.size(), at + static_cast<std::size_t>(std::abs(cut % 9)));
+            events += splitter.take(std::string_view(stream).substr(at, next - at));
+            at = next;
+        }
+        events += splitter.take(std::string_view(stream).substr(at));
+        RC_ASSERT(events == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+        RC_ASSERT(splitter.rest() == "id: 3\ndata: c");
+        RC_ASSERT(splitter.lastId() == "2");
+    });
+}
+
+TEST(StreamParts, stagesStartOnceTheirInputsAreDone)
+{
+    StagePlan plan({ { .pool = PoolId("a") }, { .pool = PoolId("b"), .inputs = { 0 } },
+                       { .pool = PoolId("c"), .inputs = { 0, 1 } } },
+        { 1, 2, 1 });
+    CHECK(plan.takeReady() == std::vector<int>({ 0 }));
+    CHECK(plan.takeReady().empty());
+    plan.done(0, { "h0" });
+    CHECK(plan.takeReady() == std::vector<int>({ 1 }));
+    plan.done(1, { "h1", "h2" });
+    CHECK(plan.takeReadOut().empty());
+    CHECK(plan.takeReady() == std::vector<int>({ 2 }));
+    CHECK(plan.inputsOf(2) == std::vector<std::string>({ "h0", "h1", "h2" }));
+    plan.done(2, { "h3" });
+    CHECK(plan.takeReadOut() == std::vector<int>({ 0, 1 }));
+    CHECK(plan.finalHandles() == std::vector<std::string>({ "h3" }));
+    CHECK(plan.isDone());
+}
+
+TEST(StreamParts, aStageWithoutPiecesIsLeftOut)
+{
+    StagePlan plan({ { .pool = PoolId("a") }, { .pool = PoolId("b") } }, { 0, 1 });
+    CHECK(plan.takeReady() == std::vector<int>({ 1 }));
+    plan.done(1, { "h" });
+    CHECK(plan.isDone());
+    CHECK(plan.finalHandles() == std::vector<std::string>({ "h" }));
+}
+
+TEST(StreamParts, aStageThatReadsALaterOneIsRejected)
+{
+    CHECK_THROWS(std::invalid_argument,
+        StagePlan({ { .pool = PoolId("a"), .inputs = { 1 } }, { .pool = PoolId("b") } }, { 1, 1 }));
+}
+
+TEST(StreamParts, theLongestWayCountsEachLaterStageOnce)
+{
+    const StagePlan plan({ { .pool = PoolId("a") }, { .pool = PoolId("b"), .inputs = { 0 } },
+                             { .pool = PoolId("c"), .inputs = { 1 } } },
+        { 1, 1, 1 });
+    DOUBLES_EQUAL(350, plan.longestTime(0, { 100, 200, 50 }), 0.01);
+    DOUBLES_EQUAL(50, plan.longestTime(2, { 100, 200, 50 }), 0.01);
+}
--- /dev/null
+++ b/tests/unit/requestheadtest.cpp
@@ -0,0 +1,39 @@
+#include "libnet/requesthead.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+
+using namespace Apricot;
+
+TEST_GROUP(RequestHead)
+{
+    static bool isSound(const std::string& fields)
+    {
+        return !findHeadFault("POST /p HTTP/1.1\r\n" + fields + "\r\n");
+    }
+};
+
+TEST(RequestHead, soundHeadersPass)
+{
+    CHECK(isSound("Host: a\r\nContent-Length: 3\r\n"));
+    CHECK(isSound("Host: a\r\nTransfer-Encoding: chunked\r\n"));
+    CHECK(isSound("host:a\r\nEmpty:\r\n"));
+}
+
+TEST(RequestHead, whatTwoParsersMayReadDifferentlyIsRejected)
+{
+    CHECK(!isSound("Host: a\r\nContent-Length: 3\r\nContent-Length: 3\r\n"));
+    CHECK(!isSound("Host: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n"));
+    CHECK(!isSound("Host: a\r\nContent-Length: +3\r\n"));
+    CHECK(!isSound("Host: a\r\nContent-Length: 3, 3\r\n"));
+    CHECK(!isSound("Host: a\r\nTransfer-Encoding: gzip, chunked\r\n"));
+    CHECK(!isSound("Host: a\r\nTransfer-Encoding : chunked\r\n"));
+    CHECK(!isSound("Host: a\r\nX: 1\r\n folded\r\n"));
+    CHECK(!isSound("Host: a\r\nX: 1\nY: 2\r\n"));
+    CHECK(!isSound(std::string("Host: a\r\nX: 1\0\r\n", 17)));
+    CHECK(!isSound("Host: a\r\nHost: b\r\n"));
+    CHECK(!isSound("X: 1\r\n"));
+    CHECK(!isSound("Host: a\r\nnocolon\r\n"));
+    CHECK(findHeadFault("GET / HTTP/1.1\r\nHost: a\r\n").has_value());
+}
