Count fresh knowledge of peers as the store's return; log to standard output; metrics and reload

A host that had been cut off rested on its peers' knowledge, never asked the store itself, took it for lost for good, and kept servers whose entries were removed as if they might return. Log lines go to standard output through a bounded sink that never waits; counters, histograms and levels at the admin address; SIGHUP reads the settings again.

--- a/src/emulator/platform/platformfaults.cpp
+++ b/src/emulator/platform/platformfaults.cpp
@@ -20,6 +20,7 @@
     const boost::json::object& object = value.as_object();
     PlatformFaults faults;
     faults.outage = memberOr(object, "outage", false);
+    faults.silent = memberOr(object, "silent", false);
     faults.delay = Milliseconds(memberOr<std::int64_t>(object, "delay_ms", 0));
     faults.loseAnswers = memberOr(object, "lose_answers", 0.0);
     faults.staleReads = memberOr(object, "stale_reads", false);
--- a/src/emulator/platform/platformfaults.h
+++ b/src/emulator/platform/platformfaults.h
@@ -14,6 +14,8 @@
 struct PlatformFaults {
     // Every call of an object is answered 503.
     bool outage = false;
+    // Calls and waiting watches get no answer, also when this has ended.
+    bool silent = false;
     // Added before each answer.
     Milliseconds delay { 0 };
     // Probability that a write takes effect and its connection is closed without an answer.
--- a/src/emulator/platform/platformserver.cpp
+++ b/src/emulator/platform/platformserver.cpp
@@ -26,6 +26,7 @@
     constexpr Milliseconds watchTimeoutLimit { 60000 };
     // How long a call of a cut-off host hangs before its connection is closed.
     constexpr Milliseconds cutHangTime { 2000 };
+    constexpr Milliseconds mutePoll { 20 };
     // How far back stale reads reach.
     constexpr ObjectVersion staleRevisions = 4;
     constexpr std::size_t bodyLimitBytes = 1024UL * 1024;
@@ -197,6 +198,8 @@
         exchange.abort();
         co_return;
     }
+    if (m_faults.silent)
+        co_return co_await stayMute(exchange);
     if (m_faults.delay.count() > 0)
         co_await pause(m_faults.delay);
     const bool isWrite = request.method != "GET";
@@ -248,6 +251,8 @@
             exchange.abort();
             co_return;
         }
+        if (m_faults.silent)
+            co_return co_await stayMute(exchange);
         if (m_faults.outage)
             co_return co_await respondError(exchange, 503, "platform unavailable");
         StoreEvents events = m_store.eventsSince(prefix, since, readRevision(since));
@@ -308,6 +313,12 @@
     co_await respondJson(exchange, 409, conflictJson(conflict));
 }
 
+asio::awaitable<void> PlatformServer::stayMute(HttpExchange& exchange)
+{
+    while (!exchange.isPeerGone())
+        co_await pause(mutePoll);
+}
+
 asio::awaitable<void> PlatformServer::pause(Duration duration)
 {
     Timer timer(m_context, duration);
--- a/src/emulator/platform/platformserver.h
+++ b/src/emulator/platform/platformserver.h
@@ -38,6 +38,8 @@
     boost::asio::awaitable<void> handleList(HttpExchange& exchange, std::string prefix);
     boost::asio::awaitable<void> handleWatch(HttpExchange& exchange, std::string prefix);
     boost::asio::awaitable<void> handleWrite(HttpExchange& exchange, const std::string& key);
+    // Holds a call without an answer until its caller leaves.
+    boost::asio::awaitable<void> stayMute(HttpExchange& exchange);
     boost::asio::awaitable<void> pause(Duration duration);
 
     bool isCut(const HttpRequest& request) const;
--- a/src/gateway/gatewaydaemon.cpp
+++ b/src/gateway/gatewaydaemon.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gatewaydaemon.h"
 
 #include "libnet/asyncevent.h"
+#include "libnet/daemon.h"
 #include "libnet/log.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -53,13 +54,9 @@
 
 }
 
-GatewayDaemon::GatewayDaemon(const GatewaySettings& settings)
+GatewayDaemon::GatewayDaemon(const GatewaySettings& settings, std::string settingsFile)
     : m_settings(settings)
-    , m_retries({ .ratio = settings.retryRatio,
-          .slack = settings.retrySlack,
-          .window = toMilliseconds(settings.retryWindowSeconds) })
-    , m_coldLimiter(
-          { .overshoot = settings.coldOvershoot, .tolerance = settings.coldTolerance })
+    , m_settingsFile(std::move(settingsFile))
     , m_store(m_context, storeAt(settings.store))
     , m_belief(m_context, m_store, m_view, settings.process.host,
           { endpointOf(settings.peers), settings.process.failureDomain })
@@ -72,7 +69,8 @@
     , m_stageRunner(m_context, m_stageRouter)
     , m_plain(m_view, m_caller, m_retries)
     , m_streams(m_view, m_caller, m_retries, m_coldLimiter, m_stageRunner)
-    , m_requests(m_context, m_view, m_plain, m_streams)
+    , m_gatewayMetrics(m_metrics)
+    , m_requests(m_context, m_view, m_plain, m_streams, m_gatewayMetrics)
     , m_callers(
           m_context,
           [this] {
@@ -90,10 +88,15 @@
           { .address = endpointOf(settings.admin).address,
               .port = endpointOf(settings.admin).port,
               .state = [this] { return state(); },
-              .health = [this] { return health(); } })
+              .health = [this] { return health(); },
+              .refreshMetrics =
+                  [this] {
+                      m_gatewayMetrics.setLevels(m_view, m_stageHome, m_belief.isStoreLost());
+                  } })
     , m_stopSignals(m_context, SIGTERM, SIGINT)
     , m_reloadSignals(m_context, SIGHUP)
 {
+    applyBounds();
     m_belief.setChangeHandler([this] { viewChanged(); });
 }
 
@@ -168,10 +171,36 @@
 {
     while (true) {
         co_await m_reloadSignals.async_wait(Asio::use_awaitable);
-        writeLog(LogLevel::Info, "reload_requested");
+        reload();
     }
 }
 
+void GatewayDaemon::reload()
+{
+    try {
+        const auto settings = loadSettingsAs<GatewaySettings>(m_settingsFile);
+        // Where the process listens is fixed at its start.
+        const bool needsRestart = settings.callers != m_settings.callers
+            || settings.readiness != m_settings.readiness || settings.peers != m_settings.peers
+            || settings.store != m_settings.store;
+        m_settings = settings;
+        applyBounds();
+        startDaemonLog(programName, settings.process);
+        writeLog(LogLevel::Info, "reloaded", { { "needs_restart", needsRestart } });
+    } catch (const std::exception& error) {
+        writeLog(LogLevel::Error, "reload_failed", { { "reason", error.what() } });
+    }
+}
+
+void GatewayDaemon::applyBounds()
+{
+    m_retries.setOptions({ .ratio = m_settings.retryRatio,
+        .slack = m_settings.retrySlack,
+        .window = toMilliseconds(m_settings.retryWindowSeconds) });
+    m_coldLimiter.setOptions(
+        { .overshoot = m_settings.coldOvershoot, .tolerance = m_settings.coldTolerance });
+}
+
 Asio::awaitable<void> GatewayDaemon::shutDown()
 {
     writeLog(LogLevel::Info, "shutdown_started");
--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -13,7 +13,11 @@
 // One gateway process: everything runs on one thread, because a host has a share of one core.
 class GatewayDaemon {
 public:
-    explicit GatewayDaemon(const GatewaySettings& settings);
+    // Name of the program in logs.
+    static constexpr const char* programName = "apricot-gateway";
+
+    // The file is read again when the process is told to reload.
+    GatewayDaemon(const GatewaySettings& settings, std::string settingsFile);
 
     // Serves until a signal to stop, and then finishes what is in flight.
     void run();
@@ -27,10 +31,13 @@
     boost::asio::awaitable<void> waitForReload();
     boost::asio::awaitable<void> shutDown();
     void viewChanged();
+    void reload();
+    void applyBounds();
     HealthReport health() const;
     boost::json::value state() const;
 
     GatewaySettings m_settings;
+    std::string m_settingsFile;
     boost::asio::io_context m_context;
     MetricRegistry m_metrics;
     ServingView m_view;
@@ -47,6 +54,7 @@
     StageRunner m_stageRunner;
     PlainForwarder m_plain;
     StreamForwarder m_streams;
+    GatewayMetrics m_gatewayMetrics;
     RequestService m_requests;
     HttpServer m_callers;
     HttpServer m_readiness;
--- /dev/null
+++ b/src/gateway/gatewaymetrics.cpp
@@ -0,0 +1,45 @@
+#include "gateway/gatewaymetrics.h"
+
+namespace Apricot {
+
+GatewayMetrics::GatewayMetrics(MetricRegistry& registry)
+    : m_registry(registry)
+    , m_sends(registry.counter(
+          "apricot_sends_total", "Sends of requests that may have reached a backend server."))
+    , m_configVersion(registry.gauge(
+          "apricot_config_version", "Version of the configuration in force; 0 before the first."))
+    , m_servers(registry.gauge("apricot_backend_servers", "Backend servers that are known."))
+    , m_hosts(registry.gauge("apricot_hosts", "Hosts of the system that the store lists."))
+    , m_waitingPieces(registry.gauge(
+          "apricot_waiting_pieces", "Pieces that wait at the groups whose home this host is."))
+    , m_storeLost(
+          registry.gauge("apricot_store_lost", "1 while the store does not answer this host."))
+{
+}
+
+void GatewayMetrics::requestEnded(std::string_view kind, const ServedEnd& end, Duration took)
+{
+    const std::string outcome
+        = end.refusal.empty() ? std::to_string(end.status) : std::string(end.refusal);
+    m_registry
+        .counter("apricot_requests_total", "Requests by kind and how they ended.",
+            { { "kind", std::string(kind) }, { "outcome", outcome } })
+        .add();
+    m_registry
+        .histogram("apricot_request_seconds", "Time from reading a request to its end.",
+            { { "kind", std::string(kind) } })
+        .observe(took);
+    m_sends.add(static_cast<std::uint64_t>(end.sends));
+}
+
+void GatewayMetrics::setLevels(const ServingView& view, const StageHome& home, bool isStoreLost)
+{
+    const auto config = view.config();
+    m_configVersion.set(config ? static_cast<double>(config->version) : 0);
+    m_servers.set(static_cast<double>(view.servers().size()));
+    m_hosts.set(static_cast<double>(view.hosts().size()));
+    m_waitingPieces.set(static_cast<double>(home.waitingPieces()));
+    m_storeLost.set(isStoreLost ? 1 : 0);
+}
+
+}
--- /dev/null
+++ b/src/gateway/gatewaymetrics.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "gateway/plainforwarder.h"
+#include "gateway/stagehome.h"
+#include "libapricot/metrics.h"
+
+namespace Apricot {
+
+// Counters and histograms of a gateway.
+class GatewayMetrics {
+public:
+    explicit GatewayMetrics(MetricRegistry& registry);
+
+    void requestEnded(std::string_view kind, const ServedEnd& end, Duration took);
+    // Sets the gauges that are worked out on demand.
+    void setLevels(const ServingView& view, const StageHome& home, bool isStoreLost);
+
+private:
+    MetricRegistry& m_registry;
+    Counter& m_sends;
+    Gauge& m_configVersion;
+    Gauge& m_servers;
+    Gauge& m_hosts;
+    Gauge& m_waitingPieces;
+    Gauge& m_storeLost;
+};
+
+}
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -4,12 +4,12 @@
 int main(int argc, char** argv)
 {
     using namespace Apricot;
-    return runDaemon<GatewaySettings>(argc, argv, "apricot-gateway",
+    return runDaemon<GatewaySettings>(argc, argv, GatewayDaemon::programName,
         "Serves callers of apricotpier on the users' platform.\n\n"
         "  apricot-gateway --config=gateway.ini\n"
         "  apricot-gateway --config=gateway.ini --check",
         [](const GatewaySettings& settings) {
-            GatewayDaemon daemon(settings);
+            GatewayDaemon daemon(settings, settingsFile());
             daemon.run();
             return exitOk;
         });
--- a/src/gateway/requestservice.cpp
+++ b/src/gateway/requestservice.cpp
@@ -37,6 +37,19 @@
         return route.pools.back().pool;
     }
 
+    std::string_view kindName(RepeatRule rule)
+    {
+        switch (rule) {
+        case RepeatRule::Idempotent:
+            return "idempotent";
+        case RepeatRule::NotIdempotent:
+            return "not_idempotent";
+        case RepeatRule::Stream:
+            return "stream";
+        }
+        return "none";
+    }
+
     // An owner's rank goes before the route's, which orders the requests of owners of one rank.
     int rankOf(const Route& route, const Owner* owner)
     {
@@ -52,11 +65,12 @@
 }
 
 RequestService::RequestService(Asio::io_context& context, ServingView& view,
-    PlainForwarder& plain, StreamForwarder& streams)
+    PlainForwarder& plain, StreamForwarder& streams, GatewayMetrics& metrics)
     : m_context(context)
     , m_view(view)
     , m_plain(plain)
     , m_streams(streams)
+    , m_metrics(metrics)
 {
 }
 
@@ -72,16 +86,20 @@
     CallerRequest caller = Platform::readCallerRequest(exchange.request());
     const std::string id = caller.id;
     ServedEnd end;
+    std::string_view kind = "none";
     std::string failure;
     try {
-        end = co_await check(exchange, caller);
+        end = co_await check(exchange, caller, kind);
     } catch (const std::exception& error) {
         // The caller's connection broke while an answer was written.
         failure = error.what();
     }
-    const auto took = millisecondsBetween(startedAt, RuntimeClock::now());
+    const TimePoint now = RuntimeClock::now();
+    m_metrics.requestEnded(kind, end, now - startedAt);
+    const auto took = millisecondsBetween(startedAt, now);
     boost::json::object fields { { "request", id }, { "path", exchange.request().path },
-        { "status", end.status }, { "ms", took }, { "sends", end.sends } };
+        { "kind", kind }, { "status", end.status }, { "ms", took }, { "sends", end.sends },
+        { "config", m_view.config() ? m_view.config()->version : 0 } };
     if (!end.refusal.empty())
         fields["refusal"] = end.refusal;
     if (!end.server.empty())
@@ -91,7 +109,8 @@
     writeLog(LogLevel::Info, "request_ended", fields);
 }
 
-Asio::awaitable<ServedEnd> RequestService::check(HttpExchange& exchange, CallerRequest& caller)
+Asio::awaitable<ServedEnd> RequestService::check(
+    HttpExchange& exchange, CallerRequest& caller, std::string_view& kind)
 {
     const TimePoint now = RuntimeClock::now();
     const auto config = m_view.config();
@@ -105,6 +124,7 @@
         co_await refuse(exchange, GatewayRefusal::UnknownRoute);
         co_return refusedWith(GatewayRefusal::UnknownRoute);
     }
+    kind = kindName(route->repeatRule);
     const Owner* owner = config->findOwner(caller.apiKey);
     if (!owner && !route->isPublic && config->needsKeys()) {
         co_await refuse(exchange, GatewayRefusal::UnknownKey);
--- a/src/gateway/requestservice.h
+++ b/src/gateway/requestservice.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/gatewaymetrics.h"
 #include "gateway/plainforwarder.h"
 #include "gateway/streamforwarder.h"
 
@@ -10,20 +11,22 @@
 class RequestService {
 public:
     RequestService(boost::asio::io_context& context, ServingView& view, PlainForwarder& plain,
-        StreamForwarder& streams);
+        StreamForwarder& streams, GatewayMetrics& metrics);
 
     boost::asio::awaitable<void> serve(HttpExchange& exchange);
     // Limits for callers by the configuration in force.
     HttpLimits limits() const;
 
 private:
-    boost::asio::awaitable<ServedEnd> check(HttpExchange& exchange, CallerRequest& caller);
+    boost::asio::awaitable<ServedEnd> check(
+        HttpExchange& exchange, CallerRequest& caller, std::string_view& kind);
     boost::asio::awaitable<ServedEnd> forward(ServedRequest& request);
 
     boost::asio::io_context& m_context;
     ServingView& m_view;
     PlainForwarder& m_plain;
     StreamForwarder& m_streams;
+    GatewayMetrics& m_metrics;
 };
 
 }
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -127,7 +127,7 @@
     if (delta.revision < m_revision)
         return false;
     const bool isNew = delta.revision > m_revision;
-    m_evidenceAt = std::max(m_evidenceAt, now - delta.age);
+    noteRelayed(delta.age, now);
     if (isNew && delta.isWhole) {
         takeList({ delta.revision, delta.objects });
     } else if (isNew) {
@@ -147,13 +147,21 @@
 void StoreFollower::noteEvidence(ObjectVersion revision, Milliseconds age, TimePoint now)
 {
     if (revision == m_revision) {
-        m_evidenceAt = std::max(m_evidenceAt, now - age);
+        noteRelayed(age, now);
     } else if (revision > m_revision && m_isRelayed && !m_mustAsk) {
         m_mustAsk = true;
         m_rest.cancel();
     }
 }
 
+void StoreFollower::noteRelayed(Milliseconds age, TimePoint now)
+{
+    m_evidenceAt = std::max(m_evidenceAt, now - age);
+    // This host rests on its peers' knowledge and does not find out by itself that the store is back.
+    if (m_isRelayed && age < m_options.relayedAge && std::exchange(m_isLost, false))
+        m_handlers.regained();
+}
+
 void StoreFollower::takeList(const PlatformList& list)
 {
     m_objects.clear();
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -84,6 +84,7 @@
     void takeList(const PlatformList& list);
     void takeEvent(const PlatformEvent& event);
     void noteRemoval(const std::string& key, ObjectVersion revision);
+    void noteRelayed(Milliseconds age, TimePoint now);
     void noteLost(const std::string& reason);
     void noteAnswered();
 
--- a/src/libapricot/processsettings.cpp
+++ b/src/libapricot/processsettings.cpp
@@ -22,7 +22,7 @@
     table.add({ .section = section,
                   .key = "log_file",
                   .format = TextFormat::Path,
-                  .effect = "File that log lines are appended to; empty for standard error." },
+                  .effect = "File that log lines are appended to; empty for standard output." },
         &settings.logFile);
     table.add({ .section = section,
                   .key = "port_file",
--- a/src/libnet/daemon.cpp
+++ b/src/libnet/daemon.cpp
@@ -29,6 +29,11 @@
     return { FLAGS_config, FLAGS_check, FLAGS_help_settings };
 }
 
+std::string settingsFile()
+{
+    return FLAGS_config;
+}
+
 void printProblems(const SettingsError& error)
 {
     for (const SettingsProblem& problem : error.problems())
--- a/src/libnet/daemon.h
+++ b/src/libnet/daemon.h
@@ -23,6 +23,9 @@
 // Reads --config, --check and --help_settings, and answers --help and --version.
 DaemonCommand parseDaemonCommand(int argc, char** argv, const std::string& usage);
 
+// The file that --config names.
+std::string settingsFile();
+
 // Exit statuses of the daemons.
 constexpr int exitOk = 0;
 constexpr int exitFailure = 1;
--- a/src/libnet/log.cpp
+++ b/src/libnet/log.cpp
@@ -1,6 +1,7 @@
 #include "libnet/log.h"
 
 #include "libapricot/settingvalue.h"
+#include "libnet/logsink.h"
 
 #include <easylogging++.h>
 
@@ -11,6 +12,7 @@
 #include <chrono>
 #include <ctime>
 #include <mutex>
+#include <unistd.h>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -31,6 +33,19 @@
         return options;
     }
 
+    // Takes the lines of loggers that write to no file.
+    class StandardOutput : public el::LogDispatchCallback {
+    protected:
+        void handle(const el::LogDispatchData* data) override
+        {
+            if (currentOptions().file.empty())
+                m_sink.write(data->logMessage()->message());
+        }
+
+    private:
+        LogSink m_sink { STDOUT_FILENO };
+    };
+
     // Wall time in UTC with milliseconds, as ISO 8601 has it. It is for readers only; no decision
     // is taken on it.
     std::string timeText()
@@ -55,8 +70,7 @@
         el::Configurations configuration;
         configuration.setToDefault();
         configuration.setGlobally(el::ConfigurationType::Format, "%msg");
-        configuration.setGlobally(
-            el::ConfigurationType::ToStandardOutput, file.empty() ? "true" : "false");
+        configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
         configuration.setGlobally(el::ConfigurationType::ToFile, file.empty() ? "false" : "true");
         configuration.setGlobally(
             el::ConfigurationType::Filename, file.empty() ? "/dev/null" : file);
@@ -87,6 +101,7 @@
     const std::lock_guard lock(logMutex);
     currentOptions() = options;
     configureLogger(options.file);
+    el::Helpers::installLogDispatchCallback<StandardOutput>("standard-output");
     lightestLevel.store(static_cast<int>(options.level));
 }
 
--- a/src/libnet/log.h
+++ b/src/libnet/log.h
@@ -14,7 +14,7 @@
     std::string program;
     HostId host;
     LogLevel level = LogLevel::Info;
-    // File that lines are appended to; empty for standard error.
+    // File that lines are appended to; empty for standard output, which is never waited for.
     std::string file;
 };
 
--- a/src/libserving/coldlimiter.h
+++ b/src/libserving/coldlimiter.h
@@ -23,6 +23,7 @@
 public:
     explicit ColdLimiter(ColdLimiterOptions options = {});
 
+    void setOptions(const ColdLimiterOptions& options) { m_options = options; }
     // This host, and all hosts with it.
     void setHosts(HostId self, std::vector<HostId> hosts);
     // Takes one send to a cold server; false when it has to go elsewhere.
--- a/src/libserving/retrywindow.h
+++ b/src/libserving/retrywindow.h
@@ -21,6 +21,7 @@
 public:
     explicit RetryWindow(RetryWindowOptions options = {});
 
+    void setOptions(const RetryWindowOptions& options) { m_options = options; }
     // Number of hosts that share the bound.
     void setHosts(std::size_t hosts);
     // Counts a request that a caller sent for a pool.
