Ask the store less: two watchers, waits by kind, one prober in an outage, small configurations by peers

Change: two hosts watch, each kind for a third of the age at which its knowledge is too old; configurations up to 32 KB pass between hosts; while the store is lost one follower of a host tries. The settings of the gateway have their table in docs/OPERATORS.md.

--- a/src/ctl/settingscommand.cpp
+++ b/src/ctl/settingscommand.cpp
@@ -2,6 +2,7 @@
 
 #include "libapricot/dispatchsettings.h"
 #include "libapricot/entrysettings.h"
+#include "libserving/gatewaysettings.h"
 
 namespace Apricot {
 
@@ -26,7 +27,9 @@
         return reference<EntrySettings>();
     if (program == "dispatch")
         return reference<DispatchSettings>();
-    throw CommandError(ExitCode::Invalid, "usage: apricotctl settings entry|dispatch");
+    if (program == "gateway")
+        return reference<GatewaySettings>();
+    throw CommandError(ExitCode::Invalid, "usage: apricotctl settings entry|dispatch|gateway");
 }
 
 }
--- a/src/gateway/beliefkeeper.cpp
+++ b/src/gateway/beliefkeeper.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
 
 namespace Apricot {
 
@@ -19,12 +20,30 @@
     // Kind of the entries of this system's own hosts.
     constexpr std::string_view hostsPrefix = "apricot-hosts/";
     constexpr Milliseconds registerRetry { 500 };
-    // Changes that come within these times cost each host one call of the store. Configurations and
-    // evacuations have to be in force within two seconds; servers announce their leaving that long
-    // before they stop, and hosts are only slowly added and removed.
-    constexpr Milliseconds configGatherTime { 300 };
-    constexpr Milliseconds serversGatherTime { 800 };
-    constexpr Milliseconds hostsGatherTime { 1500 };
+    // Configurations have to be in force, and servers that leave to be left alone, within two seconds,
+    // evacuated domains within five; hosts are only slowly added and removed.
+    StoreFollowerOptions configOptions()
+    {
+        return { .prefix = std::string(PlatformNames::configurationPrefix) };
+    }
+    StoreFollowerOptions serversOptions()
+    {
+        return { .prefix = std::string(PlatformNames::serversPrefix),
+            .gatherTime = Milliseconds(800) };
+    }
+    StoreFollowerOptions evacuationsOptions()
+    {
+        return { .prefix = std::string(PlatformNames::evacuationsPrefix),
+            .watchTime = Milliseconds(4000),
+            .relayedAge = Milliseconds(4000) };
+    }
+    StoreFollowerOptions hostsOptions()
+    {
+        return { .prefix = std::string(hostsPrefix),
+            .watchTime = Milliseconds(10'000),
+            .gatherTime = Milliseconds(1500),
+            .relayedAge = Milliseconds(8000) };
+    }
 
     std::string nameOf(const std::string& key) { return key.substr(key.find('/') + 1); }
 
@@ -57,7 +76,7 @@
     , m_self(std::move(self))
     , m_selfEntry(std::move(selfEntry))
     , m_config(makeFollower(
-          std::string(PlatformNames::configurationPrefix), configGatherTime,
+          configOptions(),
           [this](const PlatformList& list) {
               for (const PlatformObject& object : list.objects)
                   takeConfig(object.key, object.version, object.value);
@@ -67,11 +86,11 @@
                   takeConfig(event.key, event.version, *event.value);
           }))
     , m_servers(makeFollower(
-          std::string(PlatformNames::serversPrefix), serversGatherTime,
+          serversOptions(),
           [this](const PlatformList& list) { takeServers(list); },
           [this](const PlatformEvent& event) { takeServer(event); }))
     , m_evacuations(makeFollower(
-          std::string(PlatformNames::evacuationsPrefix), configGatherTime,
+          evacuationsOptions(),
           [this](const PlatformList& list) {
               m_domainsOut.clear();
               for (const PlatformObject& object : list.objects)
@@ -87,30 +106,28 @@
               takeEvacuations();
           }))
     , m_hosts(makeFollower(
-          std::string(hostsPrefix), hostsGatherTime,
+          hostsOptions(),
           [this](const PlatformList& list) { takeHosts(list); },
           [this](const PlatformEvent& event) { takeHost(event); }))
 {
 }
 
-StoreFollower BeliefKeeper::makeFollower(std::string prefix, Milliseconds gatherTime,
+StoreFollower BeliefKeeper::makeFollower(StoreFollowerOptions options,
     std::function<void(const PlatformList&)> listed,
     std::function<void(const PlatformEvent&)> changed)
 {
-    const bool isServers = prefix == PlatformNames::serversPrefix;
+    const std::string prefix = options.prefix;
     StoreFollower::Handlers handlers { .listed = std::move(listed), .changed = std::move(changed) };
-    handlers.lost = [this, prefix, isServers](const std::string& reason) {
-        if (isServers)
-            m_view.servers().storeLost();
+    handlers.lost = [this, prefix](const std::string& reason) {
+        m_view.servers().storeLost();
         writeLog(LogLevel::Warning, "store_lost", { { "kind", prefix }, { "reason", reason } });
     };
-    handlers.regained = [this, prefix, isServers] {
-        if (isServers)
+    handlers.regained = [this, prefix] {
+        if (!isStoreLost())
             m_view.servers().storeRegained(RuntimeClock::now());
         writeLog(LogLevel::Info, "store_regained", { { "kind", prefix } });
     };
-    return { m_context, m_store, { .prefix = std::move(prefix), .gatherTime = gatherTime },
-        std::move(handlers) };
+    return { m_context, m_store, m_contact, std::move(options), std::move(handlers) };
 }
 
 void BeliefKeeper::start()
@@ -127,13 +144,6 @@
     return { &m_config, &m_servers, &m_evacuations, &m_hosts };
 }
 
-Milliseconds BeliefKeeper::gatherTimeOf(const StoreFollower& follower) const
-{
-    if (&follower == &m_servers)
-        return serversGatherTime;
-    return &follower == &m_hosts ? hostsGatherTime : configGatherTime;
-}
-
 bool BeliefKeeper::isStoreLost() const
 {
     return m_config.isLost() || m_servers.isLost() || m_evacuations.isLost() || m_hosts.isLost();
@@ -147,6 +157,7 @@
     try {
         ServingConfig config = Platform::readServingConfig(value);
         const auto version = config.version;
+        m_configBytes = json::serialize(value).size();
         if (!m_view.takeConfig(std::move(config), revision))
             return;
         writeLog(LogLevel::Info, "config_in_force",
--- a/src/gateway/beliefkeeper.h
+++ b/src/gateway/beliefkeeper.h
@@ -15,17 +15,21 @@
     // Takes this host's entry out of the store, so that the others stop to count on it.
     boost::asio::awaitable<void> deregister();
     std::vector<StoreFollower*> followers();
-    // Time in which a follower gathers changes when no other host depends on it.
-    Milliseconds gatherTimeOf(const StoreFollower& follower) const;
     // Whether the objects of a follower are too large to be passed between hosts as a rule.
-    bool isLarge(const StoreFollower& follower) const { return &follower == &m_config; }
+    bool isLarge(const StoreFollower& follower) const
+    {
+        return &follower == &m_config && m_configBytes > relayedBytes;
+    }
     // Whether the store does not answer this host at present, for any kind of objects.
     bool isStoreLost() const;
     // Called after each change of the view.
     void setChangeHandler(std::function<void()> handler) { m_changed = std::move(handler); }
 
 private:
-    StoreFollower makeFollower(std::string prefix, Milliseconds gatherTime,
+    // Larger configurations are read from the store by each host; its link bears more than a host's.
+    static constexpr std::size_t relayedBytes = 32'768;
+
+    StoreFollower makeFollower(StoreFollowerOptions options,
         std::function<void(const PlatformList&)> listed,
         std::function<void(const PlatformEvent&)> changed);
     void takeConfig(const std::string& key, ObjectVersion revision, const boost::json::value& value);
@@ -44,8 +48,10 @@
     PeerHost m_selfEntry;
     std::function<void()> m_changed;
     std::set<FailureDomainId> m_domainsOut;
+    std::size_t m_configBytes = 0;
     bool m_isRegistered = false;
     bool m_isLeaving = false;
+    StoreContact m_contact;
     StoreFollower m_config;
     StoreFollower m_servers;
     StoreFollower m_evacuations;
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -13,17 +13,22 @@
 
     // Removals that are kept to be told to peers.
     constexpr std::size_t removalLimit = 1000;
+    // Time between two looks whether another follower has found the store again.
+    constexpr Milliseconds proberPoll { 150 };
 
 }
 
-StoreFollower::StoreFollower(Asio::io_context& context, PlatformClient& store,
+StoreFollower::StoreFollower(Asio::io_context& context, PlatformClient& store, StoreContact& contact,
     StoreFollowerOptions options, Handlers handlers)
     : m_context(context)
     , m_store(store)
+    , m_contact(contact)
     , m_options(std::move(options))
     , m_handlers(std::move(handlers))
     , m_rest(context)
     , m_retryTime(m_options.retryTime)
+    , m_watchTime(m_options.watchTime)
+    , m_gatherTime(m_options.gatherTime)
 {
 }
 
@@ -32,10 +37,10 @@
     Asio::co_spawn(m_context, follow(), Asio::detached);
 }
 
-void StoreFollower::setTimes(Milliseconds watchTime, Milliseconds gatherTime)
+void StoreFollower::setTimes(bool isWatcher, Milliseconds watchTime, Milliseconds gatherTime)
 {
-    m_options.watchTime = watchTime;
-    m_options.gatherTime = gatherTime;
+    m_watchTime = isWatcher ? watchTime : m_options.watchTime;
+    m_gatherTime = isWatcher ? gatherTime : m_options.gatherTime;
 }
 
 Asio::awaitable<void> StoreFollower::follow()
@@ -46,6 +51,10 @@
             co_await pause(m_evidenceAt + m_options.relayedAge - now);
             continue;
         }
+        if (m_contact.prober && m_contact.prober != this) {
+            co_await pause(proberPoll);
+            continue;
+        }
         std::string reason;
         try {
             co_await readOnce();
@@ -87,7 +96,7 @@
     }
     const bool waits = !m_isLost && !m_isRelayed;
     const PlatformWatch watched = co_await m_store.watch(
-        m_options.prefix, m_revision, waits ? m_options.watchTime : Milliseconds(1));
+        m_options.prefix, m_revision, waits ? m_watchTime : Milliseconds(1));
     noteAnswered();
     if (std::holds_alternative<PlatformListAgain>(watched)) {
         m_mustList = true;
@@ -101,7 +110,7 @@
     }
     m_revision = std::max(m_revision, events.revision);
     if (!events.events.empty())
-        co_await pause(m_options.gatherTime);
+        co_await pause(m_gatherTime);
 }
 
 StoreDelta StoreFollower::deltaSince(ObjectVersion revision, TimePoint now) const
@@ -158,8 +167,8 @@
 {
     m_evidenceAt = std::max(m_evidenceAt, now - age);
     // This host rests on its peers' knowledge and does not find out by itself that the store is back.
-    if (m_isRelayed && age < m_options.relayedAge && std::exchange(m_isLost, false))
-        m_handlers.regained();
+    if (m_isRelayed && age < m_options.relayedAge)
+        endOutage();
 }
 
 void StoreFollower::takeList(const PlatformList& list)
@@ -197,6 +206,8 @@
 
 void StoreFollower::noteLost(const std::string& reason)
 {
+    if (!m_contact.prober)
+        m_contact.prober = this;
     if (!std::exchange(m_isLost, true))
         m_handlers.lost(reason);
 }
@@ -205,6 +216,13 @@
 {
     m_evidenceAt = RuntimeClock::now();
     m_retryTime = m_options.retryTime;
+    endOutage();
+}
+
+void StoreFollower::endOutage()
+{
+    if (m_contact.prober == this)
+        m_contact.prober = nullptr;
     if (std::exchange(m_isLost, false))
         m_handlers.regained();
 }
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -25,6 +25,12 @@
     Milliseconds relayedAge { 1500 };
 };
 
+// Shared by the followers of one store: while it does not answer, one of them tries and the others
+// wait for it.
+struct StoreContact {
+    const void* prober = nullptr;
+};
+
 // What a peer knows of one kind of objects beyond what it was told that this host knows.
 struct StoreDelta {
     // Revision of the store up to which the peer knows the objects.
@@ -50,7 +56,7 @@
         std::function<void()> regained;
     };
 
-    StoreFollower(boost::asio::io_context& context, PlatformClient& store,
+    StoreFollower(boost::asio::io_context& context, PlatformClient& store, StoreContact& contact,
         StoreFollowerOptions options, Handlers handlers);
 
     // Follows for as long as the io_context runs.
@@ -59,9 +65,11 @@
     const std::string& prefix() const { return m_options.prefix; }
     // Revision of the store up to which the objects are known.
     ObjectVersion revision() const { return m_revision; }
-    // Whether peers watch for this host, or else how long its own watches wait.
+    // Whether peers watch for this host.
     void setRelayed(bool isRelayed) { m_isRelayed = isRelayed; }
-    void setTimes(Milliseconds watchTime, Milliseconds gatherTime);
+    // Whether this host watches for peers, with the times of its watches then.
+    void setTimes(bool isWatcher, Milliseconds watchTime, Milliseconds gatherTime);
+    const StoreFollowerOptions& options() const { return m_options; }
 
     // What a peer that knows the objects up to a revision lacks.
     StoreDelta deltaSince(ObjectVersion revision, TimePoint now) const;
@@ -87,9 +95,11 @@
     void noteRelayed(Milliseconds age, TimePoint now);
     void noteLost(const std::string& reason);
     void noteAnswered();
+    void endOutage();
 
     boost::asio::io_context& m_context;
     PlatformClient& m_store;
+    StoreContact& m_contact;
     StoreFollowerOptions m_options;
     Handlers m_handlers;
     RuntimeTimer m_rest;
@@ -105,6 +115,8 @@
     bool m_mustAsk = false;
     bool m_isLost = false;
     bool m_isRelayed = false;
+    Milliseconds m_watchTime;
+    Milliseconds m_gatherTime;
 };
 
 }
--- a/src/gateway/viewrelay.cpp
+++ b/src/gateway/viewrelay.cpp
@@ -20,10 +20,10 @@
 
     constexpr Milliseconds askInterval { 350 };
     constexpr Milliseconds askTimeout { 300 };
-    // How long the watches of hosts wait that others depend on: the age of what they know.
-    constexpr Milliseconds watcherWatchTime { 500 };
+    // Part of the age at which knowledge is too old that the watches of hosts wait that others depend
+    // on, and the longest time in which these gather changes.
+    constexpr double watcherWatchPart = 0.33;
     constexpr Milliseconds watcherGatherTime { 150 };
-    constexpr Milliseconds ownWatchTime { 2000 };
 
     json::value toJson(const StoreDelta& delta, bool withObjects)
     {
@@ -85,10 +85,9 @@
     m_place = std::move(place);
     for (StoreFollower* follower : m_belief.followers()) {
         follower->setRelayed(!m_place.isDirect);
-        if (m_place.isWatcher)
-            follower->setTimes(watcherWatchTime, watcherGatherTime);
-        else
-            follower->setTimes(ownWatchTime, m_belief.gatherTimeOf(*follower));
+        const auto watchTime = std::chrono::duration_cast<Milliseconds>(
+            watcherWatchPart * follower->options().relayedAge);
+        follower->setTimes(m_place.isWatcher, watchTime, watcherGatherTime);
     }
     writeLog(LogLevel::Info, "relay_place",
         { { "direct", m_place.isDirect }, { "watcher", m_place.isWatcher },
--- a/tests/unit/operatorspagetest.cpp
+++ b/tests/unit/operatorspagetest.cpp
@@ -4,6 +4,7 @@
 #include "libapricot/dispatchsettings.h"
 #include "libapricot/entrysettings.h"
 #include "libapricot/refusal.h"
+#include "libserving/gatewaysettings.h"
 
 using namespace Apricot;
 
@@ -35,6 +36,8 @@
 {
     STRCMP_EQUAL(
         reference<EntrySettings>().c_str(), documentedReference("entry").c_str());
+    STRCMP_EQUAL(
+        reference<GatewaySettings>().c_str(), documentedReference("gateway").c_str());
     STRCMP_EQUAL(
         reference<DispatchSettings>().c_str(), documentedReference("dispatch").c_str());
 }
