Pause only servers that were full for most pieces; split the scheduler's order off

Change: a server is paused when most pieces of a call found no room; the factor rises by 2 in 100 up to 1.25.

--- /dev/null
+++ b/src/libserving/stagescheduleorder.cpp
@@ -0,0 +1,132 @@
+#include "libserving/stagescheduler.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+// What the scheduler reads off its state: order, waits, and when to look again.
+namespace Apricot {
+
+namespace {
+
+    Milliseconds toMilliseconds(double milliseconds)
+    {
+        return Milliseconds(static_cast<Milliseconds::rep>(std::ceil(milliseconds)));
+    }
+
+}
+
+std::optional<TimePoint> StageScheduler::nextEvent(TimePoint now) const
+{
+    std::optional<TimePoint> next;
+    const auto consider = [&](TimePoint time) {
+        if (time > now && (!next || time < *next))
+            next = time;
+    };
+    for (const auto& [id, task] : m_tasks)
+        consider(task.deadlineStart + Milliseconds(1));
+    if (waitingPieces() == 0)
+        return next;
+    for (const auto& [id, task] : m_tasks) {
+        if (!task.waiting.empty())
+            consider(task.domainUntil);
+    }
+    for (const auto& [id, server] : m_servers) {
+        if (server.call || !server.isListed)
+            continue;
+        consider(server.pausedUntil);
+        consider(server.pace > m_options.slowPace ? server.probeAt : now + m_options.roomPoll);
+    }
+    return next;
+}
+
+std::size_t StageScheduler::waitingPieces() const
+{
+    std::size_t pieces = 0;
+    for (const auto& [id, task] : m_tasks)
+        pieces += task.waiting.size();
+    return pieces;
+}
+
+double StageScheduler::roomUsed(const BackendServerId& id) const
+{
+    const auto found = m_servers.find(id);
+    return found == m_servers.end() ? 0 : found->second.roomUsed;
+}
+
+std::vector<StageBacklog> StageScheduler::backlog(TimePoint now) const
+{
+    std::map<int, double> pieces;
+    for (const auto& [id, task] : m_tasks) {
+        // Late work gives way to all that is on time.
+        if (!task.waiting.empty() && task.objectiveStart >= now)
+            pieces[task.work.rank] += static_cast<double>(task.waiting.size());
+    }
+    std::vector<StageBacklog> backlog;
+    double ahead = 0;
+    for (const auto& [rank, count] : pieces) {
+        ahead += count;
+        backlog.push_back({ rank, waitBehind(ahead, 0, now) });
+    }
+    return backlog;
+}
+
+bool StageScheduler::goesBefore(const Task& left, TaskId leftId, const Task& right,
+    TaskId rightId, TimePoint now) const
+{
+    const auto place = [now](const Task& task, TaskId id) {
+        return std::make_tuple(task.objectiveStart < now, task.work.rank, task.objectiveStart, id);
+    };
+    return place(left, leftId) < place(right, rightId);
+}
+
+std::vector<StageScheduler::TaskId> StageScheduler::orderedTasks(TimePoint now) const
+{
+    std::vector<TaskId> order;
+    for (const auto& [id, task] : m_tasks) {
+        if (!task.waiting.empty())
+            order.push_back(id);
+    }
+    std::sort(order.begin(), order.end(), [&](TaskId left, TaskId right) {
+        return goesBefore(m_tasks.at(left), left, m_tasks.at(right), right, now);
+    });
+    return order;
+}
+
+double StageScheduler::callMilliseconds(std::size_t pieces) const
+{
+    return static_cast<double>(m_traits.callTime.count())
+        + m_traits.pieceMilliseconds * static_cast<double>(pieces);
+}
+
+double StageScheduler::workingServers(TimePoint now) const
+{
+    double working = 0;
+    for (const auto& [id, server] : m_servers) {
+        if (server.isListed && now >= server.pausedUntil && server.pace <= m_options.slowPace)
+            working += 1 / std::max(server.pace, m_options.fastestPace);
+    }
+    return working;
+}
+
+Milliseconds StageScheduler::estimateWait(const Task& task, TaskId id, TimePoint now) const
+{
+    double ahead = 0;
+    for (const auto& [otherId, other] : m_tasks) {
+        if (goesBefore(other, otherId, task, id, now))
+            ahead += static_cast<double>(other.waiting.size());
+    }
+    return waitBehind(ahead, task.work.pieces, now);
+}
+
+Milliseconds StageScheduler::waitBehind(double piecesAhead, int pieces, TimePoint now) const
+{
+    const double batch = std::max(m_traits.batchLimit, 1);
+    const double callTime = callMilliseconds(static_cast<std::size_t>(batch));
+    const double working = std::max(workingServers(now), 0.5);
+    const bool isIdle = static_cast<double>(m_calls.size()) + 0.5 < working;
+    const double calls = std::floor((piecesAhead + pieces) / batch) / working;
+    return toMilliseconds(calls * callTime + (isIdle ? 0 : callTime / (2 * working)));
+}
+
+}
--- a/src/libserving/stagescheduler.h
+++ b/src/libserving/stagescheduler.h
@@ -34,10 +34,11 @@
     double gatheredBytes = 30'000;
     // Results are taken to be larger than stated by a factor that rises with each call in which a server
     // found no room, and falls back slowly with the others.
-    double roomFactorRise = 1.08;
+    double roomFactorRise = 1.02;
     double roomFactorFall = 0.995;
-    double largestRoomFactor = 1.8;
-    // Longest time that a server without room gets no call; the time doubles up to it.
+    double largestRoomFactor = 1.25;
+    // Longest time that a server gets no call that found no room for most pieces; the time doubles up
+    // to it.
     Milliseconds longestFullPause { 500 };
     // Time between two looks for work that has become hopeless.
     Milliseconds hopelessInterval { 100 };
