--- a/src/gateway/backendcaller.cpp
+++ b/src/gateway/backendcaller.cpp
@@ -1,8 +1,10 @@
 #include "gateway/backendcaller.h"
 
+#include "libnet/log.h"
 #include "platform/requesttranslation.h"
 
 #include <boost/beast/core/error.hpp>
+#include <boost/json/object.hpp>
 
 #include <algorithm>
 
@@ -18,6 +20,38 @@
     constexpr int statusClass = 100;
     constexpr int successClass = 2;
 
+    std::string_view sendEndName(SendEnd end)
+    {
+        switch (end) {
+        case SendEnd::Answered:
+            return "answered";
+        case SendEnd::NotSent:
+            return "not_sent";
+        case SendEnd::NotRun:
+            return "not_run";
+        case SendEnd::Broken:
+            return "broken";
+        case SendEnd::Silent:
+            return "silent";
+        case SendEnd::Cancelled:
+            return "cancelled";
+        }
+        return "unknown";
+    }
+
+    // Tells of a send without an answer of the server.
+    void logSend(const ServedRequest& request, const BackendServerId& server,
+        const SendResult& result, Duration took)
+    {
+        if (result.end == SendEnd::Answered)
+            return;
+        writeLog(LogLevel::Info, "send_ended",
+            { { "request", request.caller.id }, { "server", server.value() },
+                { "end", sendEndName(result.end) }, { "status", result.status },
+                { "ms", std::chrono::duration_cast<Milliseconds>(took).count() },
+                { "left_ms", request.timeLeft(RuntimeClock::now()).count() } });
+    }
+
     CallEnd callEndOf(SendEnd end)
     {
         switch (end) {
@@ -82,6 +116,7 @@
             result.end = *sent ? SendEnd::Cancelled : SendEnd::NotSent;
     }
     const TimePoint now = RuntimeClock::now();
+    logSend(request, server.id, result, now - startedAt);
     const bool saysNothing = request.scope->isOver() || (!*sent && !mayGetWork(server));
     m_tracker.callEnded(server.id,
         saysNothing ? CallEnd::Abandoned : callEndOf(result.end), now - startedAt, now);
