Form groups of staying servers only, and fail work that has no server

Change: leaving servers form no groups; work in a group without servers fails at once, and a stage whose servers failed has one more try.

--- a/src/gateway/stagehome.cpp
+++ b/src/gateway/stagehome.cpp
@@ -105,7 +105,7 @@
     if (group.serversGeneration == directory.generation())
         return;
     group.serversGeneration = directory.generation();
-    const StageGroups groups(directory.known(key.first));
+    const StageGroups groups(directory.staying(key.first));
     std::vector<StageServer> members;
     for (const KnownServer* known : servers) {
         const ServerEntry& server = known->server;
--- a/src/gateway/stagerouter.cpp
+++ b/src/gateway/stagerouter.cpp
@@ -37,7 +37,7 @@
 
 int StageRouter::groupOf(const PoolId& pool, const std::string& requestId, int rank)
 {
-    const StageGroups groups(m_view.servers().known(pool));
+    const StageGroups groups(m_view.servers().staying(pool));
     const auto usable = m_view.servers().usable(pool, RuntimeClock::now());
     const int first = groups.drawGroup(requestId, 0, usable);
     const int second = groups.drawGroup(requestId, 1, usable);
--- a/src/gateway/stagerunner.cpp
+++ b/src/gateway/stagerunner.cpp
@@ -13,6 +13,8 @@
 
     // Events of a stream after the first take so long at least.
     constexpr Milliseconds streamTime { 150 };
+    // Pieces may be made again; a stage whose servers failed has another try, maybe at another group.
+    constexpr int stageAttempts = 2;
     // Results of at least so many bytes are made where the engine will likely read them.
     constexpr double engineBytes = 200'000;
 
@@ -159,14 +161,19 @@
 
 Asio::awaitable<void> StageRunner::runStage(std::shared_ptr<Progress> progress, int stage)
 {
-    StageWork work = makeWork(*progress, stage);
-    StageResults results { .stage = stage,
-        .pool = work.pool,
-        .group = work.group,
-        .bytes = work.resultBytes * work.pieces };
-    const std::shared_ptr<HttpCancel> cancel = progress->request.scope->addCall();
-    progress->calls.push_back(cancel);
-    StageWorkResult result = co_await m_router.run(std::move(work), cancel, results.home);
+    StageResults results { .stage = stage };
+    StageWorkResult result;
+    for (int attempt = 0; attempt < stageAttempts; ++attempt) {
+        StageWork work = makeWork(*progress, stage);
+        results.pool = work.pool;
+        results.group = work.group;
+        results.bytes = work.resultBytes * work.pieces;
+        const std::shared_ptr<HttpCancel> cancel = progress->request.scope->addCall();
+        progress->calls.push_back(cancel);
+        result = co_await m_router.run(std::move(work), cancel, results.home);
+        if (result.end != StageWorkEnd::Failed || cancel->isCancelled())
+            break;
+    }
     --progress->running;
     if (result.end == StageWorkEnd::Done) {
         progress->hasBegun = true;
@@ -176,15 +183,22 @@
         progress->plan.done(stage, std::move(result.handles));
         releaseReadOut(*progress);
         startReady(progress);
-    } else if (progress->end.end == StageWorkEnd::Done) {
-        progress->end.end = result.end;
-        progress->end.retryAfter = result.retryAfter;
-        for (const std::shared_ptr<HttpCancel>& call : progress->calls)
-            call->cancel();
+    } else {
+        stageFailed(*progress, result);
     }
     progress->changed.notifyAll();
 }
 
+void StageRunner::stageFailed(Progress& progress, const StageWorkResult& result)
+{
+    if (progress.end.end != StageWorkEnd::Done)
+        return;
+    progress.end.end = result.end;
+    progress.end.retryAfter = result.retryAfter;
+    for (const std::shared_ptr<HttpCancel>& call : progress.calls)
+        call->cancel();
+}
+
 void StageRunner::release(const std::vector<StageResults>& results)
 {
     for (const StageResults& stage : results)
--- a/src/gateway/stagerunner.h
+++ b/src/gateway/stagerunner.h
@@ -42,6 +42,8 @@
     // Sets where a stage is best run.
     void chooseDomain(const Progress& progress, StageWork& work) const;
     void releaseReadOut(Progress& progress);
+    // Notes why the request can't go on and ends its other stages.
+    static void stageFailed(Progress& progress, const StageWorkResult& result);
     boost::asio::awaitable<void> runStage(std::shared_ptr<Progress> progress, int stage);
 
     boost::asio::io_context& m_context;
--- a/src/libserving/serverdirectory.cpp
+++ b/src/libserving/serverdirectory.cpp
@@ -87,11 +87,11 @@
     return servers;
 }
 
-std::vector<const KnownServer*> ServerDirectory::known(const PoolId& pool) const
+std::vector<const KnownServer*> ServerDirectory::staying(const PoolId& pool) const
 {
     std::vector<const KnownServer*> servers;
     for (const auto& [id, known] : m_servers) {
-        if (known.server.pool == pool)
+        if (known.server.pool == pool && !known.server.isDraining)
             servers.push_back(&known);
     }
     return servers;
--- a/src/libserving/serverdirectory.h
+++ b/src/libserving/serverdirectory.h
@@ -54,8 +54,8 @@
 
     // Servers of a pool that may be given new work.
     std::vector<const KnownServer*> usable(const PoolId& pool, TimePoint now);
-    // All servers of a pool, also those that may be given no work at present.
-    std::vector<const KnownServer*> known(const PoolId& pool) const;
+    // Servers of a pool that stay, also those whose failure domain is out of service.
+    std::vector<const KnownServer*> staying(const PoolId& pool) const;
     // The server when it may be given new work.
     const KnownServer* findUsable(const BackendServerId& id, TimePoint now);
     std::size_t size() const { return m_servers.size(); }
--- a/src/libserving/stagegroups.h
+++ b/src/libserving/stagegroups.h
@@ -13,7 +13,7 @@
 // group's new home does not know what its servers hold.
 class StageGroups {
 public:
-    // All servers of the pool, also those that may get no work at present.
+    // Servers of the pool that stay, also those that may get no work at present.
     explicit StageGroups(const std::vector<const KnownServer*>& servers);
 
     // Group of a server, by rendezvous hashing over the groups.
--- a/src/libserving/stagescheduleorder.cpp
+++ b/src/libserving/stagescheduleorder.cpp
@@ -40,6 +40,31 @@
     return next;
 }
 
+bool StageScheduler::hasServerIn(const FailureDomainId& domain) const
+{
+    return std::any_of(m_servers.begin(), m_servers.end(), [&](const auto& entry) {
+        const Server& server = entry.second;
+        return server.isListed && server.server.domain == domain
+            && server.pace <= m_options.slowPace;
+    });
+}
+
+FailureDomainId StageScheduler::domainOfMost(const std::vector<std::string>& handles) const
+{
+    std::map<FailureDomainId, int> counts;
+    for (const std::string& handle : handles) {
+        const auto result = m_results.find(handle);
+        if (result == m_results.end())
+            continue;
+        const auto server = m_servers.find(result->second.server);
+        if (server != m_servers.end())
+            ++counts[server->second.server.domain];
+    }
+    const auto most = std::max_element(counts.begin(), counts.end(),
+        [](const auto& left, const auto& right) { return left.second < right.second; });
+    return most == counts.end() ? FailureDomainId() : most->first;
+}
+
 std::size_t StageScheduler::waitingPieces() const
 {
     std::size_t pieces = 0;
--- a/src/libserving/stagescheduler.cpp
+++ b/src/libserving/stagescheduler.cpp
@@ -121,15 +121,6 @@
         || now >= task.domainUntil;
 }
 
-bool StageScheduler::hasServerIn(const FailureDomainId& domain) const
-{
-    return std::any_of(m_servers.begin(), m_servers.end(), [&](const auto& entry) {
-        const Server& server = entry.second;
-        return server.isListed && server.server.domain == domain
-            && server.pace <= m_options.slowPace;
-    });
-}
-
 std::vector<StageScheduler::CallPiece> StageScheduler::choosePieces(
     const Server& server, TimePoint now, std::size_t limit)
 {
@@ -289,22 +280,6 @@
     end(id, std::move(result));
 }
 
-FailureDomainId StageScheduler::domainOfMost(const std::vector<std::string>& handles) const
-{
-    std::map<FailureDomainId, int> counts;
-    for (const std::string& handle : handles) {
-        const auto result = m_results.find(handle);
-        if (result == m_results.end())
-            continue;
-        const auto server = m_servers.find(result->second.server);
-        if (server != m_servers.end())
-            ++counts[server->second.server.domain];
-    }
-    const auto most = std::max_element(counts.begin(), counts.end(),
-        [](const auto& left, const auto& right) { return left.second < right.second; });
-    return most == counts.end() ? FailureDomainId() : most->first;
-}
-
 void StageScheduler::pieceFailed(TaskId id, Task& task, int piece)
 {
     --task.running;
@@ -336,6 +311,7 @@
 std::vector<StageScheduler::Ended> StageScheduler::takeEnded(TimePoint now)
 {
     dropLate(now);
+    failWithoutServers();
     if (m_ended.empty())
         return {};
     const std::vector<StageBacklog> standing = backlog(now);
@@ -359,6 +335,21 @@
     }
 }
 
+void StageScheduler::failWithoutServers()
+{
+    const bool hasServers = std::any_of(m_servers.begin(), m_servers.end(),
+        [](const auto& entry) { return entry.second.isListed; });
+    if (hasServers)
+        return;
+    std::vector<TaskId> stranded;
+    for (const auto& [id, task] : m_tasks) {
+        if (task.running == 0)
+            stranded.push_back(id);
+    }
+    for (const TaskId id : stranded)
+        end(id, { .end = StageWorkEnd::Failed });
+}
+
 // Work that missed its objective waits behind all that has not. Once that leaves it no time, its caller
 // is told at once.
 void StageScheduler::dropHopeless(TimePoint now)
--- a/src/libserving/stagescheduler.h
+++ b/src/libserving/stagescheduler.h
@@ -181,6 +181,7 @@
     void end(TaskId id, StageWorkResult result);
     void addOrphans(const Task& task);
     void dropLate(TimePoint now);
+    void failWithoutServers();
     void dropHopeless(TimePoint now);
     void learnRoom(Server& server, const std::vector<PieceResult>& results, TimePoint now);
     void expireResults(TimePoint now);
--- a/tests/serving/stageschedulertest.cpp
+++ b/tests/serving/stageschedulertest.cpp
@@ -198,6 +198,23 @@
     CHECK(ended[0].result.end == StageWorkEnd::Failed);
 }
 
+// Seen on trouble-1 of tabaq-rounds: a group lost its last server in a release, and what waited there
+// was held until its deadline.
+TEST(StageScheduler, workOfAGroupWithoutServersFailsAtOnce)
+{
+    scheduler.submit(1, makeWork("r1", 8), now);
+    const auto calls = scheduler.plan(now);
+    scheduler.submit(2, makeWork("r2", 1), now);
+    scheduler.setServers({});
+    auto ended = scheduler.takeEnded(now);
+    LONGS_EQUAL(1, ended.size());
+    LONGS_EQUAL(2, ended[0].task);
+    CHECK(ended[0].result.end == StageWorkEnd::Failed);
+    scheduler.callAnswered(calls[0].id, allDone(calls[0]), now);
+    ended = scheduler.takeEnded(now);
+    CHECK(ended.at(0).result.end == StageWorkEnd::Done);
+}
+
 TEST(StageScheduler, resultsOfCancelledWorkAreGivenBack)
 {
     scheduler.submit(1, makeWork("r1", 2), now);
