Give up stages before callers leave a stream that does not begin

The platform's callers leave a stream that has not begun after four times its objective, eight times the pause that it may have, or two seconds, whichever is longest, long before the deadline they give. Ruled out: a lost task at a home; the home's log has no end of it because the caller left first. Change: stages are planned for that time, so what can't begin by then is refused before it.

--- a/src/gateway/requestscope.h
+++ b/src/gateway/requestscope.h
@@ -46,6 +46,8 @@
     // When the objective is missed, and when the caller leaves.
     TimePoint objectiveAt {};
     TimePoint deadlineAt {};
+    // When the caller leaves a stream that has not begun.
+    TimePoint firstEventBy {};
     std::shared_ptr<RequestScope> scope = std::make_shared<RequestScope>();
 
     Milliseconds timeLeft(TimePoint now) const
--- a/src/gateway/requestservice.cpp
+++ b/src/gateway/requestservice.cpp
@@ -142,7 +142,8 @@
         .rank = rankOf(*route, owner),
         .arrivedAt = now,
         .objectiveAt = now + route->objective,
-        .deadlineAt = now + bound };
+        .deadlineAt = now + bound,
+        .firstEventBy = now + std::min(bound, route->firstEventPatience()) };
     if (owner)
         request.owner = owner->id;
     co_return co_await forward(request);
--- a/src/gateway/stagerunner.cpp
+++ b/src/gateway/stagerunner.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-    // Events of a stream after the first take so long at least.
-    constexpr Milliseconds streamTime { 150 };
+    // Kept back so that a caller who can't be served hears so before it leaves.
+    constexpr Milliseconds answerMargin { 150 };
     // Pieces may be made again; a stage whose servers failed has another try, maybe at another group.
     constexpr int stageAttempts = 2;
     // Results of at least so many bytes are made where the engine will likely read them.
@@ -98,8 +98,8 @@
         .inputs = progress.plan.inputsOf(stage),
         .rank = request.rank,
         .objectiveSlack = left(request.objectiveAt - rest),
-        .deadlineSlack = left(request.deadlineAt - rest - streamTime),
-        .patience = left(request.deadlineAt),
+        .deadlineSlack = left(request.firstEventBy - rest - answerMargin),
+        .patience = left(request.firstEventBy),
         .resultBytes = definition.resultBytes,
         .isFirst = !progress.hasBegun };
     chooseDomain(progress, work);
--- a/src/libserving/servingconfig.cpp
+++ b/src/libserving/servingconfig.cpp
@@ -20,6 +20,15 @@
 
 }
 
+Milliseconds Route::firstEventPatience() const
+{
+    // The platform's callers leave a stream after the longest of these gaps.
+    constexpr Milliseconds shortestGap { 2000 };
+    constexpr int objectives = 4;
+    constexpr int pauses = 8;
+    return std::max({ shortestGap, objectives * objective, pauses * pauseTarget });
+}
+
 const Route* ServingConfig::findRoute(std::string_view host, std::string_view path) const
 {
     const Route* best = nullptr;
--- a/src/libserving/servingconfig.h
+++ b/src/libserving/servingconfig.h
@@ -53,6 +53,8 @@
     Milliseconds timeout { 0 };
     // Time within which an answer, or a stream's first event, earns full credit.
     Milliseconds objective { 0 };
+    // Longest pause between events for which a stream is still on time.
+    Milliseconds pauseTarget { 0 };
     // Most backend servers that may run one attempt of a caller.
     int attemptLimit = 1;
     // Zero goes first.
@@ -66,6 +68,8 @@
 
     auto operator<=>(const Route&) const = default;
 
+    // How long a caller waits for a stream's first event before it leaves, whatever its deadline.
+    Milliseconds firstEventPatience() const;
     // Whether requests of this route may run more than once.
     bool mayRunAgain() const
     {
--- a/tests/platform/objecttranslationtest.cpp
+++ b/tests/platform/objecttranslationtest.cpp
@@ -44,6 +44,7 @@
     const Route& stream = config.routes.at(0);
     CHECK(stream.repeatRule == RepeatRule::Stream && stream.isResumable);
     LONGS_EQUAL(1600, stream.objective.count());
+    LONGS_EQUAL(800, stream.pauseTarget.count());
     CHECK(stream.pools == std::vector<PoolShare>({ { PoolId("m1"), 90 }, { PoolId("m2"), 10 } }));
     CHECK(stream.stages.at(1).inputs == std::vector<int>({ 0 }));
     const Route& charge = config.routes.at(1);
--- a/tests/serving/servingconfigtest.cpp
+++ b/tests/serving/servingconfigtest.cpp
@@ -37,6 +37,17 @@
     CHECK(config.findOwner("k3") == nullptr);
 }
 
+// Seen in the incidents of both sites: requests waited for their stages until callers that had been told
+// nothing left, long before the deadline that they had given.
+TEST(ServingConfig, callersLeaveAStreamThatDoesNotBegin)
+{
+    Route route { .objective = Milliseconds(2300), .pauseTarget = Milliseconds(800) };
+    LONGS_EQUAL(9200, route.firstEventPatience().count());
+    route.objective = Milliseconds(1000);
+    LONGS_EQUAL(6400, route.firstEventPatience().count());
+    LONGS_EQUAL(2000, Route().firstEventPatience().count());
+}
+
 TEST(ServingConfig, neverReturnsToAnOlderVersion)
 {
     ServingView view;
