Take one repeat for a retry after an error, forget servers that are gone, and test the gateway over sockets

Cause: PlainForwarder took a repeat from the bound after an error and a second one on its next turn, and dropped the server's answer before it knew; with one repeat left a caller got 502 instead of the error or a success (the new test got 502). Clients and records of gone servers stayed until the process ended.

Changed: one repeat serves one retry; an answer is dropped only once another server may be asked. Servers that are no longer known are forgotten on each change. Bodies are read whole in one place. A fixture runs a gateway with scripted servers over sockets: answers unchanged, the repeat, what may run once, results of stages, stages run again, streams that go on elsewhere, a host that stops, no engines.

--- a/src/gateway/backendcaller.cpp
+++ b/src/gateway/backendcaller.cpp
@@ -7,6 +7,7 @@
 #include <boost/json/object.hpp>
 
 #include <algorithm>
+#include <set>
 
 namespace Apricot {
 
@@ -147,8 +148,7 @@
         throw boost::system::system_error(Asio::error::operation_aborted);
     HttpResponse response;
     static_cast<HttpAnswerHead&>(response) = stream->head();
-    while (std::optional<std::string> data = co_await stream->read())
-        response.body += *data;
+    response.body = co_await readBody(*stream);
     co_return response;
 }
 
@@ -176,11 +176,17 @@
     return client;
 }
 
-void BackendCaller::dropUnused(const std::vector<Endpoint>& known)
+void BackendCaller::forgetGone()
 {
-    std::erase_if(m_clients, [&known](const auto& entry) {
-        return std::find(known.begin(), known.end(), entry.first) == known.end();
-    });
+    std::set<Endpoint> endpoints;
+    std::set<BackendServerId> ids;
+    for (const auto& [id, known] : m_view.servers().all()) {
+        ids.insert(id);
+        endpoints.insert(known.server.endpoint);
+    }
+    m_tracker.retain(ids);
+    std::erase_if(m_clients,
+        [&endpoints](const auto& entry) { return !endpoints.contains(entry.first); });
 }
 
 }
--- a/src/gateway/backendcaller.h
+++ b/src/gateway/backendcaller.h
@@ -48,8 +48,8 @@
     boost::asio::awaitable<HttpResponse> callAnyway(Endpoint endpoint, HttpCall call);
 
     ServerTracker& tracker() { return m_tracker; }
-    // Closes the connections of endpoints that no known server has.
-    void dropUnused(const std::vector<Endpoint>& known);
+    // Forgets servers that are no longer known, and closes their connections.
+    void forgetGone();
 
 private:
     std::shared_ptr<HttpClient> clientOf(const Endpoint& endpoint);
--- a/src/gateway/gatewaydaemon.cpp
+++ b/src/gateway/gatewaydaemon.cpp
@@ -117,6 +117,7 @@
     m_retries.setHosts(m_view.hosts().size());
     m_coldLimiter.setHosts(m_settings.process.host, m_view.hostIds());
     m_relay.hostsChanged();
+    m_caller.forgetGone();
 }
 
 HealthReport GatewayDaemon::health() const
--- a/src/gateway/plainforwarder.cpp
+++ b/src/gateway/plainforwarder.cpp
@@ -32,66 +32,79 @@
 
 Asio::awaitable<ServedEnd> PlainForwarder::serve(ServedRequest& request)
 {
-    const bool mayRunAgain = request.route.mayRunAgain();
-    std::set<BackendServerId> tried;
-    ServedEnd end;
-    int runs = 0;
-    int unreachable = 0;
-    bool isNotRun = true;
+    Progress progress;
     m_retries.countRequest(request.pool, RuntimeClock::now());
-    while (true) {
-        const KnownServer* known = choose(request, tried);
-        const bool isRepeat = end.sends > 0;
-        if (!known || unreachable >= connectLimit || request.scope->isOver()
-            || (isRepeat && !m_retries.takeRepeat(request.pool, RuntimeClock::now())))
-            break;
+    while (const KnownServer* known = next(request, progress)) {
         const ServerEntry server = known->server;
-        tried.insert(server.id);
-        const Milliseconds patience = patienceFor(request, runs);
-        SendResult sent = co_await m_caller.send(
-            request, server, std::vector<std::string>(), std::string(), patience);
-        if (sent.end == SendEnd::NotSent) {
-            ++unreachable;
-            continue;
-        }
-        ++end.sends;
-        end.server = server.id;
-        if (sent.end == SendEnd::NotRun)
-            continue;
-        ++runs;
-        isNotRun = false;
-        const bool mayTryAgain = mayRunAgain && runs < request.route.attemptLimit;
-        if (sent.end == SendEnd::Answered) {
-            if (mayTryAgain && sent.status >= statusServerError
-                && choose(request, tried) != nullptr
-                && m_retries.takeRepeat(request.pool, RuntimeClock::now())) {
-                sent.stream.reset();
-                continue;
-            }
-            ServedEnd answered = co_await answer(request, *sent.stream);
-            answered.server = server.id;
-            answered.sends = end.sends;
-            co_return answered;
-        }
-        if (!mayTryAgain)
+        if (co_await trySend(request, progress, server))
             break;
     }
-    if (request.scope->ended() == ScopeEnd::CallerGone)
-        co_return end;
+    if (progress.end.status == 0 && request.scope->ended() != ScopeEnd::CallerGone)
+        co_await giveUp(request, progress);
+    co_return progress.end;
+}
+
+const KnownServer* PlainForwarder::next(const ServedRequest& request, Progress& progress)
+{
+    const KnownServer* known = choose(request, progress);
+    if (!known || progress.unreachable >= connectLimit || request.scope->isOver())
+        return nullptr;
+    return progress.end.sends == 0 || takeRepeat(request, progress) ? known : nullptr;
+}
+
+bool PlainForwarder::takeRepeat(const ServedRequest& request, Progress& progress)
+{
+    if (!progress.hasRepeat)
+        progress.hasRepeat = m_retries.takeRepeat(request.pool, RuntimeClock::now());
+    return progress.hasRepeat;
+}
+
+Asio::awaitable<bool> PlainForwarder::trySend(
+    ServedRequest& request, Progress& progress, ServerEntry server)
+{
+    progress.tried.insert(server.id);
+    const Milliseconds patience = patienceFor(request, progress.runs);
+    const SendResult sent = co_await m_caller.send(
+        request, server, std::vector<std::string>(), std::string(), patience);
+    if (sent.end == SendEnd::NotSent) {
+        ++progress.unreachable;
+        co_return false;
+    }
+    ++progress.end.sends;
+    progress.end.server = server.id;
+    progress.hasRepeat = false;
+    if (sent.end == SendEnd::NotRun)
+        co_return false;
+    ++progress.runs;
+    const bool mayTryAgain
+        = request.route.mayRunAgain() && progress.runs < request.route.attemptLimit;
+    if (sent.end != SendEnd::Answered)
+        co_return !mayTryAgain;
+    if (mayTryAgain && sent.status >= statusServerError && next(request, progress) != nullptr)
+        co_return false;
+    const ServedEnd answered = co_await answer(request, *sent.stream);
+    progress.end.status = answered.status;
+    progress.end.refusal = answered.refusal;
+    co_return true;
+}
+
+Asio::awaitable<void> PlainForwarder::giveUp(ServedRequest& request, Progress& progress)
+{
     GatewayRefusal reason = GatewayRefusal::ServerFailed;
-    if (isNotRun)
-        reason = end.sends > 0 ? GatewayRefusal::Overloaded : GatewayRefusal::NoServer;
-    else if (request.scope->ended() == ScopeEnd::TimedOut)
+    std::optional<Milliseconds> retryAfter;
+    if (progress.runs == 0) {
+        reason = progress.end.sends > 0 ? GatewayRefusal::Overloaded : GatewayRefusal::NoServer;
+        retryAfter = fullRetry;
+    } else if (request.scope->ended() == ScopeEnd::TimedOut) {
         reason = GatewayRefusal::TimedOut;
-    end.refusal = refusalName(reason);
-    end.status = refusalStatus(reason);
-    co_await refuse(request.exchange, reason,
-        isNotRun ? std::optional(fullRetry) : std::nullopt);
-    co_return end;
+    }
+    progress.end.refusal = refusalName(reason);
+    progress.end.status = refusalStatus(reason);
+    co_await refuse(request.exchange, reason, retryAfter);
 }
 
 const KnownServer* PlainForwarder::choose(
-    const ServedRequest& request, const std::set<BackendServerId>& tried)
+    const ServedRequest& request, const Progress& progress)
 {
     const TimePoint now = RuntimeClock::now();
     const ServerTracker& tracker = m_caller.tracker();
@@ -99,7 +112,7 @@
     std::tuple<bool, double> bestPlace;
     for (const KnownServer* known : m_view.servers().usable(request.pool, now)) {
         const BackendServerId& id = known->server.id;
-        if (tried.contains(id))
+        if (progress.tried.contains(id))
             continue;
         const std::tuple place(tracker.isAvoided(id, now), tracker.cost(id));
         if (!best || place < bestPlace) {
@@ -127,8 +140,7 @@
     bool isWhole = true;
     stream.setTimeout(std::max(request.timeLeft(RuntimeClock::now()), Milliseconds(1)));
     try {
-        while (std::optional<std::string> data = co_await stream.read())
-            body += *data;
+        body = co_await readBody(stream);
     } catch (const boost::system::system_error&) {
         isWhole = false;
     }
--- a/src/gateway/plainforwarder.h
+++ b/src/gateway/plainforwarder.h
@@ -29,8 +29,26 @@
     boost::asio::awaitable<ServedEnd> serve(ServedRequest& request);
 
 private:
+    // One request on its way through the servers.
+    struct Progress {
+        std::set<BackendServerId> tried;
+        ServedEnd end;
+        // Servers that may have run it, and that could not be reached.
+        int runs = 0;
+        int unreachable = 0;
+        // A repeat was taken from the bound and not used yet.
+        bool hasRepeat = false;
+    };
+
     // Chooses the server that costs least, of those not tried for this request.
-    const KnownServer* choose(const ServedRequest& request, const std::set<BackendServerId>& tried);
+    const KnownServer* choose(const ServedRequest& request, const Progress& progress);
+    // The server to send to now, or nothing when the request may be sent no more.
+    const KnownServer* next(const ServedRequest& request, Progress& progress);
+    bool takeRepeat(const ServedRequest& request, Progress& progress);
+    // Sends to a server and passes its answer on; true when the request was answered or may run no more.
+    boost::asio::awaitable<bool> trySend(
+        ServedRequest& request, Progress& progress, ServerEntry server);
+    boost::asio::awaitable<void> giveUp(ServedRequest& request, Progress& progress);
     Milliseconds patienceFor(const ServedRequest& request, int runs) const;
     boost::asio::awaitable<ServedEnd> answer(ServedRequest& request, HttpStream& stream);
 
--- a/src/gateway/streamforwarder.cpp
+++ b/src/gateway/streamforwarder.cpp
@@ -158,8 +158,7 @@
     // A failure of the engine's own; one within a stream that has begun can't be told any more.
     std::string body;
     try {
-        while (std::optional<std::string> data = co_await stream.read())
-            body += *data;
+        body = co_await readBody(stream);
     } catch (const boost::system::system_error&) {
         co_return false;
     }
--- a/src/libnet/httpclient.cpp
+++ b/src/libnet/httpclient.cpp
@@ -168,13 +168,20 @@
     m_impl->dropIdle();
 }
 
+Asio::awaitable<std::string> readBody(HttpStream& stream)
+{
+    std::string body;
+    while (std::optional<std::string> data = co_await stream.read())
+        body += *data;
+    co_return body;
+}
+
 Asio::awaitable<HttpResponse> HttpClient::send(HttpCall call)
 {
     const std::unique_ptr<HttpStream> stream = co_await open(std::move(call));
     HttpResponse response;
     static_cast<HttpAnswerHead&>(response) = stream->head();
-    while (std::optional<std::string> data = co_await stream->read())
-        response.body += *data;
+    response.body = co_await readBody(*stream);
     co_return response;
 }
 
--- a/src/libnet/httpclient.h
+++ b/src/libnet/httpclient.h
@@ -67,6 +67,10 @@
     virtual boost::asio::awaitable<std::optional<std::string>> read() = 0;
 };
 
+// Reads an answer's body to its end. Throws boost::system::system_error when the connection breaks
+// before it.
+boost::asio::awaitable<std::string> readBody(HttpStream& stream);
+
 struct HttpClientOptions {
     std::string address = "127.0.0.1";
     std::uint16_t port = 0;
--- a/src/libserving/serverdirectory.h
+++ b/src/libserving/serverdirectory.h
@@ -58,6 +58,7 @@
     std::vector<const KnownServer*> staying(const PoolId& pool) const;
     // The server when it may be given new work.
     const KnownServer* findUsable(const BackendServerId& id, TimePoint now);
+    const std::map<BackendServerId, KnownServer>& all() const { return m_servers; }
     std::size_t size() const { return m_servers.size(); }
     // Rises with each change of what usable() returns, but for time.
     std::uint64_t generation() const { return m_generation; }
--- a/src/libserving/servertracker.cpp
+++ b/src/libserving/servertracker.cpp
@@ -80,11 +80,10 @@
     return found == m_seen.end() ? 0 : found->second.inFlight;
 }
 
-void ServerTracker::retain(const std::vector<BackendServerId>& known)
+void ServerTracker::retain(const std::set<BackendServerId>& known)
 {
     std::erase_if(m_seen, [&known](const auto& entry) {
-        return entry.second.inFlight == 0
-            && std::find(known.begin(), known.end(), entry.first) == known.end();
+        return entry.second.inFlight == 0 && !known.contains(entry.first);
     });
 }
 
--- a/src/libserving/servertracker.h
+++ b/src/libserving/servertracker.h
@@ -4,7 +4,7 @@
 #include "libapricot/identifier.h"
 
 #include <map>
-#include <vector>
+#include <set>
 
 namespace Apricot {
 
@@ -51,7 +51,7 @@
     double cost(const BackendServerId& id) const;
     int inFlight(const BackendServerId& id) const;
     // Forgets servers that are no longer known and have no calls in flight.
-    void retain(const std::vector<BackendServerId>& known);
+    void retain(const std::set<BackendServerId>& known);
 
 private:
     struct Seen {
--- /dev/null
+++ b/tests/platform/gatewayfixture.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "gateway/requestservice.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+// A gateway of one host with scripted backend servers and a caller, over sockets.
+class GatewayFixture {
+public:
+    using Handler = Apricot::HttpHandler;
+
+    GatewayFixture();
+
+    // Starts a backend server of a pool.
+    void addServer(const char* id, const char* pool, Handler handler);
+    // A call of a caller; its answer, read to the end.
+    Apricot::HttpResponse call(const std::string& path, std::vector<Apricot::HttpField> fields = {});
+    // Answers as a backend server does: signed, and with the request's identity.
+    static boost::asio::awaitable<void> answerSigned(
+        Apricot::HttpExchange& exchange, int status, std::string body);
+    // Says that the request was not run and never will be.
+    static boost::asio::awaitable<void> answerNotRun(Apricot::HttpExchange& exchange, int status);
+    static boost::asio::awaitable<void> beginSignedStream(Apricot::HttpExchange& exchange);
+
+    boost::asio::io_context context;
+    Apricot::ServingView view;
+    Apricot::ServerTracker tracker;
+    Apricot::RetryWindow retries;
+    Apricot::ColdLimiter coldLimiter;
+    Apricot::MetricRegistry registry;
+    Apricot::BackendCaller caller { context, view, tracker };
+    Apricot::PeerClient peers { context };
+    Apricot::StageHome home { context, view, caller };
+    Apricot::StageRouter router { context, Apricot::HostId("h1"), view, home, peers };
+    Apricot::StageRunner stages { context, router };
+    Apricot::PlainForwarder plain { view, caller, retries };
+    Apricot::StreamForwarder streams { view, caller, retries, coldLimiter, stages };
+    Apricot::GatewayMetrics metrics { registry };
+    Apricot::RequestService requests { context, view, plain, streams, metrics };
+
+private:
+    Apricot::HttpServer m_front;
+    std::vector<std::unique_ptr<Apricot::HttpServer>> m_servers;
+};
--- /dev/null
+++ b/tests/platform/gatewaytest.cpp
@@ -0,0 +1,168 @@
+#include "gatewayfixture.h"
+
+#include "platform/names.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace Apricot;
+namespace Asio = boost::asio;
+namespace Names = PlatformNames;
+
+namespace {
+
+class GatewayTestBase : public Utest, public GatewayFixture {
+public:
+    // Adds a stage server that makes a result for each piece.
+    void addStageServer()
+    {
+        addServer("stage", "stages", [this](HttpExchange& exchange) -> Asio::awaitable<void> {
+            if (exchange.request().path == Names::stageFreePath) {
+                ++releases;
+                co_await exchange.respond(200, "application/json", "{}");
+                co_return;
+            }
+            ++stageCalls;
+            const std::string handle = "127.0.0.1:1/h" + std::to_string(stageCalls);
+            co_await exchange.respond(
+                200, "application/json", R"({"entries":[{"handle":")" + handle + R"("}]})");
+        });
+    }
+
+    HttpResponse callStream()
+    {
+        return call("/stream/x", { { std::string(Names::pieceCountsField), "1" } });
+    }
+
+    int stageCalls = 0;
+    int releases = 0;
+};
+
+}
+
+TEST_GROUP_BASE(Gateway, GatewayTestBase) {};
+
+TEST(Gateway, passesAWholeAnswerOnUnchanged)
+{
+    addServer("s1", "plain", [](HttpExchange& exchange) { return answerSigned(exchange, 200, "yes"); });
+    const HttpResponse response = call("/once/x");
+    LONGS_EQUAL(200, response.status);
+    STRCMP_EQUAL("yes", response.body.c_str());
+    STRCMP_EQUAL("signature", std::string(response.field(Names::signatureField)).c_str());
+}
+
+// One repeat is allowed: it is enough for one retry.
+TEST(Gateway, aRetryAfterAnErrorTakesOneRepeat)
+{
+    retries.setOptions({ .ratio = 0, .slack = 1.5 });
+    addServer("s1", "plain", [](HttpExchange& exchange) { return answerSigned(exchange, 500, "no"); });
+    addServer("s2", "plain", [](HttpExchange& exchange) { return answerSigned(exchange, 200, "yes"); });
+    LONGS_EQUAL(200, call("/again/x").status);
+}
+
+TEST(Gateway, anErrorIsPassedOnWhenNoRepeatIsLeft)
+{
+    retries.setOptions({ .ratio = 0, .slack = 0 });
+    addServer("s1", "plain", [](HttpExchange& exchange) { return answerSigned(exchange, 500, "no"); });
+    addServer("s2", "plain", [](HttpExchange& exchange) { return answerSigned(exchange, 200, "yes"); });
+    const HttpResponse response = call("/again/x");
+    LONGS_EQUAL(500, response.status);
+    STRCMP_EQUAL("no", response.body.c_str());
+}
+
+TEST(Gateway, whatMayRunOnceIsSentAgainOnlyAfterAProofThatItDidNotRun)
+{
+    int runs = 0;
+    addServer("s1", "plain", [](HttpExchange& exchange) { return answerNotRun(exchange, 503); });
+    addServer("s2", "plain", [&runs](HttpExchange& exchange) -> Asio::awaitable<void> {
+        ++runs;
+        exchange.abort();
+        co_return;
+    });
+    addServer("s3", "plain", [&runs](HttpExchange& exchange) {
+        ++runs;
+        return answerSigned(exchange, 200, "yes");
+    });
+    LONGS_EQUAL(502, call("/once/x").status);
+    LONGS_EQUAL(1, runs);
+}
+
+TEST(Gateway, anEngineGetsTheResultsOfTheStagesWhichAreReleasedAfterItsFirstEvent)
+{
+    addStageServer();
+    std::string inputs;
+    addServer("e1", "engines", [&inputs](HttpExchange& exchange) -> Asio::awaitable<void> {
+        inputs = exchange.request().field(Names::inputHandlesField);
+        co_await beginSignedStream(exchange);
+        co_await exchange.writeChunk("id: 1\ndata: a\n\n");
+        co_await exchange.endStream();
+    });
+    const HttpResponse response = callStream();
+    LONGS_EQUAL(200, response.status);
+    STRCMP_EQUAL("id: 1\ndata: a\n\n", response.body.c_str());
+    STRCMP_EQUAL("127.0.0.1:1/h1", inputs.c_str());
+    LONGS_EQUAL(1, stageCalls);
+}
+
+TEST(Gateway, stagesRunAgainWhenAnEngineFindsTheirResultsGone)
+{
+    addStageServer();
+    int sends = 0;
+    std::string inputs;
+    addServer("e1", "engines", [&](HttpExchange& exchange) -> Asio::awaitable<void> {
+        inputs = exchange.request().field(Names::inputHandlesField);
+        if (++sends == 1) {
+            co_await answerNotRun(exchange, 409);
+            co_return;
+        }
+        co_await beginSignedStream(exchange);
+        co_await exchange.writeChunk("id: 1\ndata: a\n\n");
+        co_await exchange.endStream();
+    });
+    LONGS_EQUAL(200, callStream().status);
+    LONGS_EQUAL(2, stageCalls);
+    STRCMP_EQUAL("127.0.0.1:1/h2", inputs.c_str());
+}
+
+TEST(Gateway, aBrokenStreamGoesOnAtAnotherEngineWithinTheSameAnswer)
+{
+    addStageServer();
+    std::string lastEvent;
+    int sends = 0;
+    const auto serve = [&](HttpExchange& exchange) -> Asio::awaitable<void> {
+        co_await beginSignedStream(exchange);
+        if (++sends == 1) {
+            co_await exchange.writeChunk("id: 1\ndata: a\n\nid: 2\nda");
+            exchange.abort();
+            co_return;
+        }
+        lastEvent = exchange.request().field(Names::lastEventField);
+        co_await exchange.writeChunk("id: 2\ndata: b\n\n");
+        co_await exchange.endStream();
+    };
+    addServer("e1", "engines", serve);
+    addServer("e2", "engines", serve);
+    const HttpResponse response = callStream();
+    STRCMP_EQUAL("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", response.body.c_str());
+    STRCMP_EQUAL("1", lastEvent.c_str());
+    LONGS_EQUAL(2, stageCalls);
+}
+
+TEST(Gateway, aHostThatStopsRunsItsOwnStagesWhenThereIsNoOther)
+{
+    addStageServer();
+    addServer("e1", "engines", [](HttpExchange& exchange) -> Asio::awaitable<void> {
+        co_await beginSignedStream(exchange);
+        co_await exchange.writeChunk("id: 1\ndata: a\n\n");
+        co_await exchange.endStream();
+    });
+    home.stop();
+    LONGS_EQUAL(200, callStream().status);
+}
+
+TEST(Gateway, withoutEnginesACallerIsToldThatNothingRan)
+{
+    addStageServer();
+    const HttpResponse response = callStream();
+    LONGS_EQUAL(503, response.status);
+    CHECK(!response.field("Retry-After").empty());
+}
