Keep groups of stage servers, and a request's stages, within one failure domain where it has enough servers

Changed: with three servers and more in the mean domain, groups stay within a domain; a stage's group is drawn in the domain of its inputs, and another one is taken when its wait is shorter by up to 300 ms, less for fewer bytes. A stage's groups are drawn once for each place.

--- a/src/gateway/stagehome.cpp
+++ b/src/gateway/stagehome.cpp
@@ -112,7 +112,7 @@
     std::vector<StageServer> members;
     for (const KnownServer* known : servers) {
         const ServerEntry& server = known->server;
-        if (groups.groupOf(server.id) == key.second)
+        if (groups.groupOf(server) == key.second)
             members.push_back({ server.id, server.endpoint, server.domain });
     }
     group.scheduler.setServers(members);
--- a/src/gateway/stagerouter.cpp
+++ b/src/gateway/stagerouter.cpp
@@ -38,11 +38,12 @@
 }
 
 std::array<int, 2> StageRouter::drawGroups(
-    const PoolId& pool, const std::string& requestId) const
+    const PoolId& pool, const std::string& requestId, const FailureDomainId& domain) const
 {
     const StageGroups groups(m_view.servers().staying(pool));
     const auto usable = m_view.servers().usable(pool, RuntimeClock::now());
-    return { groups.drawGroup(requestId, 0, usable), groups.drawGroup(requestId, 1, usable) };
+    return { groups.drawGroup(requestId, 0, domain, usable),
+        groups.drawGroup(requestId, 1, FailureDomainId(), usable) };
 }
 
 std::vector<HostId> StageRouter::homesFor(const PoolId& pool, int group) const
--- a/src/gateway/stagerouter.h
+++ b/src/gateway/stagerouter.h
@@ -28,9 +28,10 @@
     StageRouter(boost::asio::io_context& context, HostId self, ServingView& view, StageHome& home,
         PeerClient& peers);
 
-    // Groups of a pool's servers that a request's identity draws; the one with the shorter backlog serves
-    // it.
-    std::array<int, 2> drawGroups(const PoolId& pool, const std::string& requestId) const;
+    // Groups of a pool's servers that a request's identity draws: one near a failure domain, which may be
+    // empty, and any.
+    std::array<int, 2> drawGroups(
+        const PoolId& pool, const std::string& requestId, const FailureDomainId& domain) const;
     // Runs one stage; sets the host that ran it.
     boost::asio::awaitable<StageWorkResult> run(
         StageWork work, std::shared_ptr<HttpCancel> cancel, HostId& ranAt);
--- a/src/gateway/stagerunner.cpp
+++ b/src/gateway/stagerunner.cpp
@@ -16,6 +16,9 @@
 
 namespace {
 
+    // A group elsewhere is used when its wait is shorter by so much, for so many bytes that cross.
+    constexpr double farWait = 300;
+    constexpr double farBytes = 1'000'000;
     // Kept back so that a caller who can't be served hears so before it leaves.
     constexpr Milliseconds answerMargin { 150 };
     // Pieces may be made again; a stage whose servers failed has another try, maybe at another group.
@@ -40,6 +43,13 @@
 
 }
 
+// Groups that a stage may go to: near where it is best run, and any.
+struct StageRunner::DrawnGroups {
+    bool isDrawn = false;
+    FailureDomainId domain;
+    std::array<int, 2> groups {};
+};
+
 struct StageRunner::Progress {
     Progress(Asio::io_context& context, ServedRequest& served, Milliseconds engine,
         FailureDomainId domain)
@@ -60,7 +70,7 @@
     // When each stage that was begun should end.
     std::map<int, TimePoint> expectedEnds;
     // Groups that each stage may go to.
-    std::map<int, std::array<int, 2>> groups;
+    std::map<int, DrawnGroups> groups;
     // Stages that wait for their turn.
     std::vector<std::shared_ptr<RuntimeTimer>> turns;
     StagesEnd end;
@@ -116,6 +126,7 @@
     const Milliseconds rest
         = progress.engineTime + ceilMilliseconds(progress.plan.longestTime(stage, times));
     const auto left = [now](TimePoint time) { return std::chrono::floor<Milliseconds>(time - now); };
+    Place place = bestPlace(progress, stage);
     StageWork work { .pool = definition.pool,
         .group = groupOf(progress, stage),
         .requestId = progress.request.caller.id,
@@ -128,8 +139,9 @@
         .deadlineSlack = left(request.firstEventBy - rest - answerMargin),
         .patience = left(request.firstEventBy),
         .resultBytes = definition.resultBytes,
+        .domain = std::move(place.domain),
+        .crossingBytes = place.crossingBytes,
         .isFirst = !progress.hasBegun };
-    chooseDomain(progress, work);
     return work;
 }
 
@@ -163,12 +175,18 @@
 {
     const ServedRequest& request = progress.request;
     const PoolId& pool = progress.plan.definition(stage).pool;
-    auto drawn = progress.groups.find(stage);
-    if (drawn == progress.groups.end())
-        drawn = progress.groups.emplace(stage, m_router.drawGroups(pool, request.caller.id)).first;
-    const auto [first, second] = drawn->second;
-    const Milliseconds firstWait = m_router.expectedWait(pool, first, request.rank);
-    return m_router.expectedWait(pool, second, request.rank) < firstWait ? second : first;
+    const Place place = bestPlace(progress, stage);
+    DrawnGroups& drawn = progress.groups[stage];
+    if (!drawn.isDrawn || drawn.domain != place.domain)
+        drawn = { true, place.domain,
+            m_router.drawGroups(pool, request.caller.id, place.domain) };
+    const auto [near, other] = drawn.groups;
+    const double crossingShare = std::min(place.crossingBytes / farBytes, 1.0);
+    const double nearWait
+        = static_cast<double>(m_router.expectedWait(pool, near, request.rank).count());
+    const double otherWait
+        = static_cast<double>(m_router.expectedWait(pool, other, request.rank).count());
+    return otherWait + crossingShare * farWait < nearWait ? other : near;
 }
 
 bool StageRunner::isHopeless(Progress& progress, Milliseconds& retryAfter) const
@@ -204,24 +222,26 @@
     cancel->setAction(nullptr);
 }
 
-void StageRunner::chooseDomain(const Progress& progress, StageWork& work) const
+StageRunner::Place StageRunner::bestPlace(const Progress& progress, int stage) const
 {
-    const double ownBytes = work.resultBytes * work.pieces;
+    const StageDefinition& definition = progress.plan.definition(stage);
+    const int pieces = progress.plan.pieces(stage);
+    const double ownBytes = definition.resultBytes * pieces;
     std::map<FailureDomainId, double> bytes;
-    if (ownBytes >= engineBytes && progress.plan.isLast(work.stage))
+    if (ownBytes >= engineBytes && progress.plan.isLast(stage))
         bytes[progress.engineDomain] += ownBytes;
-    const std::vector<int>& inputs = progress.plan.definition(work.stage).inputs;
     for (const StageResults& results : progress.end.results) {
         // Each piece reads every input.
-        if (std::find(inputs.begin(), inputs.end(), results.stage) != inputs.end())
-            bytes[results.domain] += results.bytes * work.pieces;
+        if (std::find(definition.inputs.begin(), definition.inputs.end(), results.stage)
+            != definition.inputs.end())
+            bytes[results.domain] += results.bytes * pieces;
     }
+    Place best;
     for (const auto& [domain, crossing] : bytes) {
-        if (crossing > work.crossingBytes && !domain.empty()) {
-            work.domain = domain;
-            work.crossingBytes = crossing;
-        }
+        if (crossing > best.crossingBytes && !domain.empty())
+            best = { domain, crossing };
     }
+    return best;
 }
 
 void StageRunner::releaseReadOut(Progress& progress)
--- a/src/gateway/stagerunner.h
+++ b/src/gateway/stagerunner.h
@@ -33,6 +33,7 @@
 private:
     // The stages of one request on their way; shared with the coroutines that run them.
     struct Progress;
+    struct DrawnGroups;
 
     void startReady(const std::shared_ptr<Progress>& progress);
     // Whether a request can't be served in time by what the groups last told of their backlogs; sets when
@@ -47,8 +48,12 @@
     // Waits until a stage that no other stage reads will end together with the others, so that its
     // results take up room no longer than they must.
     boost::asio::awaitable<void> waitForTurn(std::shared_ptr<Progress> progress, int stage);
-    // Sets where a stage is best run.
-    void chooseDomain(const Progress& progress, StageWork& work) const;
+    // Where a stage is best run, and the bytes that cross failure domains when it is run elsewhere.
+    struct Place {
+        FailureDomainId domain;
+        double crossingBytes = 0;
+    };
+    Place bestPlace(const Progress& progress, int stage) const;
     void releaseReadOut(Progress& progress);
     // Notes why the request can't go on and ends its other stages.
     static void stageFailed(Progress& progress, const StageWorkResult& result);
