Refuse what still waits when a host stops, instead of cutting it

Nothing told the requests that no server had got that the process would end.

Changed: 400 ms before the end, what no server has got is refused with 503 and may come back at once, at another host. The test hangs a stage server and ends what waits.

Ruled out: the hand-over of waiting stages to other homes, which came with this code; the request waited at another home that did not stop.

--- a/src/gateway/backendcaller.cpp
+++ b/src/gateway/backendcaller.cpp
@@ -102,7 +102,12 @@
         return Platform::isAnswerTo(head, id);
     };
     auto sent = std::make_shared<bool>(false);
-    HttpSendGate gate = [this, sent, server] { return *sent = mayGetWork(server); };
+    HttpSendGate gate = [this, sent, server, scope = request.scope] {
+        *sent = mayGetWork(server);
+        if (*sent)
+            scope->noteSent();
+        return *sent;
+    };
     const std::shared_ptr<HttpClient> client = clientOf(server.endpoint);
     m_tracker.callStarted(server.id);
     SendResult result;
--- a/src/gateway/gatewaydaemon.cpp
+++ b/src/gateway/gatewaydaemon.cpp
@@ -21,6 +21,8 @@
     constexpr Milliseconds balancerNotice { 2500 };
     // Kept back from the time to stop, so that the process ends before it is killed.
     constexpr Milliseconds stopMargin { 600 };
+    // What no server has got by so long before the end is refused, so that its caller gets an answer.
+    constexpr Milliseconds refusalNotice { 400 };
     constexpr Milliseconds drainPoll { 50 };
     // Longest wait for an answer of the store beyond what a watch was asked to wait; a slow store takes
     // some hundred milliseconds.
@@ -216,8 +218,11 @@
         co_await sleepFor(executor, drainPoll);
     m_callers.stopAccepting();
     while (RuntimeClock::now() < endsAt
-        && (m_callers.exchangesInFlight() > 0 || m_peerServer.streamsInFlight() > 0))
+        && (m_callers.exchangesInFlight() > 0 || m_peerServer.streamsInFlight() > 0)) {
+        if (RuntimeClock::now() >= endsAt - refusalNotice)
+            m_requests.endWaiting();
         co_await sleepFor(executor, drainPoll);
+    }
     writeLog(LogLevel::Info, "shutdown_finished",
         { { "requests_cut", m_callers.exchangesInFlight() } });
     m_context.stop();
--- a/src/gateway/plainforwarder.cpp
+++ b/src/gateway/plainforwarder.cpp
@@ -98,6 +98,10 @@
     } else if (request.scope->ended() == ScopeEnd::TimedOut) {
         reason = GatewayRefusal::TimedOut;
     }
+    if (request.scope->ended() == ScopeEnd::Stopping) {
+        reason = GatewayRefusal::NotReady;
+        retryAfter = Milliseconds(0);
+    }
     progress.end.refusal = refusalName(reason);
     progress.end.status = refusalStatus(reason);
     co_await refuse(request.exchange, reason, retryAfter);
--- a/src/gateway/requestscope.h
+++ b/src/gateway/requestscope.h
@@ -15,6 +15,8 @@
     None,
     CallerGone,
     TimedOut,
+    // This host stops, and nothing has been sent to a server yet.
+    Stopping,
 };
 
 // The calls that are made for one caller's request. When the caller leaves or its time is up, all of
@@ -24,11 +26,15 @@
     void end(ScopeEnd reason);
     ScopeEnd ended() const { return m_ended; }
     bool isOver() const { return m_ended != ScopeEnd::None; }
+    // A server that answers the caller may have got the request.
+    void noteSent() { m_isSent = true; }
+    bool isSent() const { return m_isSent; }
     // A handle for a call to be made; already cancelled when the scope has ended.
     std::shared_ptr<HttpCancel> addCall();
 
 private:
     ScopeEnd m_ended = ScopeEnd::None;
+    bool m_isSent = false;
     std::vector<std::weak_ptr<HttpCancel>> m_calls;
 };
 
--- a/src/gateway/requestservice.cpp
+++ b/src/gateway/requestservice.cpp
@@ -158,9 +158,20 @@
     request.exchange.setPeerGoneHandler([scope] { scope->end(ScopeEnd::CallerGone); });
     const Watchdog deadline(m_context, request.deadlineAt - RuntimeClock::now(),
         [scope] { scope->end(ScopeEnd::TimedOut); });
+    std::erase_if(m_scopes, [](const auto& weak) { return weak.expired(); });
+    m_scopes.push_back(scope);
     if (request.route.repeatRule == RepeatRule::Stream)
         co_return co_await m_streams.serve(request);
     co_return co_await m_plain.serve(request);
 }
 
+void RequestService::endWaiting()
+{
+    for (const std::weak_ptr<RequestScope>& weak : m_scopes) {
+        const auto scope = weak.lock();
+        if (scope && !scope->isSent())
+            scope->end(ScopeEnd::Stopping);
+    }
+}
+
 }
--- a/src/gateway/requestservice.h
+++ b/src/gateway/requestservice.h
@@ -5,6 +5,9 @@
 #include "gateway/streamforwarder.h"
 #include "libserving/callerpatience.h"
 
+#include <memory>
+#include <vector>
+
 namespace Apricot {
 
 // Serves callers: checks each request against the configuration in force and hands it to the forwarder
@@ -15,6 +18,8 @@
         StreamForwarder& streams, GatewayMetrics& metrics);
 
     boost::asio::awaitable<void> serve(HttpExchange& exchange);
+    // Refuses what no server has got yet, before this host stops.
+    void endWaiting();
     // Limits for callers by the configuration in force.
     HttpLimits limits() const;
 
@@ -29,6 +34,8 @@
     StreamForwarder& m_streams;
     GatewayMetrics& m_metrics;
     CallerPatience m_patience;
+    // Of the requests that are being served.
+    std::vector<std::weak_ptr<RequestScope>> m_scopes;
 };
 
 }
--- a/src/gateway/streamforwarder.cpp
+++ b/src/gateway/streamforwarder.cpp
@@ -246,6 +246,10 @@
         reason = GatewayRefusal::OutOfTime;
         retryAfter.reset();
     }
+    if (request.scope->ended() == ScopeEnd::Stopping) {
+        reason = GatewayRefusal::NotReady;
+        retryAfter = Milliseconds(0);
+    }
     relay.end.status = refusalStatus(reason);
     relay.end.refusal = refusalName(reason);
     co_await refuse(request.exchange, reason, retryAfter);
--- a/src/libserving/callerpatience.cpp
+++ b/src/libserving/callerpatience.cpp
@@ -28,9 +28,9 @@
 {
     const double enough
         = std::max(m_options.usualPart * static_cast<double>(seen.newest.size()), 2.0);
-    for (auto entry = seen.counts.rbegin(); entry != seen.counts.rend(); ++entry) {
-        if (entry->second >= enough)
-            return entry->first;
+    for (const auto& [patience, count] : seen.counts) {
+        if (count >= enough)
+            return patience;
     }
     return Milliseconds(0);
 }
--- a/src/libserving/callerpatience.h
+++ b/src/libserving/callerpatience.h
@@ -3,6 +3,7 @@
 #include "libapricot/clock.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <string>
 
@@ -28,7 +29,8 @@
 private:
     struct Seen {
         std::deque<Milliseconds> newest;
-        std::map<Milliseconds, int> counts;
+        // How many name each time, the longest first.
+        std::map<Milliseconds, int, std::greater<>> counts;
     };
 
     Milliseconds usual(const Seen& seen) const;
--- a/tests/platform/gatewaytest.cpp
+++ b/tests/platform/gatewaytest.cpp
@@ -1,7 +1,11 @@
 #include "gatewayfixture.h"
 
+#include "libnet/asyncevent.h"
 #include "platform/names.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace Apricot;
@@ -166,3 +170,24 @@
     LONGS_EQUAL(503, response.status);
     CHECK(!response.field("Retry-After").empty());
 }
+
+// Seen on a hunted day of tabaq-rounds (LOST): a host stopped while a request still waited for its
+// stages, and cut it.
+TEST(Gateway, whatWaitsWhenTheHostStopsIsRefusedAndNotCut)
+{
+    addServer("stage", "stages", [this](HttpExchange&) -> Asio::awaitable<void> {
+        co_await sleepFor(context.get_executor(), Milliseconds(2500));
+    });
+    Asio::co_spawn(
+        context,
+        [this]() -> Asio::awaitable<void> {
+            co_await sleepFor(context.get_executor(), Milliseconds(30));
+            requests.endWaiting();
+        },
+        Asio::detached);
+    const TimePoint startedAt = RuntimeClock::now();
+    const HttpResponse response = callStream();
+    LONGS_EQUAL(503, response.status);
+    CHECK(!response.field("Retry-After").empty());
+    CHECK(RuntimeClock::now() - startedAt < Milliseconds(1000));
+}
