--- /dev/null
+++ b/tests/platform/strangerstest.cpp
@@ -0,0 +1,148 @@
+#include "libserving/eventsplitter.h"
+#include "platform/names.h"
+#include "platform/objecttranslation.h"
+#include "platform/requesttranslation.h"
+#include "platform/stagetranslation.h"
+
+#include "unit/property.h"
+
+#include <boost/json/parse.hpp>
+
+#include <functional>
+#include <random>
+
+using namespace Apricot;
+namespace json = boost::json;
+namespace Names = PlatformNames;
+
+// What strangers send: sound texts with bytes changed, cut, doubled and put in. RC_PARAMS sets seed and
+// number of cases.
+namespace {
+
+constexpr const char* serverText = R"({"service":"m1","addr":"10.128.0.9:8080","zone":"fes-a",
+  "version":"v1","slots":64,"state":"ready","coldLeftMs":120,"seq":4,"born":1785116738020})";
+
+constexpr const char* configText = R"({"version":7,
+  "routes":[{"name":"r1","host":"h","pathPrefix":"/pu/","routeKind":"streaming",
+     "timeoutMs":6000,"sloMs":1600,"priority":1,"split":[{"service":"m1","weight":90}],
+     "maxAttempts":2,"stages":[{"service":"k","after":[],"byteCount":1500000},
+     {"service":"f","after":[0],"byteCount":60000}],"itlTargetMs":800}],
+  "services":[{"name":"k","segments":{"slots":1,"queue":2,"batch":8,"callMs":200.0,
+     "itemMs":21.0,"headroomMb":18.0,"handleTtlS":4.0}}],
+  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,
+     "idleTimeoutMs":15000},
+  "tenants":[{"name":"bozi","apiKeys":["a","b"],"priority":1}]})";
+
+constexpr const char* resultsText
+    = R"({"entries":[{"handle":"10.1.64.7:8080/91bd3f06e44"},{"reason":"gone"}]})";
+
+// What parsers stumble over.
+constexpr const char* oddities[] = { "null", "-1", "1e400", "18446744073709551616", "[]", "{}",
+    "\"", "\\u0000", "\xff\xfe", "[[[[[[[[", "true", ",", ":", "\r\n", "\n\n" };
+
+std::string mutate(std::string text, std::mt19937_64& random)
+{
+    const auto below = [&random](std::size_t bound) { return random() % std::max<std::size_t>(bound, 1); };
+    const std::size_t changes = 1 + below(4);
+    for (std::size_t change = 0; change < changes; ++change) {
+        const std::size_t at = below(text.size());
+        const std::size_t length = below(12);
+        switch (below(4)) {
+        case 0:
+            text.replace(at, 1, 1, static_cast<char>(below(256)));
+            break;
+        case 1:
+            text.erase(at, length);
+            break;
+        case 2:
+            text.insert(at, text.substr(at, length));
+            break;
+        default:
+            text.replace(at, below(6), oddities[below(std::size(oddities))]);
+        }
+    }
+    return text;
+}
+
+// Runs a reader on what a text became, when that still is JSON.
+void readMutated(const char* text, std::uint64_t seed, const std::function<void(const json::value&)>& read)
+{
+    std::mt19937_64 random(seed);
+    const std::string mutated = mutate(text, random);
+    json::error_code error;
+    const json::value value = json::parse(mutated, error);
+    if (!error)
+        read(value);
+}
+
+}
+
+TEST_GROUP(Strangers) {};
+
+TEST(Strangers, anEntryNamesAServerToUseOrNone)
+{
+    checkProperty("store entries", [](std::uint64_t seed) {
+        readMutated(serverText, seed, [](const json::value& value) {
+            const auto server = Platform::readServerEntry("i-1", value);
+            RC_ASSERT(!server || (server->endpoint.port > 0 && !server->pool.empty()));
+        });
+    });
+}
+
+TEST(Strangers, aConfigurationIsWholeOrRejected)
+{
+    checkProperty("configurations", [](std::uint64_t seed) {
+        readMutated(configText, seed, [](const json::value& value) {
+            try {
+                const ServingConfig config = Platform::readServingConfig(value);
+                for (const Route& route : config.routes)
+                    RC_ASSERT(!route.pools.empty());
+            } catch (const std::exception&) {
+                // Rejected.
+            }
+        });
+    });
+}
+
+TEST(Strangers, resultsOfPiecesAreReadOrRejected)
+{
+    checkProperty("results", [](std::uint64_t seed) {
+        std::mt19937_64 random(seed);
+        try {
+            for (const PieceResult& result : Platform::readPieceResults(mutate(resultsText, random)))
+                RC_ASSERT(result.end == PieceEnd::Done || result.handle.empty());
+        } catch (const std::exception&) {
+            // Rejected: the call counts as broken.
+        }
+    });
+}
+
+TEST(Strangers, aCallersHeaderIsReadAsFarAsItGoes)
+{
+    checkProperty("headers", [](std::uint64_t seed) {
+        std::mt19937_64 random(seed);
+        HttpRequest request;
+        const std::pair<std::string_view, const char*> fields[]
+            = { { Names::deadlineField, "8000" }, { Names::tokenUsageField, "1460,80" },
+                  { Names::promptPartsField, "5c1e07a2:800,91bd3f06:410,e4402b7d:250" },
+                  { Names::pieceCountsField, "1,4,10" }, { "Authorization", "Bearer 9dnn2ct" } };
+        for (const auto& [name, value] : fields)
+            request.fields.push_back({ std::string(name), mutate(value, random) });
+        const CallerRequest caller = Platform::readCallerRequest(request);
+        RC_ASSERT(caller.promptParts.size() <= 64U);
+    });
+}
+
+TEST(Strangers, eventsAreWholeWhateverAnEngineSends)
+{
+    checkProperty("events", [](std::uint64_t seed) {
+        std::mt19937_64 random(seed);
+        const std::string sent = mutate("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", random);
+        EventSplitter splitter;
+        std::string events;
+        for (const char byte : sent)
+            events += splitter.take(std::string_view(&byte, 1));
+        RC_ASSERT(events + splitter.rest() == sent);
+        RC_ASSERT(events.empty() || events.ends_with("\n\n") || events.ends_with("\r\n\r\n"));
+    });
+}
