Assert the release that a gateway test names, and keep one copy of the store's sound texts for tests

Cause: the test of results that are released after an engine's first event counted releases and never looked, and its handles named no server, so that no release could arrive; the seeded tests had copies of the store entry and the configuration that the translation tests read.

Every check stays; no product code changes.

--- a/tests/platform/gatewayfixture.cpp
+++ b/tests/platform/gatewayfixture.cpp
@@ -59,7 +59,7 @@
     coldLimiter.setHosts(HostId("h1"), { HostId("h1") });
 }
 
-void GatewayFixture::addServer(const char* id, const char* pool, Handler handler)
+std::uint16_t GatewayFixture::addServer(const char* id, const char* pool, Handler handler)
 {
     m_servers.push_back(
         std::make_unique<HttpServer>(context, HttpServerOptions {}, std::move(handler)));
@@ -67,6 +67,13 @@
         .pool = PoolId(pool),
         .endpoint = { "127.0.0.1", m_servers.back()->port() } };
     view.servers().put(entry, RuntimeClock::now());
+    return m_servers.back()->port();
+}
+
+void GatewayFixture::runFor(Milliseconds time)
+{
+    context.restart();
+    context.run_for(time);
 }
 
 HttpResponse GatewayFixture::call(const std::string& path, std::vector<HttpField> fields)
--- a/tests/platform/gatewayfixture.h
+++ b/tests/platform/gatewayfixture.h
@@ -16,10 +16,12 @@
 
     GatewayFixture();
 
-    // Starts a backend server of a pool.
-    void addServer(const char* id, const char* pool, Handler handler);
+    // Starts a backend server of a pool; returns its port.
+    std::uint16_t addServer(const char* id, const char* pool, Handler handler);
     // A call of a caller; its answer, read to the end.
     Apricot::HttpResponse call(const std::string& path, std::vector<Apricot::HttpField> fields = {});
+    // Serves what goes on after a call.
+    void runFor(Apricot::Milliseconds time);
     // Answers as a backend server does: signed, and with the request's identity.
     static boost::asio::awaitable<void> answerSigned(
         Apricot::HttpExchange& exchange, int status, std::string body);
--- a/tests/platform/gatewaytest.cpp
+++ b/tests/platform/gatewaytest.cpp
@@ -19,24 +19,30 @@
     // Adds a stage server that makes a result for each piece.
     void addStageServer()
     {
-        addServer("stage", "stages", [this](HttpExchange& exchange) -> Asio::awaitable<void> {
+        stagePort = addServer("stage", "stages", [this](HttpExchange& exchange) -> Asio::awaitable<void> {
             if (exchange.request().path == Names::stageFreePath) {
                 ++releases;
                 co_await exchange.respond(200, "application/json", "{}");
                 co_return;
             }
             ++stageCalls;
-            const std::string handle = "127.0.0.1:1/h" + std::to_string(stageCalls);
-            co_await exchange.respond(
-                200, "application/json", R"({"entries":[{"handle":")" + handle + R"("}]})");
+            co_await exchange.respond(200, "application/json",
+                R"({"entries":[{"handle":")" + handleOf(stageCalls) + R"("}]})");
         });
     }
 
+    // Handle of the result that a call of the stage server made.
+    std::string handleOf(int stageCall) const
+    {
+        return "127.0.0.1:" + std::to_string(stagePort) + "/h" + std::to_string(stageCall);
+    }
+
     HttpResponse callStream()
     {
         return call("/stream/x", { { std::string(Names::pieceCountsField), "1" } });
     }
 
+    std::uint16_t stagePort = 0;
     int stageCalls = 0;
     int releases = 0;
 };
@@ -103,8 +109,10 @@
     const HttpResponse response = callStream();
     LONGS_EQUAL(200, response.status);
     STRCMP_EQUAL("id: 1\ndata: a\n\n", response.body.c_str());
-    STRCMP_EQUAL("127.0.0.1:1/h1", inputs.c_str());
+    STRCMP_EQUAL(handleOf(1).c_str(), inputs.c_str());
     LONGS_EQUAL(1, stageCalls);
+    runFor(Milliseconds(200));
+    LONGS_EQUAL(1, releases);
 }
 
 TEST(Gateway, stagesRunAgainWhenAnEngineFindsTheirResultsGone)
@@ -124,7 +132,7 @@
     });
     LONGS_EQUAL(200, callStream().status);
     LONGS_EQUAL(2, stageCalls);
-    STRCMP_EQUAL("127.0.0.1:1/h2", inputs.c_str());
+    STRCMP_EQUAL(handleOf(2).c_str(), inputs.c_str());
 }
 
 TEST(Gateway, aBrokenStreamGoesOnAtAnotherEngineWithinTheSameAnswer)
--- a/tests/platform/strangerstest.cpp
+++ b/tests/platform/strangerstest.cpp
@@ -3,6 +3,7 @@
 #include "platform/objecttranslation.h"
 #include "platform/requesttranslation.h"
 #include "platform/stagetranslation.h"
+#include "storetexts.h"
 
 #include "unit/property.h"
 
@@ -19,20 +20,6 @@
 // number of cases.
 namespace {
 
-constexpr const char* serverText = R"({"service":"m1","addr":"10.128.0.9:8080","zone":"fes-a",
-  "version":"v1","slots":64,"state":"ready","coldLeftMs":120,"seq":4,"born":1785116738020})";
-
-constexpr const char* configText = R"({"version":7,
-  "routes":[{"name":"r1","host":"h","pathPrefix":"/pu/","routeKind":"streaming",
-     "timeoutMs":6000,"sloMs":1600,"priority":1,"split":[{"service":"m1","weight":90}],
-     "maxAttempts":2,"stages":[{"service":"k","after":[],"byteCount":1500000},
-     {"service":"f","after":[0],"byteCount":60000}],"itlTargetMs":800}],
-  "services":[{"name":"k","segments":{"slots":1,"queue":2,"batch":8,"callMs":200.0,
-     "itemMs":21.0,"headroomMb":18.0,"handleTtlS":4.0}}],
-  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,
-     "idleTimeoutMs":15000},
-  "tenants":[{"name":"bozi","apiKeys":["a","b"],"priority":1}]})";
-
 constexpr const char* resultsText
     = R"({"entries":[{"handle":"10.1.64.7:8080/91bd3f06e44"},{"reason":"gone"}]})";
 
