Log what tells apart why a request is sent again

Adds the identity of a request (path, owner, body) to request_ended and backend_send_failed, with the server's start and the error; the events backend_response_incomplete and retry_refused; the requests of a failed stage call; gauges of retries by pool. Fingerprints move to a file of their own, the same for both paths. No decision changes.

--- a/src/gateway/backendcaller.cpp
+++ b/src/gateway/backendcaller.cpp
@@ -41,14 +41,15 @@
     }
 
     // Logs a send that got no response from the server.
-    void logFailedSend(const ServedRequest& request, const BackendServerId& server,
-        const SendResult& result, Duration duration)
+    void logFailedSend(const ServedRequest& request, const ServerEntry& server,
+        const SendResult& result, const std::string& reason, Duration duration)
     {
         if (result.outcome == SendOutcome::Responded)
             return;
         writeLog(LogLevel::Info, "backend_send_failed",
-            { { "request", request.caller.id }, { "server", server.value() },
-                { "end", sendOutcomeName(result.outcome) }, { "status", result.status },
+            { { "request", request.caller.id }, { "identity", toText(request.fingerprint) },
+                { "server", server.id.value() }, { "started_at", server.startedAt },
+                { "reason", reason }, { "end", sendOutcomeName(result.outcome) }, { "status", result.status },
                 { "ms", std::chrono::duration_cast<Milliseconds>(duration).count() },
                 { "left_ms", request.timeLeft(RuntimeClock::now()).count() } });
     }
@@ -111,10 +112,12 @@
     const std::shared_ptr<HttpClient> client = clientFor(server.endpoint);
     m_tracker.onCallStarted(server.id);
     SendResult result;
+    std::string reason;
     try {
         auto stream = co_await client->open(std::move(call), std::move(gate));
         result = classify(std::move(stream));
     } catch (const boost::system::system_error& error) {
+        reason = error.code().message();
         if (*sent)
             result.outcome = error.code() == boost::beast::error::timeout ? SendOutcome::TimedOut
                                                                           : SendOutcome::Broken;
@@ -122,13 +125,21 @@
             result.outcome = *sent ? SendOutcome::Cancelled : SendOutcome::NotSent;
     }
     const TimePoint now = RuntimeClock::now();
-    logFailedSend(request, server.id, result, now - startedAt);
+    logFailedSend(request, server, result, reason, now - startedAt);
     const bool isInconclusive = request.scope->isOver() || (!*sent && !mayReceiveWork(server));
     m_tracker.onCallEnded(server.id,
         isInconclusive ? CallOutcome::Abandoned : callOutcomeOf(result.outcome), now - startedAt, now);
     co_return result;
 }
 
+void BackendCaller::reportIncompleteResponse(const ServedRequest& request,
+    const BackendServerId& server, const boost::system::system_error& error)
+{
+    writeLog(LogLevel::Info, "backend_response_incomplete",
+        { { "request", request.caller.id }, { "identity", toText(request.fingerprint) },
+            { "server", server.value() }, { "reason", error.code().message() } });
+}
+
 SendResult BackendCaller::classify(std::unique_ptr<HttpStream> stream) const
 {
     if (!stream)
--- a/src/gateway/backendcaller.h
+++ b/src/gateway/backendcaller.h
@@ -47,6 +47,10 @@
     // Makes a call that assigns no new work, such as the release of results, to any server.
     boost::asio::awaitable<HttpResponse> callWithoutCheck(Endpoint endpoint, HttpCall call);
 
+    // Logs that the body of a response broke off before its end.
+    void reportIncompleteResponse(const ServedRequest& request, const BackendServerId& server,
+        const boost::system::system_error& error);
+
     ServerTracker& tracker() { return m_tracker; }
     // Removes the state of servers that have left the view, and closes their connections.
     void removeUnknownServers();
--- a/src/gateway/gatewaydaemon.cpp
+++ b/src/gateway/gatewaydaemon.cpp
@@ -94,7 +94,8 @@
               .health = [this] { return health(); },
               .refreshMetrics =
                   [this] {
-                      m_gatewayMetrics.setGauges(m_view, m_stageHome, m_viewUpdater.isStoreLost());
+                      m_gatewayMetrics.setGauges(
+                          m_view, m_stageHome, m_retries, m_viewUpdater.isStoreLost());
                   } })
     , m_stopSignals(m_context, SIGTERM, SIGINT)
     , m_reloadSignals(m_context, SIGHUP)
@@ -104,6 +105,12 @@
 }
 
 void GatewayDaemon::run()
+{
+    start();
+    m_context.run();
+}
+
+void GatewayDaemon::start()
 {
     writeLog(LogLevel::Info, "started",
         { { "callers", m_settings.callers }, { "peers", m_settings.peers },
@@ -112,7 +119,6 @@
     m_peerViewSync.start();
     Asio::co_spawn(m_context, waitForStop(), Asio::detached);
     Asio::co_spawn(m_context, waitForReload(), Asio::detached);
-    m_context.run();
 }
 
 void GatewayDaemon::onViewChanged()
--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -21,6 +21,9 @@
 
     // Serves until SIGTERM or SIGINT, then finishes the requests in flight within the grace period.
     void run();
+    // Starts to serve, on the event loop returned by context(). For callers that run it themselves.
+    void start();
+    boost::asio::io_context& context() { return m_context; }
 
 private:
     boost::asio::awaitable<void> respondToReadinessProbe(HttpExchange& exchange);
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -32,8 +32,21 @@
     m_sends.add(static_cast<std::uint64_t>(outcome.sends));
 }
 
-void GatewayMetrics::setGauges(const ServingView& view, const StageHome& home, bool isStoreLost)
+void GatewayMetrics::setGauges(
+    const ServingView& view, const StageHome& home, RetryWindow& retries, bool isStoreLost)
 {
+    const TimePoint now = RuntimeClock::now();
+    for (const PoolId& pool : retries.pools()) {
+        const RetryUsage usage = retries.usage(pool, now);
+        const MetricLabels labels { { "pool", pool.value() } };
+        m_registry
+            .gauge("apricot_retries_in_window", "Retries of a pool in the current window.", labels)
+            .set(static_cast<double>(usage.retries));
+        m_registry
+            .gauge("apricot_retries_allowed",
+                "Retries of a pool that this host may send in the current window.", labels)
+            .set(usage.allowed);
+    }
     const auto config = view.config();
     m_configVersion.set(config ? static_cast<double>(config->version) : 0);
     m_servers.set(static_cast<double>(view.servers().size()));
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -13,7 +13,7 @@
 
     void onRequestEnded(std::string_view kind, const ServedOutcome& outcome, Duration duration);
     // Sets the gauges that are computed on demand.
-    void setGauges(const ServingView& view, const StageHome& home, bool isStoreLost);
+    void setGauges(const ServingView& view, const StageHome& home, RetryWindow& retries, bool isStoreLost);
 
 private:
     MetricRegistry& m_registry;
--- a/src/gateway/plainforwarder.cpp
+++ b/src/gateway/plainforwarder.cpp
@@ -1,7 +1,10 @@
 #include "gateway/plainforwarder.h"
 
+#include "libnet/log.h"
 #include "platform/requesttranslation.h"
 
+#include <boost/json/object.hpp>
+
 #include <algorithm>
 #include <tuple>
 
@@ -23,6 +26,19 @@
 
 }
 
+bool tryAcquireRetry(RetryWindow& retries, const ServedRequest& request)
+{
+    const TimePoint now = RuntimeClock::now();
+    if (retries.tryAcquireRetry(request.pool, now))
+        return true;
+    const RetryUsage usage = retries.usage(request.pool, now);
+    writeLog(LogLevel::Info, "retry_refused",
+        { { "request", request.caller.id }, { "identity", toText(request.fingerprint) },
+            { "pool", request.pool.value() }, { "retries", usage.retries },
+            { "allowed", usage.allowed } });
+    return false;
+}
+
 PlainForwarder::PlainForwarder(ServingView& view, BackendCaller& backendCaller, RetryWindow& retries)
     : m_view(view)
     , m_backendCaller(backendCaller)
@@ -55,7 +71,7 @@
 bool PlainForwarder::ensureRetryPermit(const ServedRequest& request, Progress& progress)
 {
     if (!progress.hasRetryPermit)
-        progress.hasRetryPermit = m_retries.tryAcquireRetry(request.pool, RuntimeClock::now());
+        progress.hasRetryPermit = tryAcquireRetry(m_retries, request);
     return progress.hasRetryPermit;
 }
 
@@ -82,7 +98,7 @@
         co_return !mayRetry;
     if (mayRetry && sent.status >= statusServerError && nextServer(request, progress) != nullptr)
         co_return false;
-    const ServedOutcome forwarded = co_await forwardResponse(request, *sent.stream);
+    const ServedOutcome forwarded = co_await forwardResponse(request, server.id, *sent.stream);
     progress.outcome.status = forwarded.status;
     progress.outcome.refusal = forwarded.refusal;
     co_return true;
@@ -137,7 +153,8 @@
     return std::min(left, std::max(attemptTimeout, minAttemptTimeout));
 }
 
-Asio::awaitable<ServedOutcome> PlainForwarder::forwardResponse(ServedRequest& request, HttpStream& stream)
+Asio::awaitable<ServedOutcome> PlainForwarder::forwardResponse(
+    ServedRequest& request, const BackendServerId& server, HttpStream& stream)
 {
     ServedOutcome outcome { .status = stream.status() };
     std::string body;
@@ -145,7 +162,8 @@
     stream.setTimeout(std::max(request.timeLeft(RuntimeClock::now()), Milliseconds(1)));
     try {
         body = co_await readBody(stream);
-    } catch (const boost::system::system_error&) {
+    } catch (const boost::system::system_error& error) {
+        m_backendCaller.reportIncompleteResponse(request, server, error);
         isComplete = false;
     }
     if (!isComplete) {
--- a/src/gateway/plainforwarder.h
+++ b/src/gateway/plainforwarder.h
@@ -20,6 +20,9 @@
     int sends = 0;
 };
 
+// Acquires a permit for one retry of a request, and logs it if there is none.
+bool tryAcquireRetry(RetryWindow& retries, const ServedRequest& request);
+
 // Forwards requests to pools that respond with a complete body instead of a stream. A request that is not
 // idempotent is retried only after a server stated that it did not run the request.
 class PlainForwarder {
@@ -51,7 +54,8 @@
         ServedRequest& request, Progress& progress, ServerEntry server);
     boost::asio::awaitable<void> respondWithRefusal(ServedRequest& request, Progress& progress);
     Milliseconds attemptTimeoutFor(const ServedRequest& request, int runs) const;
-    boost::asio::awaitable<ServedOutcome> forwardResponse(ServedRequest& request, HttpStream& stream);
+    boost::asio::awaitable<ServedOutcome> forwardResponse(
+        ServedRequest& request, const BackendServerId& server, HttpStream& stream);
 
     ServingView& m_view;
     BackendCaller& m_backendCaller;
--- a/src/gateway/requestscope.h
+++ b/src/gateway/requestscope.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "libapricot/fingerprint.h"
 #include "libnet/httpclient.h"
 #include "libnet/httpserver.h"
 #include "libserving/callerrequest.h"
@@ -47,6 +48,8 @@
     const Route& route;
     PoolId pool;
     OwnerId owner;
+    // Identifies the request beyond this attempt of its caller.
+    Fingerprint fingerprint = 0;
     int rank = 0;
     TimePoint arrivedAt {};
     // When the request misses its objective, and when its caller stops waiting.
--- a/src/gateway/requestservice.cpp
+++ b/src/gateway/requestservice.cpp
@@ -87,20 +87,22 @@
     CallerRequest caller = Platform::readCallerRequest(exchange.request());
     const std::string id = caller.id;
     ServedOutcome outcome;
-    std::string_view kind = "none";
+    RequestLabels labels;
     std::string failure;
     try {
-        outcome = co_await checkAndForward(exchange, caller, kind);
+        outcome = co_await checkAndForward(exchange, caller, labels);
     } catch (const std::exception& error) {
         // The caller's connection broke while the response was written.
         failure = error.what();
     }
     const TimePoint now = RuntimeClock::now();
-    m_metrics.onRequestEnded(kind, outcome, now - startedAt);
+    m_metrics.onRequestEnded(labels.kind, outcome, now - startedAt);
     const auto duration = millisecondsBetween(startedAt, now);
     boost::json::object fields { { "request", id }, { "path", exchange.request().path },
-        { "kind", kind }, { "status", outcome.status }, { "ms", duration }, { "sends", outcome.sends },
+        { "kind", labels.kind }, { "status", outcome.status }, { "ms", duration }, { "sends", outcome.sends },
         { "config", m_view.config() ? m_view.config()->version : 0 } };
+    if (labels.fingerprint)
+        fields["identity"] = toText(*labels.fingerprint);
     if (!outcome.refusal.empty())
         fields["refusal"] = outcome.refusal;
     if (!outcome.server.empty())
@@ -111,7 +113,7 @@
 }
 
 Asio::awaitable<ServedOutcome> RequestService::checkAndForward(
-    HttpExchange& exchange, CallerRequest& caller, std::string_view& kind)
+    HttpExchange& exchange, CallerRequest& caller, RequestLabels& labels)
 {
     const TimePoint now = RuntimeClock::now();
     const auto config = m_view.config();
@@ -125,7 +127,7 @@
         co_await refuse(exchange, GatewayRefusal::UnknownRoute);
         co_return refusalOutcome(GatewayRefusal::UnknownRoute);
     }
-    kind = routeKindName(route->retryRule);
+    labels.kind = routeKindName(route->retryRule);
     const Owner* owner = config->findOwner(caller.apiKey);
     if (!owner && !route->isPublic && config->requiresKeys()) {
         co_await refuse(exchange, GatewayRefusal::UnknownKey);
@@ -150,6 +152,8 @@
         .firstEventDeadline = now + std::min(timeLimit, route->firstEventTimeout()) };
     if (owner)
         request.owner = owner->id;
+    request.fingerprint = fingerprintOf(http.target, request.owner, http.body);
+    labels.fingerprint = request.fingerprint;
     co_return co_await forward(request);
 }
 
--- a/src/gateway/requestservice.h
+++ b/src/gateway/requestservice.h
@@ -24,8 +24,15 @@
     HttpLimits limits() const;
 
 private:
+    // What a request was found to be, for logs and metrics.
+    struct RequestLabels {
+        std::string_view kind = "none";
+        // Set once the request has passed the initial checks.
+        std::optional<Fingerprint> fingerprint;
+    };
+
     boost::asio::awaitable<ServedOutcome> checkAndForward(
-        HttpExchange& exchange, CallerRequest& caller, std::string_view& kind);
+        HttpExchange& exchange, CallerRequest& caller, RequestLabels& labels);
     boost::asio::awaitable<ServedOutcome> forward(ServedRequest& request);
 
     boost::asio::io_context& m_context;
--- a/src/gateway/stagehome.cpp
+++ b/src/gateway/stagehome.cpp
@@ -7,9 +7,11 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/beast/core/error.hpp>
+#include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 
 #include <algorithm>
+#include <set>
 
 namespace Apricot {
 
@@ -46,13 +48,28 @@
             [outcome](const PieceResult& result) { return result.outcome == outcome; }));
     }
 
-    // Logs a call that did not return every result.
+    boost::json::array requestsOf(const PlannedCall& call)
+    {
+        std::set<std::string> ids;
+        for (const PlannedPiece& piece : call.pieces)
+            ids.insert(piece.requestId);
+        boost::json::array list;
+        for (const std::string& id : ids)
+            list.emplace_back(id);
+        return list;
+    }
+
+    // Logs a call that did not return every result. The reason is empty if the server responded.
     void logIncompleteCall(const PoolId& pool, const PlannedCall& call,
-        const std::optional<std::vector<PieceResult>>& results, double bytesUsed)
+        const std::optional<std::vector<PieceResult>>& results, double bytesUsed,
+        const std::string& reason)
     {
         boost::json::object fields { { "pool", pool.value() },
-            { "server", call.server.id.value() }, { "pieces", call.pieces.size() },
+            { "server", call.server.id.value() }, { "started_at", call.server.startedAt },
+            { "requests", requestsOf(call) }, { "pieces", call.pieces.size() },
             { "answered", results.has_value() }, { "room_used_bytes", bytesUsed } };
+        if (!reason.empty())
+            fields["reason"] = reason;
         if (results) {
             fields["no_room"] = countPieces(*results, PieceOutcome::NoCapacity);
             fields["input_gone"] = countPieces(*results, PieceOutcome::InputGone);
@@ -113,7 +130,7 @@
     for (const KnownServer* known : servers) {
         const ServerEntry& server = known->server;
         if (groups.groupOf(server) == key.second)
-            members.push_back({ server.id, server.endpoint, server.domain });
+            members.push_back({ server.id, server.endpoint, server.domain, server.startedAt });
     }
     group.scheduler.setServers(members);
 }
@@ -200,6 +217,7 @@
 {
     std::optional<std::vector<PieceResult>> results;
     StageCallFailure failure = StageCallFailure::Broken;
+    std::string reason;
     try {
         const ServerEntry server { .id = planned.server.id, .endpoint = planned.server.endpoint };
         HttpCall call
@@ -210,14 +228,17 @@
         else
             failure = StageCallFailure::Refused;
     } catch (const boost::system::system_error& error) {
+        reason = error.code().message();
         if (error.code() == boost::beast::error::timeout)
             failure = StageCallFailure::TimedOut;
-    } catch (const std::exception&) {
+    } catch (const std::exception& error) {
+        reason = error.what();
         failure = StageCallFailure::Broken;
     }
     StageScheduler& scheduler = m_groups.at(key)->scheduler;
     if (!results || countPieces(*results, PieceOutcome::Done) < results->size())
-        logIncompleteCall(key.first, planned, results, scheduler.resultBytesUsed(planned.server.id));
+        logIncompleteCall(
+            key.first, planned, results, scheduler.resultBytesUsed(planned.server.id), reason);
     if (results)
         scheduler.onCallAnswered(planned.id, *results, RuntimeClock::now());
     else
--- a/src/gateway/streamforwarder.cpp
+++ b/src/gateway/streamforwarder.cpp
@@ -84,7 +84,7 @@
             co_return;
         const bool isRetry = progress.outcome.sends > 0;
         const TimePoint sentAt = RuntimeClock::now();
-        if (isRetry && !m_retries.tryAcquireRetry(request.pool, sentAt))
+        if (isRetry && !tryAcquireRetry(m_retries, request))
             co_return;
         const ServerEntry engine = known->server;
         progress.tried.insert(engine.id);
@@ -160,7 +160,8 @@
     std::string body;
     try {
         body = co_await readBody(stream);
-    } catch (const boost::system::system_error&) {
+    } catch (const boost::system::system_error& error) {
+        m_backendCaller.reportIncompleteResponse(request, engine, error);
         co_return false;
     }
     if (progress.hasBegun)
@@ -180,7 +181,8 @@
         std::optional<std::string> data;
         try {
             data = co_await stream.read();
-        } catch (const boost::system::system_error&) {
+        } catch (const boost::system::system_error& error) {
+            m_backendCaller.reportIncompleteResponse(request, engine, error);
             co_return false;
         }
         // After the end of the stream, bytes that follow the last complete event are forwarded too.
--- /dev/null
+++ b/src/libapricot/fingerprint.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "libapricot/identifier.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace Apricot {
+
+// Hash that identifies requests with the same content, whatever their IDs. The same on every host.
+using Fingerprint = std::uint64_t;
+
+// Fingerprint of a request to a pipeline.
+Fingerprint fingerprintOf(const PipelineId& pipeline, std::string_view input);
+// Fingerprint of a gateway request: its path with the query, its owner, and its body.
+Fingerprint fingerprintOf(std::string_view target, const OwnerId& owner, std::string_view body);
+// The fingerprint as 16 hexadecimal digits, as in logs.
+std::string toText(Fingerprint fingerprint);
+
+}
--- a/src/libapricot/poisontable.h
+++ b/src/libapricot/poisontable.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "libapricot/clock.h"
-#include "libapricot/recordcopy.h"
+#include "libapricot/fingerprint.h"
 
 #include <cstddef>
 #include <map>
--- a/src/libapricot/recordcopy.cpp
+++ b/src/libapricot/recordcopy.cpp
@@ -1,7 +1,5 @@
 #include "libapricot/recordcopy.h"
 
-#include "libapricot/rendezvous.h"
-
 #include <algorithm>
 
 namespace Apricot {
@@ -55,9 +53,4 @@
     return merged;
 }
 
-Fingerprint fingerprintOf(const PipelineId& pipeline, const std::string& input)
-{
-    return stableHash(input, stableHash(pipeline.value()));
-}
-
 }
--- a/src/libapricot/recordcopy.h
+++ b/src/libapricot/recordcopy.h
@@ -88,8 +88,4 @@
 // Merges the responses of several followers about one key into one.
 CopyResponse mergeResponses(const std::vector<CopyResponse>& responses);
 
-// Hash of a request's pipeline and input, which identifies it in the poison table.
-using Fingerprint = std::uint64_t;
-Fingerprint fingerprintOf(const PipelineId& pipeline, const std::string& input);
-
 }
--- a/src/libserving/retrywindow.cpp
+++ b/src/libserving/retrywindow.cpp
@@ -30,16 +30,30 @@
 }
 
 bool RetryWindow::tryAcquireRetry(const PoolId& pool, TimePoint now)
+{
+    const RetryUsage used = usage(pool, now);
+    if (static_cast<double>(used.retries) + 1 > used.allowed)
+        return false;
+    m_sendTimes[pool].retries.push_back(now);
+    return true;
+}
+
+RetryUsage RetryWindow::usage(const PoolId& pool, TimePoint now)
 {
     SendTimes& sendTimes = m_sendTimes[pool];
     expire(sendTimes.requests, now);
     expire(sendTimes.retries, now);
     const double allowed = m_options.ratio * static_cast<double>(sendTimes.requests.size())
         + usedSlackShare * m_options.slack / m_hostCount;
-    if (static_cast<double>(sendTimes.retries.size()) + 1 > allowed)
-        return false;
-    sendTimes.retries.push_back(now);
-    return true;
+    return { .retries = sendTimes.retries.size(), .allowed = allowed };
+}
+
+std::vector<PoolId> RetryWindow::pools() const
+{
+    std::vector<PoolId> pools;
+    for (const auto& [pool, sendTimes] : m_sendTimes)
+        pools.push_back(pool);
+    return pools;
 }
 
 void RetryWindow::expire(std::deque<TimePoint>& times, TimePoint now) const
--- a/src/libserving/retrywindow.h
+++ b/src/libserving/retrywindow.h
@@ -5,6 +5,7 @@
 
 #include <deque>
 #include <map>
+#include <vector>
 
 namespace Apricot {
 
@@ -15,6 +16,14 @@
     Milliseconds window { 10'000 };
 };
 
+// Retries in the current window, and how many this host may send in it.
+struct RetryUsage {
+    std::size_t retries = 0;
+    double allowed = 0;
+
+    auto operator<=>(const RetryUsage&) const = default;
+};
+
 // Limits how often this host sends a request to another server of the same pool, as its share of a bound
 // over all hosts. Each host has an equal share of the fixed slack, so the hosts need not communicate.
 class RetryWindow {
@@ -28,6 +37,9 @@
     void recordRequest(const PoolId& pool, TimePoint now);
     // Acquires a permit for one retry. Returns false when this host's share of the bound is used up.
     bool tryAcquireRetry(const PoolId& pool, TimePoint now);
+    RetryUsage usage(const PoolId& pool, TimePoint now);
+    // Pools that requests were recorded for.
+    std::vector<PoolId> pools() const;
 
 private:
     struct SendTimes {
--- a/src/libserving/stagescheduler.h
+++ b/src/libserving/stagescheduler.h
@@ -59,6 +59,8 @@
     BackendServerId id;
     Endpoint endpoint;
     FailureDomainId domain;
+    // See ServerEntry::startedAt.
+    std::int64_t startedAt = 0;
 
     auto operator<=>(const StageServer&) const = default;
 };
