--- /dev/null
+++ b/tests/platform/gatewaycluster.cpp
@@ -0,0 +1,375 @@
+#include "gatewaycluster.h"
+
+#include "libnet/asyncevent.h"
+#include "platform/names.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <thread>
+
+using namespace Apricot;
+namespace Asio = boost::asio;
+namespace Names = PlatformNames;
+namespace json = boost::json;
+
+namespace {
+
+constexpr const char* poisonWord = "poison";
+constexpr std::size_t fatalServers = 3;
+// A server whose process ended is removed from the store after this time.
+constexpr Milliseconds registrationTimeout { 3600 };
+// Time that a run of an ordinary request takes.
+constexpr Milliseconds runTime { 30 };
+
+constexpr const char* clusterConfig = R"({"version":1,"routes":[
+  {"name":"once","host":"h","pathPrefix":"/once/","routeKind":"non_idempotent","timeoutMs":3000,
+   "sloMs":300,"service":"plain","maxAttempts":1,"public":true},
+  {"name":"again","host":"h","pathPrefix":"/again/","routeKind":"idempotent","timeoutMs":3000,
+   "sloMs":300,"service":"plain","maxAttempts":2,"public":true},
+  {"name":"stream","host":"h","pathPrefix":"/stream/","routeKind":"streaming","resumable":true,
+   "timeoutMs":6000,"sloMs":1000,"service":"engines","maxAttempts":2,"public":true},
+  {"name":"staged","host":"h","pathPrefix":"/staged/","routeKind":"streaming","resumable":true,
+   "timeoutMs":6000,"sloMs":1000,"service":"engines","maxAttempts":2,"public":true,
+   "stages":[{"service":"stages","after":[],"byteCount":1000}]}],
+ "services":[{"name":"plain"},{"name":"engines","runtime":{"slots":8,"kvCapacity":100000}},
+  {"name":"stages","segments":{"slots":1,"queue":2,"batch":4,"callMs":40.0,"itemMs":5.0,
+   "headroomMb":10.0,"handleTtlS":4.0}}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+ "tenants":[]})";
+
+std::uint16_t findFreePort()
+{
+    Asio::io_context context;
+    const Asio::ip::tcp::acceptor acceptor(
+        context, { Asio::ip::make_address("127.0.0.1"), 0 });
+    return acceptor.local_endpoint().port();
+}
+
+std::string localAddress(std::uint16_t port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+std::vector<HttpField> signedFields(const HttpExchange& exchange)
+{
+    return { { std::string(Names::requestIdField),
+                 std::string(exchange.request().field(Names::requestIdField)) },
+        { std::string(Names::signatureField), "signature" } };
+}
+
+}
+
+struct GatewayCluster::BackendServer {
+    std::string pool;
+    std::string id;
+    std::uint16_t port = 0;
+    std::int64_t startedAt = 0;
+    bool isUp = false;
+    std::set<HttpExchange*> exchanges;
+    // Listeners of earlier starts are kept until their connections have ended.
+    std::vector<std::unique_ptr<HttpServer>> listeners;
+};
+
+struct GatewayCluster::Host {
+    std::uint16_t callers = findFreePort();
+    std::uint16_t readiness = findFreePort();
+    std::uint16_t peers = findFreePort();
+    std::uint16_t admin = findFreePort();
+    std::unique_ptr<GatewayDaemon> daemon;
+};
+
+GatewayCluster::GatewayCluster(std::size_t hosts)
+{
+    const json::value config = json::parse(clusterConfig);
+    Asio::co_spawn(m_context, writeEntry(std::string(Names::configurationKey), config), Asio::detached);
+    for (std::size_t host = 0; host < hosts; ++host)
+        m_hosts.push_back(std::make_unique<Host>());
+    for (std::size_t host = 0; host < hosts; ++host)
+        restartHost(host);
+}
+
+GatewayCluster::~GatewayCluster() = default;
+
+GatewaySettings GatewayCluster::settingsFor(std::size_t host) const
+{
+    const Host& entry = *m_hosts.at(host);
+    GatewaySettings settings { .callers = localAddress(entry.callers),
+        .readiness = localAddress(entry.readiness),
+        .peers = localAddress(entry.peers),
+        .admin = localAddress(entry.admin),
+        .seeds = localAddress(m_hosts.front()->peers),
+        .store = localAddress(m_platform.port()) };
+    settings.process.host = HostId("host-" + std::to_string(host));
+    settings.process.failureDomain = FailureDomainId("zone-" + std::to_string(host % 3));
+    return settings;
+}
+
+void GatewayCluster::restartHost(std::size_t host)
+{
+    m_hosts.at(host)->daemon.reset();
+    m_hosts.at(host)->daemon = std::make_unique<GatewayDaemon>(settingsFor(host), "");
+    m_hosts.at(host)->daemon->start();
+}
+
+void GatewayCluster::addServers(const std::string& pool, int count)
+{
+    for (int index = 0; index < count; ++index) {
+        auto server = std::make_unique<BackendServer>();
+        server->pool = pool;
+        server->port = findFreePort();
+        m_servers.push_back(std::move(server));
+        startServer(*m_servers.back());
+    }
+}
+
+void GatewayCluster::startServer(BackendServer& server)
+{
+    const int number = m_nextServer++;
+    server.id = "server-" + std::to_string(number);
+    server.startedAt = 1'700'000'000'000 + number;
+    server.isUp = true;
+    server.listeners.push_back(std::make_unique<HttpServer>(m_context,
+        HttpServerOptions { .port = server.port },
+        [this, &server](HttpExchange& exchange) { return serve(server, exchange); }));
+    Asio::co_spawn(m_context,
+        writeEntry("servers/" + server.id,
+            { { "service", server.pool }, { "addr", localAddress(server.port) },
+                { "zone", "zone-" + std::to_string(number % 3) }, { "version", "v1" }, { "slots", 8 },
+                { "state", "ready" }, { "coldLeftMs", 0 }, { "seq", 1 }, { "born", server.startedAt } }),
+        Asio::detached);
+}
+
+void GatewayCluster::endServer(BackendServer& server)
+{
+    server.isUp = false;
+    server.listeners.back()->stopAccepting();
+    for (HttpExchange* exchange : server.exchanges)
+        exchange->abort();
+    Asio::co_spawn(m_context, removeEntry("servers/" + server.id), Asio::detached);
+    Asio::co_spawn(m_context, returnLater(server), Asio::detached);
+}
+
+Asio::awaitable<void> GatewayCluster::returnLater(BackendServer& server)
+{
+    co_await sleepFor(m_context.get_executor(), serverDownTime);
+    startServer(server);
+}
+
+Asio::awaitable<void> GatewayCluster::writeEntry(std::string key, json::value value)
+{
+    co_await m_store.put(std::move(key), std::move(value), std::nullopt);
+}
+
+Asio::awaitable<void> GatewayCluster::removeEntry(std::string key)
+{
+    co_await sleepFor(m_context.get_executor(), registrationTimeout);
+    co_await m_store.remove(std::move(key), std::nullopt);
+}
+
+bool GatewayCluster::recordRun(BackendServer& server, const std::string& content)
+{
+    const bool isFatal = content.find(poisonWord) != std::string::npos;
+    runs.push_back({ server.pool, RuntimeClock::now(), content, isFatal });
+    if (isFatal)
+        endServer(server);
+    return !isFatal;
+}
+
+Asio::awaitable<void> GatewayCluster::serve(BackendServer& server, HttpExchange& exchange)
+{
+    struct Registration {
+        Registration(std::set<HttpExchange*>& all, HttpExchange& exchange)
+            : exchanges(all)
+            , own(exchange)
+        {
+            exchanges.insert(&own);
+        }
+        ~Registration() { exchanges.erase(&own); }
+        std::set<HttpExchange*>& exchanges;
+        HttpExchange& own;
+    };
+    const Registration registration(server.exchanges, exchange);
+    const std::string_view expected = exchange.request().field(Names::expectInstanceField);
+    if (!expected.empty() && expected != server.id)
+        co_return co_await exchange.respond(421, "text/plain", "", {});
+    if (server.pool == "stages")
+        co_return co_await serveStageCall(server, exchange);
+    if (!recordRun(server, exchange.request().body))
+        co_return;
+    if (server.pool == "plain") {
+        co_await sleepFor(m_context.get_executor(), runTime);
+        co_return co_await exchange.respond(200, "text/plain", "done", signedFields(exchange));
+    }
+    co_await exchange.beginStream(200, "text/event-stream", signedFields(exchange));
+    co_await exchange.writeChunk("id: 1\ndata: a\n\n");
+    co_await sleepFor(m_context.get_executor(), runTime);
+    co_await exchange.writeChunk("id: 2\ndata: b\n\n");
+    co_await exchange.endStream();
+}
+
+Asio::awaitable<void> GatewayCluster::serveStageCall(BackendServer& server, HttpExchange& exchange)
+{
+    if (exchange.request().path == Names::stageFreePath)
+        co_return co_await exchange.respond(200, "application/json", "{}");
+    const json::value call = json::parse(exchange.request().body);
+    std::string keys;
+    json::array results;
+    for (const json::value& entry : call.at("entries").as_array()) {
+        keys += std::string(entry.at("key").as_string()) + " ";
+        results.push_back(json::object {
+            { "handle", localAddress(server.port) + "/" + std::to_string(m_nextHandle++) } });
+    }
+    if (!recordRun(server, keys))
+        co_return;
+    co_await sleepFor(m_context.get_executor(), runTime);
+    const std::string body = json::serialize(json::object { { "entries", std::move(results) } });
+    co_await exchange.respond(200, "application/json", body);
+}
+
+void GatewayCluster::send(std::size_t host, const std::string& path, const std::string& content)
+{
+    HttpCall call { .method = "POST",
+        .target = path,
+        .fields = { { "Host", "h" },
+            { std::string(Names::requestIdField), "r" + std::to_string(m_nextRequest++) },
+            { std::string(Names::deadlineField), "6000" },
+            { std::string(Names::pieceCountsField), "1" },
+            { std::string(Names::pieceKeyField), content } },
+        .body = content };
+    responses.push_back({ content, RuntimeClock::now() });
+    Asio::co_spawn(m_context,
+        callHost(m_hosts.at(host)->callers, std::move(call), responses.size() - 1), Asio::detached);
+}
+
+Asio::awaitable<void> GatewayCluster::callHost(std::uint16_t port, HttpCall call, std::size_t index)
+{
+    HttpClient client(m_context, { .port = port });
+    call.timeout = Milliseconds(8000);
+    try {
+        const HttpResponse response = co_await client.send(std::move(call));
+        responses[index].status = response.status;
+    } catch (const boost::system::system_error&) {
+        responses[index].status = 0;
+    }
+}
+
+void GatewayCluster::resetConnections(const std::string& pool)
+{
+    for (const auto& server : m_servers) {
+        if (server->pool != pool)
+            continue;
+        for (HttpExchange* exchange : server->exchanges)
+            exchange->abort();
+    }
+}
+
+void GatewayCluster::setStoreFaults(const std::string& faults)
+{
+    HttpCall call { .method = "POST", .target = "/faults", .body = faults };
+    Asio::co_spawn(
+        m_context,
+        [this, call = std::move(call)]() mutable -> Asio::awaitable<void> {
+            HttpClient client(m_context, { .port = m_platform.port() });
+            co_await client.send(std::move(call));
+        },
+        Asio::detached);
+    runFor(Milliseconds(20));
+}
+
+std::string GatewayCluster::metricsOf(std::size_t host)
+{
+    std::string text;
+    bool isDone = false;
+    Asio::co_spawn(
+        m_context,
+        [&]() -> Asio::awaitable<void> {
+            HttpClient client(m_context, { .port = m_hosts.at(host)->admin });
+            HttpCall call { .target = "/metrics" };
+            const HttpResponse response = co_await client.send(std::move(call));
+            text = response.body;
+            isDone = true;
+        },
+        Asio::detached);
+    runUntil([&] { return isDone; }, Milliseconds(2000));
+    return text;
+}
+
+void GatewayCluster::waitUntilReady()
+{
+    std::size_t ready = 0;
+    for (const auto& host : m_hosts) {
+        Asio::co_spawn(
+            m_context,
+            [this, &ready, port = host->readiness]() -> Asio::awaitable<void> {
+                HttpClient client(m_context, { .port = port });
+                int status = 0;
+                while (status != 200) {
+                    co_await sleepFor(m_context.get_executor(), Milliseconds(50));
+                    HttpCall call { .target = std::string(Names::readinessPath) };
+                    const HttpResponse response = co_await client.send(std::move(call));
+                    status = response.status;
+                }
+                ++ready;
+            },
+            Asio::detached);
+    }
+    runUntil([&] { return ready == m_hosts.size(); }, Milliseconds(10'000));
+    LONGS_EQUAL(m_hosts.size(), ready);
+    // The hosts and servers that were registered meanwhile are known to all hosts after this time.
+    runFor(Milliseconds(1700));
+}
+
+void GatewayCluster::runFor(Milliseconds time)
+{
+    runUntil([] { return false; }, time);
+}
+
+void GatewayCluster::runUntil(const std::function<bool()>& isDone, Milliseconds timeout)
+{
+    constexpr std::chrono::microseconds idleTime { 300 };
+    const TimePoint end = RuntimeClock::now() + timeout;
+    while (!isDone() && RuntimeClock::now() < end) {
+        m_context.restart();
+        std::size_t handled = m_context.poll();
+        for (const auto& host : m_hosts) {
+            host->daemon->context().restart();
+            handled += host->daemon->context().poll();
+        }
+        if (handled == 0)
+            std::this_thread::sleep_for(idleTime);
+    }
+}
+
+std::vector<ScriptedRun> GatewayCluster::runsOf(const std::string& word) const
+{
+    std::vector<ScriptedRun> found;
+    std::copy_if(runs.begin(), runs.end(), std::back_inserter(found),
+        [&word](const ScriptedRun& run) { return run.content.find(word) != std::string::npos; });
+    return found;
+}
+
+std::size_t GatewayCluster::runsAfterThirdEnd(const std::string& word, Milliseconds time) const
+{
+    const std::vector<ScriptedRun> found = runsOf(word);
+    if (found.size() < fatalServers)
+        return 0;
+    const TimePoint from = found[fatalServers - 1].startedAt + time;
+    return static_cast<std::size_t>(std::count_if(
+        found.begin(), found.end(), [from](const ScriptedRun& run) { return run.startedAt > from; }));
+}
+
+std::size_t GatewayCluster::countResponses(const std::string& word, int status) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(responses.begin(), responses.end(), [&](const ClusterResponse& response) {
+            return response.status == status && response.content.find(word) != std::string::npos;
+        }));
+}
--- /dev/null
+++ b/tests/platform/gatewaycluster.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "emulator/platform/platformserver.h"
+#include "gateway/gatewaydaemon.h"
+#include "platform/platformclient.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+// One run of a request or of a call of stages at a scripted backend server.
+struct ScriptedRun {
+    std::string pool;
+    Apricot::TimePoint startedAt {};
+    // Body of the request, or the piece keys of the call.
+    std::string content;
+    bool endedServer = false;
+};
+
+// A response to a caller of the cluster; status zero if its connection ended without one.
+struct ClusterResponse {
+    std::string content;
+    Apricot::TimePoint sentAt {};
+    int status = 0;
+};
+
+// The gateway daemons of several hosts, the platform emulator as their store, and scripted backend
+// servers: a request or piece whose content contains the word "poison" ends its server, which comes back
+// later as another one at the same address. Each daemon has its own event loop; all run on this thread.
+class GatewayCluster {
+public:
+    explicit GatewayCluster(std::size_t hosts);
+    ~GatewayCluster();
+
+    GatewayCluster(const GatewayCluster&) = delete;
+    GatewayCluster& operator=(const GatewayCluster&) = delete;
+
+    // Adds backend servers to one of the pools "plain", "engines" and "stages".
+    void addServers(const std::string& pool, int count);
+    // Runs until the hosts are ready to serve callers. Fails the test after ten seconds.
+    void waitUntilReady();
+    void runFor(Apricot::Milliseconds time);
+    // Sends a caller's request to a host, without waiting for the response.
+    void send(std::size_t host, const std::string& path, const std::string& content);
+    // Ends the process of a host at once, and starts it again.
+    void restartHost(std::size_t host);
+    // Breaks the caller connections of all backend servers of a pool; the servers continue.
+    void resetConnections(const std::string& pool);
+    // Sets the faults of the store; takes the JSON body of POST /faults.
+    void setStoreFaults(const std::string& faults);
+    // Text of a host's metrics.
+    std::string metricsOf(std::size_t host);
+
+    // Time between the end of a server and its return.
+    Apricot::Milliseconds serverDownTime { 2000 };
+    std::vector<ScriptedRun> runs;
+    std::vector<ClusterResponse> responses;
+
+    // Runs whose content contains a word.
+    std::vector<ScriptedRun> runsOf(const std::string& word) const;
+    // Runs of a request after a time since it ended its third server.
+    std::size_t runsAfterThirdEnd(const std::string& word, Apricot::Milliseconds time) const;
+    // Number of responses with a status, to requests whose content contains a word.
+    std::size_t countResponses(const std::string& word, int status) const;
+
+private:
+    struct BackendServer;
+    struct Host;
+
+    void runUntil(const std::function<bool()>& isDone, Apricot::Milliseconds timeout);
+    void startServer(BackendServer& server);
+    void endServer(BackendServer& server);
+    boost::asio::awaitable<void> serve(BackendServer& server, Apricot::HttpExchange& exchange);
+    boost::asio::awaitable<void> serveStageCall(
+        BackendServer& server, Apricot::HttpExchange& exchange);
+    // Records a run. Returns false if it ended the server.
+    bool recordRun(BackendServer& server, const std::string& content);
+    boost::asio::awaitable<void> returnLater(BackendServer& server);
+    boost::asio::awaitable<void> writeEntry(std::string key, boost::json::value value);
+    boost::asio::awaitable<void> removeEntry(std::string key);
+    boost::asio::awaitable<void> callHost(std::uint16_t port, Apricot::HttpCall call, std::size_t index);
+    Apricot::GatewaySettings settingsFor(std::size_t host) const;
+
+    boost::asio::io_context m_context;
+    Apricot::PlatformServer m_platform { m_context, {} };
+    Apricot::PlatformClient m_store { m_context, { .port = m_platform.port() } };
+    std::vector<std::unique_ptr<BackendServer>> m_servers;
+    std::vector<std::unique_ptr<Host>> m_hosts;
+    int m_nextServer = 1;
+    int m_nextRequest = 1;
+    int m_nextHandle = 1;
+};
