Limit how many stage servers one request can end

A request whose pieces end their stage servers was sent to the next server until its failed pieces reached three times its pieces, and again by the second attempt of the stage: the more pieces, the more servers. The pieces of other requests in the same calls were sent with it each time, and failed with it.

Work now fails after three broken calls, whatever its pieces, and runs alone after the second, so that other requests finish. A call that could not be sent is told from one that broke. The fingerprint of a request travels with its stages, and the scheduler can end work of poisoned requests and isolate that of suspects; version 2 of the messages.

--- a/src/libnet/messages.h
+++ b/src/libnet/messages.h
@@ -190,7 +190,7 @@
     ViewResponseMessage, StageWorkMessage, StageResultMessage, ReleaseResultsMessage>;
 
 // Version of the encoding. A message of another version closes its connection.
-constexpr std::uint8_t messageVersion = 1;
+constexpr std::uint8_t messageVersion = 2;
 // Largest encoded message.
 constexpr std::size_t messageLimitBytes = 2'097'152;
 
--- a/src/libserving/stagescheduler.cpp
+++ b/src/libserving/stagescheduler.cpp
@@ -146,7 +146,8 @@
     double freeBytes = m_resultCapacity.freeBytes(server.server.id, now);
     for (const TaskId id : order) {
         Task& task = m_tasks.at(id);
-        if (!canRunOn(task, server, now))
+        const bool isOwnCall = chosenPieces.empty();
+        if (!canRunOn(task, server, now) || (task.isExclusive && !isOwnCall))
             continue;
         const double bytes = task.work.resultBytes;
         bool hasChosen = false;
@@ -162,7 +163,7 @@
             task.preferredDomainUntil
                 = std::min(now + m_options.preferredDomainWait, task.latestObjectiveStart);
         }
-        if (chosenPieces.size() == limit)
+        if (chosenPieces.size() == limit || (task.isExclusive && hasChosen))
             break;
     }
     return chosenPieces;
@@ -180,6 +181,7 @@
         const Task& task = m_tasks.at(piece.task);
         m_resultCapacity.reserve(server.server.id, piece.resultBytes);
         call.pieces.push_back({ .requestId = task.work.requestId,
+            .fingerprint = task.work.fingerprint,
             .stage = task.work.stage,
             .piece = piece.piece,
             .callerTimeLeft = std::chrono::floor<Milliseconds>(task.callerLeavesAt - now),
@@ -246,8 +248,11 @@
     if (failure == StageCallFailure::TimedOut)
         server.slowdownFactor = std::max(
             server.slowdownFactor, slowdownFactorOf(call.startedAt, call.expectedTime, now));
-    for (const CallPiece& piece : call.pieces) {
+    for (const CallPiece& piece : call.pieces)
         m_resultCapacity.cancelReservation(call.server, piece.resultBytes);
+    if (failure == StageCallFailure::Broken)
+        return onCallBroken(call);
+    for (const CallPiece& piece : call.pieces) {
         const auto task = m_tasks.find(piece.task);
         if (task == m_tasks.end() || call.isOverdue)
             continue;
@@ -258,6 +263,26 @@
     }
 }
 
+void StageScheduler::onCallBroken(const Call& call)
+{
+    std::set<TaskId> tasks;
+    for (const CallPiece& piece : call.pieces) {
+        const auto task = m_tasks.find(piece.task);
+        if (task == m_tasks.end())
+            continue;
+        tasks.insert(piece.task);
+        if (!call.isOverdue)
+            requeuePiece(task->second, piece.piece);
+    }
+    for (const TaskId id : tasks) {
+        Task& task = m_tasks.at(id);
+        ++task.brokenCalls;
+        task.isExclusive = task.isExclusive || task.brokenCalls >= m_options.exclusiveBrokenCalls;
+        if (task.brokenCalls >= m_options.attemptLimit)
+            endTask(id, { .outcome = StageWorkOutcome::Failed });
+    }
+}
+
 void StageScheduler::endCall(std::map<std::uint64_t, Call>::iterator call)
 {
     m_servers.at(call->second.server).call.reset();
--- a/src/libserving/stagescheduler.h
+++ b/src/libserving/stagescheduler.h
@@ -6,6 +6,7 @@
 #include "libserving/stagework.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -45,8 +46,11 @@
     Milliseconds deadlineCheckInterval { 100 };
     // Time between two checks for result capacity while pieces wait.
     Milliseconds capacityPollInterval { 40 };
-    // Work fails after this number of failed pieces, multiplied by its number of pieces.
+    // Work fails after this number of broken calls, or of failed pieces, multiplied by its number of pieces.
     int attemptLimit = 3;
+    // Work runs alone once this number of its calls broke, so that it does not fail other work if it breaks
+    // further ones.
+    int exclusiveBrokenCalls = 2;
     // Lower bound of the slowdown factor in estimates; many pieces take less time than the pool's
     // configuration states.
     double minSlowdownFactor = 0.4;
@@ -73,11 +77,22 @@
     Milliseconds timeout { 0 };
 };
 
+// Whether work may run, and with other work.
+enum class StageWorkPermit {
+    Shared,
+    // Its calls contain no other work.
+    Exclusive,
+    // The request crashes servers.
+    Poisoned,
+};
+
 // Why a call returned no results.
 enum class StageCallFailure {
     // The server refused the call without running a piece.
     Refused,
-    // The connection failed or broke, or the response was malformed.
+    // The server could not be reached.
+    NotSent,
+    // The connection broke after the call was sent, or the response was malformed.
     Broken,
     // No response arrived in time.
     TimedOut,
@@ -106,6 +121,8 @@
     std::optional<StageWorkResult> submit(TaskId id, StageWork work, TimePoint now);
     // Removes work whose caller disconnected.
     void cancel(TaskId id);
+    // Ends the work of poisoned requests, and sets which work runs exclusively.
+    void applyPermits(const std::function<StageWorkPermit(Fingerprint)>& permitOf);
     // Ends the work whose pieces all wait and have not failed, so that another home can run it.
     void handOverWaiting();
     std::vector<PlannedCall> planCalls(TimePoint now);
@@ -147,6 +164,9 @@
         // Number of pieces in calls that are not overdue.
         int runningPieces = 0;
         int pieceFailures = 0;
+        // Calls with pieces of this work that broke.
+        int brokenCalls = 0;
+        bool isExclusive = false;
         // Handle of each piece's result; empty until the piece is done.
         std::vector<std::string> handles;
 
@@ -203,6 +223,7 @@
     // Makes a running piece wait again unless its result is available.
     static void requeuePiece(Task& task, int piece);
     void onPieceFailed(TaskId id, Task& task, int piece);
+    void onCallBroken(const Call& call);
     // Makes the pieces of overdue calls wait again, so that other servers can run them too.
     void requeueOverdueCalls(TimePoint now);
     void endTask(TaskId id, StageWorkResult result);
--- a/src/libserving/stageschedulertaskends.cpp
+++ b/src/libserving/stageschedulertaskends.cpp
@@ -15,6 +15,20 @@
     m_tasks.erase(found);
 }
 
+void StageScheduler::applyPermits(const std::function<StageWorkPermit(Fingerprint)>& permitOf)
+{
+    std::vector<TaskId> poisoned;
+    for (auto& [id, task] : m_tasks) {
+        const StageWorkPermit permit = permitOf(task.work.fingerprint);
+        if (permit == StageWorkPermit::Poisoned)
+            poisoned.push_back(id);
+        task.isExclusive
+            = permit == StageWorkPermit::Exclusive || task.brokenCalls >= m_options.exclusiveBrokenCalls;
+    }
+    for (const TaskId id : poisoned)
+        endTask(id, { .outcome = StageWorkOutcome::Poisoned });
+}
+
 void StageScheduler::handOverWaiting()
 {
     std::vector<TaskId> unstarted;
--- a/src/libserving/stagework.h
+++ b/src/libserving/stagework.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libapricot/clock.h"
+#include "libapricot/fingerprint.h"
 #include "libapricot/identifier.h"
 
 #include <string>
@@ -37,6 +38,8 @@
     double crossDomainBytes = 0;
     // Whether no stage of the request has run yet.
     bool isFirst = false;
+    // Identifies the request beyond this attempt of its caller.
+    Fingerprint fingerprint = 0;
 
     auto operator<=>(const StageWork&) const = default;
 
@@ -44,7 +47,8 @@
     void serialize(Archive& archive)
     {
         archive(pool, group, requestId, stage, pieces, pieceKey, inputs, rank, objectiveSlack,
-            deadlineSlack, callerTimeLeft, resultBytes, preferredDomain, crossDomainBytes, isFirst);
+            deadlineSlack, callerTimeLeft, resultBytes, preferredDomain, crossDomainBytes, isFirst,
+            fingerprint);
     }
 };
 
@@ -60,6 +64,8 @@
     Failed,
     // The home is stopping; the work must be sent to the next one.
     HandedOver,
+    // The request crashes the servers that run it.
+    Poisoned,
 };
 
 // Expected wait of new work of a rank for a group of stage servers.
@@ -94,6 +100,7 @@
 // One piece in a call to a stage server.
 struct PlannedPiece {
     std::string requestId;
+    Fingerprint fingerprint = 0;
     int stage = 0;
     int piece = 0;
     Milliseconds callerTimeLeft { 0 };
