--- a/src/gateway/backendcaller.cpp
+++ b/src/gateway/backendcaller.cpp
@@ -74,6 +74,13 @@
 
 }
 
+RunEnd runEndOf(const boost::system::error_code& error)
+{
+    const bool isSilent = error == boost::beast::error::timeout || error == Asio::error::timed_out
+        || error == Asio::error::operation_aborted;
+    return isSilent ? RunEnd::Silent : RunEnd::Broken;
+}
+
 BackendCaller::BackendCaller(
     Asio::io_context& context, ServingView& view, ServerTracker& tracker)
     : m_context(context)
@@ -118,6 +125,9 @@
         result = classify(std::move(stream));
     } catch (const boost::system::system_error& error) {
         reason = error.code().message();
+        const RunEnd end = request.scope->isOver() ? RunEnd::Silent : runEndOf(error.code());
+        if (*sent)
+            reportRun(request, server, end, startedAt);
         if (*sent)
             result.outcome = error.code() == boost::beast::error::timeout ? SendOutcome::TimedOut
                                                                           : SendOutcome::Broken;
@@ -132,12 +142,43 @@
     co_return result;
 }
 
-void BackendCaller::reportIncompleteResponse(const ServedRequest& request,
-    const BackendServerId& server, const boost::system::system_error& error)
+void BackendCaller::reportRun(const EndedRun& run)
+{
+    if (m_runObserver)
+        m_runObserver->onRunEnded(run);
+}
+
+void BackendCaller::reportFinished(Fingerprint fingerprint, int stage)
+{
+    if (m_runObserver)
+        m_runObserver->onFinished(fingerprint, stage);
+}
+
+void BackendCaller::reportRun(
+    const ServedRequest& request, const ServerEntry& server, RunEnd end, TimePoint sentAt)
+{
+    reportRun({ .fingerprint = request.fingerprint,
+        .server = { server.id, server.startedAt },
+        .endpoint = server.endpoint,
+        .end = end,
+        .sentAt = sentAt });
+}
+
+void BackendCaller::reportResponse(
+    const ServedRequest& request, const ServerEntry& server, TimePoint sentAt)
+{
+    reportRun(request, server, RunEnd::Complete, sentAt);
+    reportFinished(request.fingerprint, ServerCrash::requestStage);
+}
+
+void BackendCaller::reportIncompleteResponse(const ServedRequest& request, const ServerEntry& server,
+    TimePoint sentAt, const boost::system::system_error& error)
 {
+    const bool isOver = request.scope->isOver();
+    reportRun(request, server, isOver ? RunEnd::Silent : runEndOf(error.code()), sentAt);
     writeLog(LogLevel::Info, "backend_response_incomplete",
         { { "request", request.caller.id }, { "identity", toText(request.fingerprint) },
-            { "server", server.value() }, { "reason", error.code().message() } });
+            { "server", server.id.value() }, { "reason", error.code().message() } });
 }
 
 SendResult BackendCaller::classify(std::unique_ptr<HttpStream> stream) const
@@ -154,10 +195,10 @@
     return { .outcome = SendOutcome::Responded, .stream = std::move(stream), .status = status };
 }
 
-Asio::awaitable<HttpResponse> BackendCaller::call(ServerEntry server, HttpCall call)
+Asio::awaitable<HttpResponse> BackendCaller::call(ServerEntry server, HttpCall call, bool& isSent)
 {
     const std::shared_ptr<HttpClient> client = clientFor(server.endpoint);
-    HttpSendGate gate = [this, server] { return mayReceiveWork(server); };
+    HttpSendGate gate = [this, &isSent, server] { return isSent = mayReceiveWork(server); };
     const std::unique_ptr<HttpStream> stream
         = co_await client->open(std::move(call), std::move(gate));
     if (!stream)
--- a/src/gateway/backendcaller.h
+++ b/src/gateway/backendcaller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/requestscope.h"
+#include "libserving/runobserver.h"
 #include "libserving/servertracker.h"
 #include "libserving/servingview.h"
 
@@ -32,6 +33,9 @@
     int status = 0;
 };
 
+// How a run ended whose call failed with an error.
+RunEnd runEndOf(const boost::system::error_code& error);
+
 // Sends requests and pieces to backend servers over persistent connections. Servers that may receive no
 // new work, such as draining ones, are sent none.
 class BackendCaller {
@@ -42,14 +46,23 @@
     // the time left until the caller's deadline.
     boost::asio::awaitable<SendResult> send(const ServedRequest& request, ServerEntry server,
         std::vector<std::string> inputs, std::string lastEventId, Milliseconds timeout);
-    // Makes a call of the gateway itself. Throws like HttpClient, and if the server may receive no work.
-    boost::asio::awaitable<HttpResponse> call(ServerEntry server, HttpCall call);
+    // Makes a call of the gateway itself, and sets isSent once the server may have received it. Throws like
+    // HttpClient, and if the server may receive no work.
+    boost::asio::awaitable<HttpResponse> call(ServerEntry server, HttpCall call, bool& isSent);
     // Makes a call that assigns no new work, such as the release of results, to any server.
     boost::asio::awaitable<HttpResponse> callWithoutCheck(Endpoint endpoint, HttpCall call);
 
-    // Logs that the body of a response broke off before its end.
-    void reportIncompleteResponse(const ServedRequest& request, const BackendServerId& server,
-        const boost::system::system_error& error);
+    // Reports that the body of a response was read to its end, or that the response is discarded.
+    void reportResponse(const ServedRequest& request, const ServerEntry& server, TimePoint sentAt);
+    // Reports that the body of a response broke off before its end.
+    void reportIncompleteResponse(const ServedRequest& request, const ServerEntry& server,
+        TimePoint sentAt, const boost::system::system_error& error);
+
+    // The observer must outlive this object.
+    void setRunObserver(RunObserver& observer) { m_runObserver = &observer; }
+    void reportRun(const EndedRun& run);
+    // See RunObserver::onFinished().
+    void reportFinished(Fingerprint fingerprint, int stage);
 
     ServerTracker& tracker() { return m_tracker; }
     // Removes the state of servers that have left the view, and closes their connections.
@@ -58,12 +71,15 @@
 private:
     std::shared_ptr<HttpClient> clientFor(const Endpoint& endpoint);
     bool mayReceiveWork(const ServerEntry& server);
+    void reportRun(
+        const ServedRequest& request, const ServerEntry& server, RunEnd end, TimePoint sentAt);
     SendResult classify(std::unique_ptr<HttpStream> stream) const;
 
     boost::asio::io_context& m_context;
     ServingView& m_view;
     ServerTracker& m_tracker;
     std::map<Endpoint, std::shared_ptr<HttpClient>> m_clients;
+    RunObserver* m_runObserver = nullptr;
 };
 
 }
--- a/src/gateway/gatewaydaemon.cpp
+++ b/src/gateway/gatewaydaemon.cpp
@@ -64,16 +64,18 @@
     , m_viewUpdater(m_context, m_store, m_view, settings.process.host,
           { requireEndpoint(settings.peers), settings.process.failureDomain })
     , m_backendCaller(m_context, m_view, m_tracker)
+    , m_poisonSync(m_context, m_store, m_view, m_poison, settings.process.host)
+    , m_crashMonitor(m_context, m_view, m_poison, m_poisonSync, m_metrics)
     , m_peers(m_context)
     , m_peerViewSync(m_context, m_viewUpdater, m_view, m_peers, settings.process.host,
           parseEndpoints(settings.seeds).value_or(std::vector<Endpoint>()))
-    , m_stageHome(m_context, m_view, m_backendCaller)
+    , m_stageHome(m_context, m_view, m_backendCaller, m_poison)
     , m_stageRouter(m_context, settings.process.host, m_view, m_stageHome, m_peers)
     , m_stageRunner(m_context, m_stageRouter)
-    , m_plainForwarder(m_view, m_backendCaller, m_retries)
-    , m_streamForwarder(m_view, m_backendCaller, m_retries, m_coldLimiter, m_stageRunner)
+    , m_plainForwarder(m_view, m_backendCaller, m_retries, m_poison)
+    , m_streamForwarder(m_view, m_backendCaller, m_retries, m_coldLimiter, m_stageRunner, m_poison)
     , m_gatewayMetrics(m_metrics)
-    , m_requests(m_context, m_view, m_plainForwarder, m_streamForwarder, m_gatewayMetrics)
+    , m_requests(m_context, m_view, m_plainForwarder, m_streamForwarder, m_poison, m_gatewayMetrics)
     , m_callerServer(
           m_context,
           [this] {
@@ -95,13 +97,18 @@
               .refreshMetrics =
                   [this] {
                       m_gatewayMetrics.setGauges(
-                          m_view, m_stageHome, m_retries, m_viewUpdater.isStoreLost());
+                          m_view, m_stageHome, m_retries, m_poison, m_viewUpdater.isStoreLost());
                   } })
     , m_stopSignals(m_context, SIGTERM, SIGINT)
     , m_reloadSignals(m_context, SIGHUP)
 {
     applyLimits();
     m_viewUpdater.setChangeHandler([this] { onViewChanged(); });
+    m_viewUpdater.setPoisonHandlers([this](const PlatformList& list) { m_poisonSync.applyList(list); },
+        [this](const PlatformEvent& event) { m_poisonSync.applyEvent(event); });
+    m_backendCaller.setRunObserver(m_crashMonitor);
+    m_crashMonitor.setChangeHandler([this] { m_stageHome.onPoisonChanged(); });
+    m_poisonSync.setChangeHandler([this] { m_stageHome.onPoisonChanged(); });
 }
 
 void GatewayDaemon::run()
@@ -117,6 +124,7 @@
             { "store", m_settings.store }, { "version", APRICOT_VERSION } });
     m_viewUpdater.start();
     m_peerViewSync.start();
+    m_poisonSync.start();
     Asio::co_spawn(m_context, waitForStop(), Asio::detached);
     Asio::co_spawn(m_context, waitForReload(), Asio::detached);
 }
@@ -127,6 +135,7 @@
     m_coldLimiter.setHosts(m_settings.process.host, m_view.hostIds());
     m_peerViewSync.onHostsChanged();
     m_backendCaller.removeUnknownServers();
+    m_crashMonitor.onServersChanged();
 }
 
 HealthReport GatewayDaemon::health() const
@@ -241,7 +250,9 @@
     return boost::json::object { { "config_version", config ? config->version : 0 },
         { "config_revision", m_view.configRevision() },
         { "servers", m_view.servers().size() }, { "hosts", m_view.hosts().size() },
-        { "waiting_pieces", m_stageHome.waitingPieces() }, { "stopping", m_isStopping } };
+        { "waiting_pieces", m_stageHome.waitingPieces() },
+        { "poisoned_requests", m_poison.count(PoisonState::Refused, RuntimeClock::now()) },
+        { "stopping", m_isStopping } };
 }
 
 }
--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/crashmonitor.h"
 #include "gateway/peerviewsync.h"
 #include "gateway/requestservice.h"
 #include "gateway/servingviewupdater.h"
@@ -47,9 +48,12 @@
     ServerTracker m_tracker;
     RetryWindow m_retries;
     ColdLimiter m_coldLimiter;
+    PoisonTable m_poison;
     PlatformClient m_store;
     ServingViewUpdater m_viewUpdater;
     BackendCaller m_backendCaller;
+    PoisonSync m_poisonSync;
+    CrashMonitor m_crashMonitor;
     PeerClient m_peers;
     PeerViewSync m_peerViewSync;
     StageHome m_stageHome;
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -14,6 +14,10 @@
           "apricot_waiting_pieces", "Pieces that wait at the groups whose home this host is."))
     , m_storeLost(
           registry.gauge("apricot_store_lost", "1 while the store does not answer this host."))
+    , m_suspectRequests(registry.gauge("apricot_suspect_requests",
+          "Requests during which servers ended, fewer than it takes to refuse them."))
+    , m_poisonedRequests(registry.gauge("apricot_poisoned_requests",
+          "Requests that are refused because they crash the servers that run them."))
 {
 }
 
@@ -33,7 +37,8 @@
 }
 
 void GatewayMetrics::setGauges(
-    const ServingView& view, const StageHome& home, RetryWindow& retries, bool isStoreLost)
+    const ServingView& view, const StageHome& home, RetryWindow& retries,
+    const PoisonTable& poison, bool isStoreLost)
 {
     const TimePoint now = RuntimeClock::now();
     for (const PoolId& pool : retries.pools()) {
@@ -53,6 +58,8 @@
     m_hosts.set(static_cast<double>(view.hosts().size()));
     m_waitingPieces.set(static_cast<double>(home.waitingPieces()));
     m_storeLost.set(isStoreLost ? 1 : 0);
+    m_suspectRequests.set(static_cast<double>(poison.count(PoisonState::Suspect, now)));
+    m_poisonedRequests.set(static_cast<double>(poison.count(PoisonState::Refused, now)));
 }
 
 }
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -13,7 +13,8 @@
 
     void onRequestEnded(std::string_view kind, const ServedOutcome& outcome, Duration duration);
     // Sets the gauges that are computed on demand.
-    void setGauges(const ServingView& view, const StageHome& home, RetryWindow& retries, bool isStoreLost);
+    void setGauges(const ServingView& view, const StageHome& home, RetryWindow& retries,
+        const PoisonTable& poison, bool isStoreLost);
 
 private:
     MetricRegistry& m_registry;
@@ -23,6 +24,8 @@
     Gauge& m_hosts;
     Gauge& m_waitingPieces;
     Gauge& m_storeLost;
+    Gauge& m_suspectRequests;
+    Gauge& m_poisonedRequests;
 };
 
 }
--- a/src/gateway/plainforwarder.cpp
+++ b/src/gateway/plainforwarder.cpp
@@ -39,10 +39,12 @@
     return false;
 }
 
-PlainForwarder::PlainForwarder(ServingView& view, BackendCaller& backendCaller, RetryWindow& retries)
+PlainForwarder::PlainForwarder(ServingView& view, BackendCaller& backendCaller, RetryWindow& retries,
+    const PoisonTable& poison)
     : m_view(view)
     , m_backendCaller(backendCaller)
     , m_retries(retries)
+    , m_poison(poison)
 {
 }
 
@@ -63,7 +65,8 @@
 const KnownServer* PlainForwarder::nextServer(const ServedRequest& request, Progress& progress)
 {
     const KnownServer* known = chooseServer(request, progress);
-    if (!known || progress.unreachable >= maxUnreachable || request.scope->isOver())
+    if (!known || progress.unreachable >= maxUnreachable || request.scope->isOver()
+        || !m_poison.mayRun(request.fingerprint, progress.runs, RuntimeClock::now()))
         return nullptr;
     return progress.outcome.sends == 0 || ensureRetryPermit(request, progress) ? known : nullptr;
 }
@@ -80,6 +83,7 @@
 {
     progress.tried.insert(server.id);
     const Milliseconds timeout = attemptTimeoutFor(request, progress.runs);
+    const TimePoint sentAt = RuntimeClock::now();
     const SendResult sent = co_await m_backendCaller.send(
         request, server, std::vector<std::string>(), std::string(), timeout);
     if (sent.outcome == SendOutcome::NotSent) {
@@ -96,9 +100,11 @@
         = request.route.isRetryable() && progress.runs < request.route.attemptLimit;
     if (sent.outcome != SendOutcome::Responded)
         co_return !mayRetry;
-    if (mayRetry && sent.status >= statusServerError && nextServer(request, progress) != nullptr)
+    if (mayRetry && sent.status >= statusServerError && nextServer(request, progress) != nullptr) {
+        m_backendCaller.reportResponse(request, server, sentAt);
         co_return false;
-    const ServedOutcome forwarded = co_await forwardResponse(request, server.id, *sent.stream);
+    }
+    const ServedOutcome forwarded = co_await forwardResponse(request, server, sentAt, *sent.stream);
     progress.outcome.status = forwarded.status;
     progress.outcome.refusal = forwarded.refusal;
     co_return true;
@@ -114,6 +120,11 @@
     } else if (request.scope->endReason() == ScopeEndReason::TimedOut) {
         reason = GatewayRefusal::TimedOut;
     }
+    const TimePoint now = RuntimeClock::now();
+    if (progress.runs == 0 && m_poison.isRefused(request.fingerprint, now)) {
+        reason = GatewayRefusal::Poisoned;
+        retryAfter = m_poison.remaining(request.fingerprint, now);
+    }
     if (request.scope->endReason() == ScopeEndReason::Stopping) {
         reason = GatewayRefusal::NotReady;
         retryAfter = Milliseconds(0);
@@ -154,7 +165,7 @@
 }
 
 Asio::awaitable<ServedOutcome> PlainForwarder::forwardResponse(
-    ServedRequest& request, const BackendServerId& server, HttpStream& stream)
+    ServedRequest& request, const ServerEntry& server, TimePoint sentAt, HttpStream& stream)
 {
     ServedOutcome outcome { .status = stream.status() };
     std::string body;
@@ -162,8 +173,9 @@
     stream.setTimeout(std::max(request.timeLeft(RuntimeClock::now()), Milliseconds(1)));
     try {
         body = co_await readBody(stream);
+        m_backendCaller.reportResponse(request, server, sentAt);
     } catch (const boost::system::system_error& error) {
-        m_backendCaller.reportIncompleteResponse(request, server, error);
+        m_backendCaller.reportIncompleteResponse(request, server, sentAt, error);
         isComplete = false;
     }
     if (!isComplete) {
--- a/src/gateway/plainforwarder.h
+++ b/src/gateway/plainforwarder.h
@@ -27,7 +27,8 @@
 // idempotent is retried only after a server stated that it did not run the request.
 class PlainForwarder {
 public:
-    PlainForwarder(ServingView& view, BackendCaller& backendCaller, RetryWindow& retries);
+    PlainForwarder(ServingView& view, BackendCaller& backendCaller, RetryWindow& retries,
+        const PoisonTable& poison);
 
     boost::asio::awaitable<ServedOutcome> serve(ServedRequest& request);
 
@@ -55,11 +56,12 @@
     boost::asio::awaitable<void> respondWithRefusal(ServedRequest& request, Progress& progress);
     Milliseconds attemptTimeoutFor(const ServedRequest& request, int runs) const;
     boost::asio::awaitable<ServedOutcome> forwardResponse(
-        ServedRequest& request, const BackendServerId& server, HttpStream& stream);
+        ServedRequest& request, const ServerEntry& server, TimePoint sentAt, HttpStream& stream);
 
     ServingView& m_view;
     BackendCaller& m_backendCaller;
     RetryWindow& m_retries;
+    const PoisonTable& m_poison;
 };
 
 }
--- /dev/null
+++ b/src/gateway/poisonsync.cpp
@@ -0,0 +1,202 @@
+#include "gateway/poisonsync.h"
+
+#include "libapricot/rendezvous.h"
+#include "libnet/asyncevent.h"
+#include "libnet/log.h"
+#include "libserving/poisonobject.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json/object.hpp>
+
+#include <algorithm>
+
+namespace Apricot {
+
+namespace Asio = boost::asio;
+
+namespace {
+
+    // Findings are collected for this long and written in one call.
+    constexpr Milliseconds batchDelay { 250 };
+    constexpr Milliseconds retryDelay { 400 };
+    // Time for which a finding is kept, as in the table.
+    constexpr Milliseconds lifetime = PoisonTableOptions {}.refusedLifetime;
+    constexpr std::size_t maxPublished = 128;
+    constexpr Milliseconds cleanUpInterval { 60'000 };
+
+}
+
+PoisonSync::PoisonSync(Asio::io_context& context, PlatformClient& store, const ServingView& view,
+    PoisonTable& poison, HostId self)
+    : m_context(context)
+    , m_store(store)
+    , m_view(view)
+    , m_poison(poison)
+    , m_ownKey(std::string(poisonPrefix) + self.value())
+{
+}
+
+void PoisonSync::start()
+{
+    Asio::co_spawn(m_context, cleanUp(), Asio::detached);
+}
+
+void PoisonSync::publish(Fingerprint fingerprint)
+{
+    const TimePoint now = RuntimeClock::now();
+    removeExpired(now);
+    if (m_published.size() >= maxPublished && !m_published.contains(fingerprint)) {
+        const auto oldest = std::min_element(m_published.begin(), m_published.end(),
+            [](const auto& left, const auto& right) { return left.second < right.second; });
+        m_published.erase(oldest);
+    }
+    m_published[fingerprint] = now + lifetime;
+    scheduleWrite();
+}
+
+void PoisonSync::removeExpired(TimePoint now)
+{
+    std::erase_if(m_published, [now](const auto& entry) { return entry.second <= now; });
+}
+
+void PoisonSync::applyList(const PlatformList& list)
+{
+    m_objects.clear();
+    for (const PlatformObject& object : list.objects)
+        applyObject(object);
+    m_isListed = true;
+}
+
+void PoisonSync::applyEvent(const PlatformEvent& event)
+{
+    if (event.value)
+        applyObject({ event.key, event.version, *event.value });
+    else
+        m_objects.erase(event.key);
+}
+
+void PoisonSync::applyObject(const PlatformObject& object)
+{
+    const TimePoint now = RuntimeClock::now();
+    m_objects[object.key] = { object.version, now };
+    std::vector<PoisonNotice> notices;
+    try {
+        notices = readPoisonNotices(object.value, lifetime);
+    } catch (const std::exception& error) {
+        writeLog(LogLevel::Warning, "poison_object_ignored",
+            { { "key", object.key }, { "reason", error.what() } });
+        return;
+    }
+    bool isChanged = false;
+    for (const PoisonNotice& notice : notices) {
+        if (object.key == m_ownKey)
+            m_published.try_emplace(notice.fingerprint, now + lifetime);
+        const std::optional<PoisonState> before = m_poison.stateOf(notice.fingerprint, now);
+        m_poison.apply(notice, now);
+        const std::optional<PoisonState> after = m_poison.stateOf(notice.fingerprint, now);
+        if (before == after)
+            continue;
+        isChanged = true;
+        writeLog(LogLevel::Info, "poison_state_changed",
+            { { "identity", toText(notice.fingerprint) }, { "state", poisonStateName(after) },
+                { "crashes", m_poison.crashCount(notice.fingerprint, now) }, { "source", object.key },
+                { "revision", object.version } });
+    }
+    if (isChanged && m_changeHandler)
+        m_changeHandler();
+}
+
+void PoisonSync::scheduleWrite()
+{
+    m_mustWrite = true;
+    if (m_isWriting)
+        return;
+    m_isWriting = true;
+    Asio::co_spawn(m_context, writeUntilStored(), Asio::detached);
+}
+
+Asio::awaitable<void> PoisonSync::writeUntilStored()
+{
+    const auto executor = m_context.get_executor();
+    Milliseconds delay = batchDelay;
+    while (m_mustWrite) {
+        co_await sleepFor(executor, delay);
+        if (!m_isListed)
+            continue;
+        m_mustWrite = false;
+        const bool isStored = co_await writeOnce();
+        m_mustWrite = m_mustWrite || !isStored;
+        delay = isStored ? batchDelay : retryDelay;
+    }
+    m_isWriting = false;
+}
+
+std::vector<PoisonNotice> PoisonSync::ownNotices() const
+{
+    const TimePoint now = RuntimeClock::now();
+    std::vector<PoisonNotice> notices;
+    for (const auto& [fingerprint, expiresAt] : m_published) {
+        if (auto notice = m_poison.noticeOf(fingerprint, now))
+            notices.push_back(std::move(*notice));
+    }
+    return notices;
+}
+
+Asio::awaitable<bool> PoisonSync::writeOnce()
+{
+    std::string reason;
+    std::string key = m_ownKey;
+    boost::json::value value = toJson(ownNotices());
+    WriteResult result;
+    try {
+        if (m_published.empty())
+            result = co_await m_store.remove(std::move(key), std::nullopt);
+        else
+            result = co_await m_store.put(std::move(key), std::move(value), std::nullopt);
+        // An object that is gone already needs no removal.
+        if (std::holds_alternative<WriteStored>(result)
+            || (m_published.empty() && std::holds_alternative<WriteConflict>(result)))
+            co_return true;
+        reason = "the outcome of the write is not known";
+    } catch (const PlatformUnavailable& error) {
+        reason = error.what();
+    }
+    writeLog(LogLevel::Warning, "poison_write_failed",
+        { { "reason", reason }, { "requests", m_published.size() } });
+    co_return false;
+}
+
+Asio::awaitable<void> PoisonSync::cleanUp()
+{
+    while (true) {
+        co_await sleepFor(m_context.get_executor(), cleanUpInterval);
+        const std::size_t published = m_published.size();
+        removeExpired(RuntimeClock::now());
+        if (m_published.size() < published)
+            scheduleWrite();
+        co_await removeAbandoned();
+    }
+}
+
+Asio::awaitable<void> PoisonSync::removeAbandoned()
+{
+    // Their writers have had the time to remove them.
+    const TimePoint changedBefore = RuntimeClock::now() - 2 * lifetime;
+    std::vector<std::pair<std::string, ObjectVersion>> abandoned;
+    for (const auto& [key, object] : m_objects) {
+        const std::vector<HostId> ranked = rankHosts(key, m_view.hostIds());
+        if (key != m_ownKey && object.changedAt < changedBefore && !ranked.empty()
+            && m_ownKey == std::string(poisonPrefix) + ranked.front().value())
+            abandoned.emplace_back(key, object.version);
+    }
+    for (const auto& [key, version] : abandoned) {
+        try {
+            co_await m_store.remove(key, version);
+        } catch (const PlatformUnavailable& error) {
+            writeLog(LogLevel::Info, "poison_write_failed", { { "reason", error.what() } });
+        }
+    }
+}
+
+}
--- a/src/gateway/refusals.cpp
+++ b/src/gateway/refusals.cpp
@@ -16,6 +16,8 @@
         return "no_server";
     case GatewayRefusal::OutOfTime:
         return "out_of_time";
+    case GatewayRefusal::Poisoned:
+        return "poisoned";
     case GatewayRefusal::UnknownRoute:
         return "unknown_route";
     case GatewayRefusal::UnknownKey:
@@ -35,6 +37,7 @@
     case GatewayRefusal::Overloaded:
     case GatewayRefusal::NoServer:
     case GatewayRefusal::OutOfTime:
+    case GatewayRefusal::Poisoned:
         return 503;
     case GatewayRefusal::UnknownRoute:
         return 404;
--- a/src/gateway/refusals.h
+++ b/src/gateway/refusals.h
@@ -15,6 +15,8 @@
     Overloaded,
     NoServer,
     OutOfTime,
+    // Earlier attempts of the same request crashed servers.
+    Poisoned,
     // A retry will be refused too.
     UnknownRoute,
     UnknownKey,
--- a/src/gateway/requestservice.cpp
+++ b/src/gateway/requestservice.cpp
@@ -66,11 +66,13 @@
 }
 
 RequestService::RequestService(Asio::io_context& context, ServingView& view,
-    PlainForwarder& plainForwarder, StreamForwarder& streamForwarder, GatewayMetrics& metrics)
+    PlainForwarder& plainForwarder, StreamForwarder& streamForwarder, const PoisonTable& poison,
+    GatewayMetrics& metrics)
     : m_context(context)
     , m_view(view)
     , m_plainForwarder(plainForwarder)
     , m_streamForwarder(streamForwarder)
+    , m_poison(poison)
     , m_metrics(metrics)
 {
 }
@@ -154,6 +156,11 @@
         request.owner = owner->id;
     request.fingerprint = fingerprintOf(http.target, request.owner, http.body);
     labels.fingerprint = request.fingerprint;
+    if (m_poison.isRefused(request.fingerprint, now)) {
+        co_await refuse(
+            exchange, GatewayRefusal::Poisoned, m_poison.remaining(request.fingerprint, now));
+        co_return refusalOutcome(GatewayRefusal::Poisoned);
+    }
     co_return co_await forward(request);
 }
 
--- a/src/gateway/requestservice.h
+++ b/src/gateway/requestservice.h
@@ -15,7 +15,7 @@
 class RequestService {
 public:
     RequestService(boost::asio::io_context& context, ServingView& view, PlainForwarder& plainForwarder,
-        StreamForwarder& streamForwarder, GatewayMetrics& metrics);
+        StreamForwarder& streamForwarder, const PoisonTable& poison, GatewayMetrics& metrics);
 
     boost::asio::awaitable<void> serve(HttpExchange& exchange);
     // Refuses the requests that have not been sent to a server yet, before this host stops.
@@ -39,6 +39,7 @@
     ServingView& m_view;
     PlainForwarder& m_plainForwarder;
     StreamForwarder& m_streamForwarder;
+    const PoisonTable& m_poison;
     GatewayMetrics& m_metrics;
     CallerWaitEstimator m_waitEstimator;
     // Scopes of the requests in flight.
--- a/src/gateway/servingviewupdater.cpp
+++ b/src/gateway/servingviewupdater.cpp
@@ -2,6 +2,7 @@
 
 #include "libnet/asyncevent.h"
 #include "libnet/log.h"
+#include "libserving/poisonobject.h"
 #include "platform/names.h"
 #include "platform/objecttranslation.h"
 
@@ -45,6 +46,11 @@
             .maxRelayedAge = Milliseconds(8000) };
     }
 
+    StoreFollowerOptions poisonOptions()
+    {
+        return { .prefix = std::string(poisonPrefix), .batchDelay = Milliseconds(150) };
+    }
+
     std::string objectName(const std::string& key) { return key.substr(key.find('/') + 1); }
 
     json::value toJson(const PeerHost& host)
@@ -109,7 +115,24 @@
           hostsOptions(),
           [this](const PlatformList& list) { applyHostList(list); },
           [this](const PlatformEvent& event) { applyHostEvent(event); }))
+    , m_poisonFollower(makeFollower(
+          poisonOptions(),
+          [this](const PlatformList& list) {
+              if (m_onPoisonListed)
+                  m_onPoisonListed(list);
+          },
+          [this](const PlatformEvent& event) {
+              if (m_onPoisonChanged)
+                  m_onPoisonChanged(event);
+          }))
+{
+}
+
+void ServingViewUpdater::setPoisonHandlers(std::function<void(const PlatformList&)> onListed,
+    std::function<void(const PlatformEvent&)> onChanged)
 {
+    m_onPoisonListed = std::move(onListed);
+    m_onPoisonChanged = std::move(onChanged);
 }
 
 StoreFollower ServingViewUpdater::makeFollower(StoreFollowerOptions options,
@@ -136,18 +159,20 @@
     m_serversFollower.start();
     m_evacuationsFollower.start();
     m_hostsFollower.start();
+    m_poisonFollower.start();
     Asio::co_spawn(m_context, registerHost(), Asio::detached);
 }
 
 std::vector<StoreFollower*> ServingViewUpdater::followers()
 {
-    return { &m_configFollower, &m_serversFollower, &m_evacuationsFollower, &m_hostsFollower };
+    return { &m_configFollower, &m_serversFollower, &m_evacuationsFollower, &m_hostsFollower,
+        &m_poisonFollower };
 }
 
 bool ServingViewUpdater::isStoreLost() const
 {
     return m_configFollower.isLost() || m_serversFollower.isLost()
-        || m_evacuationsFollower.isLost() || m_hostsFollower.isLost();
+        || m_evacuationsFollower.isLost() || m_hostsFollower.isLost() || m_poisonFollower.isLost();
 }
 
 void ServingViewUpdater::applyConfig(
--- a/src/gateway/servingviewupdater.h
+++ b/src/gateway/servingviewupdater.h
@@ -23,6 +23,9 @@
     }
     // Whether the store is not responding to this host, for at least one kind of objects.
     bool isStoreLost() const;
+    // Called with what the store contains about requests that crash servers.
+    void setPoisonHandlers(std::function<void(const PlatformList&)> onListed,
+        std::function<void(const PlatformEvent&)> onChanged);
     // Called after each change of the view.
     void setChangeHandler(std::function<void()> handler) { m_changeHandler = std::move(handler); }
 
@@ -57,6 +60,9 @@
     StoreFollower m_serversFollower;
     StoreFollower m_evacuationsFollower;
     StoreFollower m_hostsFollower;
+    std::function<void(const PlatformList&)> m_onPoisonListed;
+    std::function<void(const PlatformEvent&)> m_onPoisonChanged;
+    StoreFollower m_poisonFollower;
 };
 
 }
--- a/src/gateway/stagehome.cpp
+++ b/src/gateway/stagehome.cpp
@@ -38,6 +38,8 @@
             return "failed";
         case StageWorkOutcome::HandedOver:
             return "moved";
+        case StageWorkOutcome::Poisoned:
+            return "poisoned";
         }
         return "unknown";
     }
@@ -98,10 +100,12 @@
 
 }
 
-StageHome::StageHome(Asio::io_context& context, ServingView& view, BackendCaller& backendCaller)
+StageHome::StageHome(Asio::io_context& context, ServingView& view, BackendCaller& backendCaller,
+    const PoisonTable& poison)
     : m_context(context)
     , m_view(view)
     , m_backendCaller(backendCaller)
+    , m_poison(poison)
 {
 }
 
@@ -149,6 +153,8 @@
     Group* group = findGroup(key.first, key.second);
     if (!group || cancel->isCancelled())
         co_return StageWorkResult {};
+    if (m_poison.isRefused(work.fingerprint, RuntimeClock::now()))
+        co_return StageWorkResult { .outcome = StageWorkOutcome::Poisoned };
     refreshServers(key, *group);
     const std::uint64_t taskId = m_nextTaskId++;
     const StageWork submitted = work;
@@ -171,6 +177,8 @@
     m_groups.at(key)->waiters.erase(taskId);
     if (waiter->result->outcome != StageWorkOutcome::Done && !cancel->isCancelled())
         logFailedWork(submitted, group->scheduler, waiter->result->outcome);
+    if (waiter->result->outcome == StageWorkOutcome::Done)
+        m_backendCaller.reportFinished(submitted.fingerprint, submitted.stage);
     co_return *waiter->result;
 }
 
@@ -186,11 +194,28 @@
     }
 }
 
+void StageHome::onPoisonChanged()
+{
+    for (const auto& [key, group] : m_groups)
+        advance(key);
+}
+
+StageWorkPermit StageHome::permitFor(Fingerprint fingerprint, TimePoint now) const
+{
+    const std::optional<PoisonState> state = m_poison.stateOf(fingerprint, now);
+    if (!state)
+        return StageWorkPermit::Shared;
+    return state == PoisonState::Refused ? StageWorkPermit::Poisoned : StageWorkPermit::Exclusive;
+}
+
 void StageHome::advance(const GroupKey& key)
 {
     Group& group = *m_groups.at(key);
     const TimePoint now = RuntimeClock::now();
     refreshServers(key, group);
+    if (m_poison.size() > 0)
+        group.scheduler.applyPermits(
+            [this, now](Fingerprint fingerprint) { return permitFor(fingerprint, now); });
     for (PlannedCall& planned : group.scheduler.planCalls(now))
         Asio::co_spawn(m_context, callServer(key, std::move(planned)), Asio::detached);
     for (StageScheduler::EndedTask& ended : group.scheduler.drainEnded(now)) {
@@ -213,8 +238,25 @@
     });
 }
 
+void StageHome::reportRuns(const PlannedCall& planned, RunEnd end, TimePoint sentAt)
+{
+    std::set<std::pair<Fingerprint, int>> stages;
+    for (const PlannedPiece& piece : planned.pieces)
+        stages.emplace(piece.fingerprint, piece.stage);
+    for (const auto& [fingerprint, stage] : stages)
+        m_backendCaller.reportRun({ .fingerprint = fingerprint,
+            .stage = stage,
+            .server = { planned.server.id, planned.server.startedAt },
+            .endpoint = planned.server.endpoint,
+            .end = end,
+            .sentAt = sentAt });
+}
+
 Asio::awaitable<void> StageHome::callServer(GroupKey key, PlannedCall planned)
 {
+    const TimePoint sentAt = RuntimeClock::now();
+    bool isSent = false;
+    RunEnd end = RunEnd::Complete;
     std::optional<std::vector<PieceResult>> results;
     StageCallFailure failure = StageCallFailure::Broken;
     std::string reason;
@@ -222,19 +264,24 @@
         const ServerEntry server { .id = planned.server.id, .endpoint = planned.server.endpoint };
         HttpCall call
             = Platform::makeStageCall(planned.server.id, planned.pieces, planned.timeout);
-        const HttpResponse response = co_await m_backendCaller.call(server, std::move(call));
+        const HttpResponse response = co_await m_backendCaller.call(server, std::move(call), isSent);
         if (response.status == statusOk)
             results = Platform::readPieceResults(response.body);
         else
             failure = StageCallFailure::Refused;
     } catch (const boost::system::system_error& error) {
         reason = error.code().message();
+        end = runEndOf(error.code());
         if (error.code() == boost::beast::error::timeout)
             failure = StageCallFailure::TimedOut;
+        else if (!isSent)
+            failure = StageCallFailure::NotSent;
     } catch (const std::exception& error) {
         reason = error.what();
         failure = StageCallFailure::Broken;
     }
+    if (isSent)
+        reportRuns(planned, end, sentAt);
     StageScheduler& scheduler = m_groups.at(key)->scheduler;
     if (!results || countPieces(*results, PieceOutcome::Done) < results->size())
         logIncompleteCall(
--- a/src/gateway/stagehome.h
+++ b/src/gateway/stagehome.h
@@ -12,7 +12,8 @@
 // Schedules the pieces of all hosts on the groups of stage servers whose home is this host.
 class StageHome {
 public:
-    StageHome(boost::asio::io_context& context, ServingView& view, BackendCaller& backendCaller);
+    StageHome(boost::asio::io_context& context, ServingView& view, BackendCaller& backendCaller,
+        const PoisonTable& poison);
 
     // Runs one stage of one request and returns its result. Cancelling discards the stage.
     boost::asio::awaitable<StageWorkResult> run(StageWork work, std::shared_ptr<HttpCancel> cancel);
@@ -25,6 +26,9 @@
     // Releases results that are no longer needed.
     void release(const PoolId& pool, int group, const std::vector<std::string>& handles);
 
+    // Ends the work of requests that have become poisoned.
+    void onPoisonChanged();
+
     std::size_t waitingPieces() const;
 
 private:
@@ -60,12 +64,15 @@
     // Starts the calls that are due, completes the tasks that have ended, and sets a timer for the next
     // change that depends on time only.
     void advance(const GroupKey& key);
+    StageWorkPermit permitFor(Fingerprint fingerprint, TimePoint now) const;
+    void reportRuns(const PlannedCall& planned, RunEnd end, TimePoint sentAt);
     boost::asio::awaitable<void> callServer(GroupKey key, PlannedCall planned);
     boost::asio::awaitable<void> sendReleases(GroupKey key);
 
     boost::asio::io_context& m_context;
     ServingView& m_view;
     BackendCaller& m_backendCaller;
+    const PoisonTable& m_poison;
     std::map<GroupKey, std::unique_ptr<Group>> m_groups;
     std::uint64_t m_nextTaskId = 1;
     bool m_isStopping = false;
--- a/src/gateway/stagerunner.cpp
+++ b/src/gateway/stagerunner.cpp
@@ -145,7 +145,8 @@
         .resultBytes = definition.resultBytes,
         .preferredDomain = std::move(location.domain),
         .crossDomainBytes = location.crossDomainBytes,
-        .isFirst = !progress.hasFinishedStage };
+        .isFirst = !progress.hasFinishedStage,
+        .fingerprint = request.fingerprint };
     return work;
 }
 
--- a/src/gateway/streamforwarder.cpp
+++ b/src/gateway/streamforwarder.cpp
@@ -29,6 +29,8 @@
             return GatewayRefusal::Overloaded;
         case StageWorkOutcome::Late:
             return GatewayRefusal::OutOfTime;
+        case StageWorkOutcome::Poisoned:
+            return GatewayRefusal::Poisoned;
         default:
             return GatewayRefusal::NoServer;
         }
@@ -37,12 +39,13 @@
 }
 
 StreamForwarder::StreamForwarder(ServingView& view, BackendCaller& backendCaller, RetryWindow& retries,
-    ColdLimiter& coldLimiter, StageRunner& stages)
+    ColdLimiter& coldLimiter, StageRunner& stages, const PoisonTable& poison)
     : m_view(view)
     , m_backendCaller(backendCaller)
     , m_retries(retries)
     , m_coldLimiter(coldLimiter)
     , m_stages(stages)
+    , m_poison(poison)
 {
 }
 
@@ -78,7 +81,8 @@
 
 Asio::awaitable<void> StreamForwarder::sendToEngines(ServedRequest& request, StreamProgress& progress)
 {
-    while (!request.scope->isOver() && progress.tried.size() < maxEngines) {
+    while (!request.scope->isOver() && progress.tried.size() < maxEngines
+        && m_poison.mayRun(request.fingerprint, progress.runs, RuntimeClock::now())) {
         const KnownServer* known = chooseEngine(request, progress);
         if (!known)
             co_return;
@@ -97,7 +101,7 @@
         }
         if (sent.outcome == SendOutcome::Responded) {
             ++progress.runs;
-            if (co_await forwardResponse(request, progress, *sent.stream, engine.id, sentAt)) {
+            if (co_await forwardResponse(request, progress, *sent.stream, engine, sentAt)) {
                 onPromptEnded(request, progress, engine.id);
                 co_return;
             }
@@ -150,7 +154,7 @@
 }
 
 Asio::awaitable<bool> StreamForwarder::forwardResponse(ServedRequest& request, StreamProgress& progress,
-    HttpStream& stream, BackendServerId engine, TimePoint sentAt)
+    HttpStream& stream, ServerEntry engine, TimePoint sentAt)
 {
     stream.setTimeout(std::max(request.timeLeft(RuntimeClock::now()), Milliseconds(1)));
     const bool isSuccess = stream.status() / statusesPerClass == successClass;
@@ -161,9 +165,10 @@
     try {
         body = co_await readBody(stream);
     } catch (const boost::system::system_error& error) {
-        m_backendCaller.reportIncompleteResponse(request, engine, error);
+        m_backendCaller.reportIncompleteResponse(request, engine, sentAt, error);
         co_return false;
     }
+    m_backendCaller.reportResponse(request, engine, sentAt);
     if (progress.hasBegun)
         co_return false;
     progress.outcome.status = stream.status();
@@ -173,7 +178,7 @@
 }
 
 Asio::awaitable<bool> StreamForwarder::forwardEvents(ServedRequest& request, StreamProgress& progress,
-    HttpStream& stream, BackendServerId engine, TimePoint sentAt)
+    HttpStream& stream, ServerEntry engine, TimePoint sentAt)
 {
     HttpExchange& exchange = request.exchange;
     bool isFirst = true;
@@ -182,7 +187,7 @@
         try {
             data = co_await stream.read();
         } catch (const boost::system::system_error& error) {
-            m_backendCaller.reportIncompleteResponse(request, engine, error);
+            m_backendCaller.reportIncompleteResponse(request, engine, sentAt, error);
             co_return false;
         }
         // After the end of the stream, bytes that follow the last complete event are forwarded too.
@@ -195,7 +200,7 @@
         if (isFirst && !events.empty()) {
             isFirst = false;
             m_firstEventEstimator.recordFirstEvent(request.caller.promptTokens, RuntimeClock::now() - sentAt);
-            onPromptEnded(request, progress, engine);
+            onPromptEnded(request, progress, engine.id);
             // The engine has read the stage results. They are not kept for a resumption at another engine,
             // which runs the stages again: engines fail rarely, and result capacity is scarce.
             m_stages.release(std::exchange(progress.stages.results, {}));
@@ -203,6 +208,7 @@
         co_await exchange.writeChunk(events);
         if (data)
             continue;
+        m_backendCaller.reportResponse(request, engine, sentAt);
         co_await exchange.endStream();
         progress.outcome.status = stream.status();
         co_return true;
@@ -245,6 +251,11 @@
         reason = progress.outcome.sends > 0 ? GatewayRefusal::Overloaded : GatewayRefusal::NoServer;
         retryAfter = fullPoolRetryAfter;
     }
+    const TimePoint now = RuntimeClock::now();
+    if (progress.runs == 0 && m_poison.isRefused(request.fingerprint, now)) {
+        reason = GatewayRefusal::Poisoned;
+        retryAfter = m_poison.remaining(request.fingerprint, now);
+    }
     if (isTimeout && progress.runs == 0) {
         reason = GatewayRefusal::OutOfTime;
         retryAfter.reset();
--- a/src/gateway/streamforwarder.h
+++ b/src/gateway/streamforwarder.h
@@ -14,7 +14,7 @@
 class StreamForwarder {
 public:
     StreamForwarder(ServingView& view, BackendCaller& backendCaller, RetryWindow& retries,
-        ColdLimiter& coldLimiter, StageRunner& stages);
+        ColdLimiter& coldLimiter, StageRunner& stages, const PoisonTable& poison);
 
     boost::asio::awaitable<ServedOutcome> serve(ServedRequest& request);
 
@@ -41,9 +41,9 @@
     boost::asio::awaitable<void> sendToEngines(ServedRequest& request, StreamProgress& progress);
     // Forwards the response. Returns true if it was forwarded completely.
     boost::asio::awaitable<bool> forwardResponse(ServedRequest& request, StreamProgress& progress,
-        HttpStream& stream, BackendServerId engine, TimePoint sentAt);
+        HttpStream& stream, ServerEntry engine, TimePoint sentAt);
     boost::asio::awaitable<bool> forwardEvents(ServedRequest& request, StreamProgress& progress,
-        HttpStream& stream, BackendServerId engine, TimePoint sentAt);
+        HttpStream& stream, ServerEntry engine, TimePoint sentAt);
     void onPromptSent(ServedRequest& request, StreamProgress& progress, const BackendServerId& engine);
     void onPromptEnded(ServedRequest& request, StreamProgress& progress, const BackendServerId& engine);
     boost::asio::awaitable<void> refuseOrAbort(ServedRequest& request, StreamProgress& progress);
@@ -53,6 +53,7 @@
     RetryWindow& m_retries;
     ColdLimiter& m_coldLimiter;
     StageRunner& m_stages;
+    const PoisonTable& m_poison;
     EnginePlacement m_placement;
     FirstEventEstimator m_firstEventEstimator;
 };
--- a/src/libapricot/fingerprint.cpp
+++ b/src/libapricot/fingerprint.cpp
@@ -3,6 +3,7 @@
 #include "libapricot/rendezvous.h"
 
 #include <array>
+#include <charconv>
 #include <cinttypes>
 #include <cstdio>
 
@@ -25,4 +26,16 @@
     return text.data();
 }
 
+std::optional<Fingerprint> parseFingerprint(std::string_view text)
+{
+    constexpr std::size_t digits = 16;
+    constexpr int hexadecimal = 16;
+    Fingerprint fingerprint = 0;
+    const char* end = text.data() + text.size();
+    const auto [parsed, error] = std::from_chars(text.data(), end, fingerprint, hexadecimal);
+    if (text.size() != digits || error != std::errc() || parsed != end)
+        return std::nullopt;
+    return fingerprint;
+}
+
 }
--- a/src/libapricot/fingerprint.h
+++ b/src/libapricot/fingerprint.h
@@ -3,6 +3,7 @@
 #include "libapricot/identifier.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -17,5 +18,7 @@
 Fingerprint fingerprintOf(std::string_view target, const OwnerId& owner, std::string_view body);
 // The fingerprint as 16 hexadecimal digits, as in logs.
 std::string toText(Fingerprint fingerprint);
+// The inverse of toText(), or nothing for any other text.
+std::optional<Fingerprint> parseFingerprint(std::string_view text);
 
 }
--- a/src/libapricot/poisontable.cpp
+++ b/src/libapricot/poisontable.cpp
@@ -1,32 +1,94 @@
 #include "libapricot/poisontable.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Apricot {
 
-std::optional<PoisonState> PoisonTable::stateOf(Fingerprint fingerprint, TimePoint now) const
+std::string_view poisonStateName(std::optional<PoisonState> state)
+{
+    if (!state)
+        return "none";
+    return state == PoisonState::Refused ? "refused" : "suspect";
+}
+
+const PoisonTable::Entry* PoisonTable::find(Fingerprint fingerprint, TimePoint now) const
 {
     const auto found = m_entries.find(fingerprint);
-    if (found == m_entries.end() || found->second.expiresAt <= now)
-        return std::nullopt;
-    return found->second.state;
+    return found == m_entries.end() || found->second.expiresAt <= now ? nullptr : &found->second;
+}
+
+std::size_t PoisonTable::crashCount(const Entry& entry)
+{
+    return static_cast<std::size_t>(std::count_if(entry.crashes.begin(), entry.crashes.end(),
+        [](const auto& crash) { return !crash.second; }));
+}
+
+std::optional<PoisonState> PoisonTable::stateOf(const Entry& entry) const
+{
+    const std::size_t crashes = crashCount(entry);
+    if (entry.state == PoisonState::Refused || crashes >= m_options.refusedCrashes)
+        return PoisonState::Refused;
+    if (entry.state == PoisonState::Suspect || crashes >= m_options.suspectCrashes)
+        return PoisonState::Suspect;
+    return std::nullopt;
+}
+
+std::optional<PoisonState> PoisonTable::stateOf(Fingerprint fingerprint, TimePoint now) const
+{
+    const Entry* entry = find(fingerprint, now);
+    return entry ? stateOf(*entry) : std::nullopt;
+}
+
+bool PoisonTable::isRefused(Fingerprint fingerprint, TimePoint now) const
+{
+    return stateOf(fingerprint, now) == PoisonState::Refused;
+}
+
+bool PoisonTable::mayRun(Fingerprint fingerprint, int earlierRuns, TimePoint now) const
+{
+    const std::optional<PoisonState> state = stateOf(fingerprint, now);
+    return !state || (state == PoisonState::Suspect && earlierRuns == 0);
 }
 
 Milliseconds PoisonTable::remaining(Fingerprint fingerprint, TimePoint now) const
 {
-    const auto found = m_entries.find(fingerprint);
-    if (found == m_entries.end() || found->second.expiresAt <= now)
-        return Milliseconds(0);
-    return std::chrono::ceil<Milliseconds>(found->second.expiresAt - now);
+    const Entry* entry = find(fingerprint, now);
+    return entry ? std::chrono::ceil<Milliseconds>(entry->expiresAt - now) : Milliseconds(0);
+}
+
+std::size_t PoisonTable::crashCount(Fingerprint fingerprint, TimePoint now) const
+{
+    const Entry* entry = find(fingerprint, now);
+    return entry ? crashCount(*entry) : 0;
+}
+
+std::size_t PoisonTable::count(PoisonState state, TimePoint now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_entries.begin(), m_entries.end(), [&](const auto& known) {
+            return known.second.expiresAt > now && stateOf(known.second) == state;
+        }));
 }
 
 PoisonNotice PoisonTable::recordCrash(Fingerprint fingerprint, bool ranAlone, TimePoint now)
 {
     const bool isRefused = ranAlone || stateOf(fingerprint, now) == PoisonState::Refused;
-    const PoisonState state = isRefused ? PoisonState::Refused : PoisonState::Suspect;
     const Milliseconds lifetime = isRefused ? m_options.refusedLifetime : m_options.suspectLifetime;
-    insert(fingerprint, Entry { .state = state, .expiresAt = now + lifetime }, now);
-    return PoisonNotice { .fingerprint = fingerprint, .state = state, .remaining = lifetime };
+    Entry& entry = findOrInsert(fingerprint, now);
+    entry.state = isRefused ? PoisonState::Refused : PoisonState::Suspect;
+    entry.expiresAt = now + lifetime;
+    return { .fingerprint = fingerprint, .state = *entry.state, .remaining = lifetime };
+}
+
+std::optional<PoisonNotice> PoisonTable::recordCrash(
+    Fingerprint fingerprint, const ServerCrash& crash, TimePoint now)
+{
+    Entry& entry = findOrInsert(fingerprint, now);
+    if (!addCrash(entry, crash, false))
+        return std::nullopt;
+    entry.expiresAt = now + m_options.refusedLifetime;
+    return noticeOf(fingerprint, entry, now);
 }
 
 bool PoisonTable::recordFinish(Fingerprint fingerprint, TimePoint now)
@@ -37,16 +99,93 @@
     return true;
 }
 
+std::optional<PoisonNotice> PoisonTable::recordFinish(Fingerprint fingerprint, int stage, TimePoint now)
+{
+    const auto found = m_entries.find(fingerprint);
+    if (found == m_entries.end() || found->second.expiresAt <= now)
+        return std::nullopt;
+    Entry& entry = found->second;
+    const bool wasSuspect = stateOf(entry).has_value();
+    for (auto& [crash, isCleared] : entry.crashes) {
+        // The stages of a request that has finished have finished before it.
+        if (crash.stage == stage || stage == ServerCrash::requestStage)
+            isCleared = true;
+    }
+    if (!wasSuspect)
+        return std::nullopt;
+    return noticeOf(fingerprint, entry, now);
+}
+
+std::optional<PoisonNotice> PoisonTable::withdrawCrash(
+    Fingerprint fingerprint, const ServerCrash& crash, TimePoint now)
+{
+    const auto found = m_entries.find(fingerprint);
+    if (found == m_entries.end() || found->second.expiresAt <= now)
+        return std::nullopt;
+    const auto known = found->second.crashes.find(crash);
+    if (known == found->second.crashes.end() || std::exchange(known->second, true))
+        return std::nullopt;
+    return noticeOf(fingerprint, found->second, now);
+}
+
 void PoisonTable::apply(const PoisonNotice& notice, TimePoint now)
 {
-    const std::optional<PoisonState> known = stateOf(notice.fingerprint, now);
-    if (known == PoisonState::Refused && notice.state == PoisonState::Suspect)
+    Entry& entry = findOrInsert(notice.fingerprint, now);
+    bool isNew = false;
+    for (const ServerCrash& crash : notice.crashes)
+        isNew = addCrash(entry, crash, false) || isNew;
+    for (const ServerCrash& crash : notice.cleared)
+        isNew = addCrash(entry, crash, true) || isNew;
+    const bool isCounted = !notice.crashes.empty() || !notice.cleared.empty();
+    if (isCounted && !isNew)
         return;
-    const Milliseconds remaining = std::min(notice.remaining, m_options.refusedLifetime);
-    insert(notice.fingerprint, Entry { .state = notice.state, .expiresAt = now + remaining }, now);
+    if (!isCounted && entry.state == PoisonState::Refused && notice.state == PoisonState::Suspect)
+        return;
+    if (!isCounted)
+        entry.state = notice.state;
+    entry.expiresAt = now + std::min(notice.remaining, m_options.refusedLifetime);
+}
+
+bool PoisonTable::addCrash(Entry& entry, const ServerCrash& crash, bool isCleared) const
+{
+    const auto known = entry.crashes.find(crash);
+    if (known != entry.crashes.end())
+        return isCleared && !std::exchange(known->second, true);
+    if (entry.crashes.size() >= m_options.maxCrashes)
+        return false;
+    entry.crashes.emplace(crash, isCleared);
+    return true;
+}
+
+std::optional<PoisonNotice> PoisonTable::noticeOf(Fingerprint fingerprint, TimePoint now) const
+{
+    const Entry* entry = find(fingerprint, now);
+    return entry ? std::optional(noticeOf(fingerprint, *entry, now)) : std::nullopt;
+}
+
+PoisonNotice PoisonTable::noticeOf(Fingerprint fingerprint, const Entry& entry, TimePoint now) const
+{
+    PoisonNotice notice { .fingerprint = fingerprint,
+        .state = stateOf(entry).value_or(PoisonState::Suspect),
+        .remaining = std::chrono::ceil<Milliseconds>(entry.expiresAt - now) };
+    for (const auto& [crash, isCleared] : entry.crashes)
+        (isCleared ? notice.cleared : notice.crashes).push_back(crash);
+    return notice;
+}
+
+PoisonTable::Entry& PoisonTable::findOrInsert(Fingerprint fingerprint, TimePoint now)
+{
+    const auto found = m_entries.find(fingerprint);
+    if (found != m_entries.end()) {
+        if (found->second.expiresAt <= now)
+            found->second = {};
+        return found->second;
+    }
+    makeRoom(now);
+    return m_entries[fingerprint];
 }
 
-void PoisonTable::insert(Fingerprint fingerprint, Entry entry, TimePoint now)
+void PoisonTable::makeRoom(TimePoint now)
 {
     if (m_entries.size() >= m_options.maxEntries)
         std::erase_if(m_entries, [now](const auto& known) { return known.second.expiresAt <= now; });
@@ -55,7 +194,6 @@
             [](const auto& left, const auto& right) {
                 return left.second.expiresAt < right.second.expiresAt;
             }));
-    m_entries[fingerprint] = entry;
 }
 
 }
--- a/src/libnet/httpclient.cpp
+++ b/src/libnet/httpclient.cpp
@@ -3,6 +3,7 @@
 #include "libnet/httpstreamimpl.h"
 
 #include <boost/asio/connect.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <netinet/in.h>
@@ -169,6 +170,17 @@
     m_impl->closeIdleConnections();
 }
 
+Asio::awaitable<boost::system::error_code> tryConnect(
+    Asio::io_context& context, Endpoint endpoint, Milliseconds timeout)
+{
+    HttpConnection connection(context);
+    connection.expires_after(timeout);
+    const Asio::ip::tcp::endpoint target(Asio::ip::make_address(endpoint.address), endpoint.port);
+    boost::system::error_code error;
+    co_await connection.async_connect(target, Asio::redirect_error(Asio::use_awaitable, error));
+    co_return error;
+}
+
 Asio::awaitable<std::string> readBody(HttpStream& stream)
 {
     std::string body;
--- a/src/libnet/httpclient.h
+++ b/src/libnet/httpclient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libapricot/clock.h"
+#include "libapricot/endpoint.h"
 #include "libnet/httpserver.h"
 
 #include <optional>
@@ -71,6 +72,10 @@
 // before the end.
 boost::asio::awaitable<std::string> readBody(HttpStream& stream);
 
+// Connects to an address and closes the connection again. Returns the error of the attempt, if any.
+boost::asio::awaitable<boost::system::error_code> tryConnect(
+    boost::asio::io_context& context, Endpoint endpoint, Milliseconds timeout);
+
 struct HttpClientOptions {
     std::string address = "127.0.0.1";
     std::uint16_t port = 0;
--- /dev/null
+++ b/src/libserving/crashdetector.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "libapricot/fingerprint.h"
+#include "libapricot/poisontable.h"
+#include "libserving/serverdirectory.h"
+
+#include <map>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace Apricot {
+
+// How a run of a request or piece at a backend server ended, as seen by this host.
+enum class RunEnd {
+    // The server responded completely, with success or an error of its own.
+    Complete,
+    // The connection broke first.
+    Broken,
+    // No response arrived before the call was given up.
+    Silent,
+};
+
+// One start of a backend server.
+struct ServerStart {
+    BackendServerId server;
+    std::int64_t startedAt = 0;
+
+    auto operator<=>(const ServerStart&) const = default;
+};
+
+// A run that ended, and when it was sent.
+struct EndedRun {
+    Fingerprint fingerprint = 0;
+    // See ServerCrash::stage.
+    int stage = ServerCrash::requestStage;
+    ServerStart server;
+    Endpoint endpoint;
+    RunEnd end = RunEnd::Complete;
+    TimePoint sentAt {};
+};
+
+// Why a server counts as ended.
+enum class CrashEvidence {
+    // Its host refuses connections to its address.
+    ConnectionRefused,
+    // Another server, or another start of it, uses its ID or its address.
+    Replaced,
+    // It is no longer registered.
+    Unregistered,
+};
+
+std::string_view crashEvidenceName(CrashEvidence evidence);
+
+struct DetectedCrash {
+    Fingerprint fingerprint = 0;
+    ServerCrash crash;
+
+    auto operator<=>(const DetectedCrash&) const = default;
+};
+
+struct CrashDetectorOptions {
+    // How long after the end of a run the end of its server is attributed to it. Registrations expire
+    // after some seconds, and a server returns after some seconds.
+    Milliseconds attributionTime { 15'000 };
+    // Time after which a crash is no longer withdrawn.
+    Milliseconds withdrawalTime { 60'000 };
+    std::size_t maxRuns = 4096;
+};
+
+// Decides which runs ended because their server ended. A connection that breaks is no proof: responses
+// are lost, connections reset, and hosts partitioned or paused while the server continues. A run counts
+// as crashed only with evidence that its server's process ended, and no longer if that server turns up
+// again with the same start.
+class CrashDetector {
+public:
+    explicit CrashDetector(CrashDetectorOptions options = {});
+
+    // Records the end of a run. Returns whether connecting to the server's address can tell at once
+    // whether the server has ended. A complete run shows that its server had not ended when the run was
+    // sent.
+    bool recordRun(const EndedRun& run, const ServerDirectory& servers, TimePoint now);
+    // Reports that the host of a server refused a connection. Returns the runs that it crashed with.
+    std::vector<DetectedCrash> onConnectionRefused(const ServerStart& server, TimePoint now);
+    // Compares the runs with the servers that are registered now, and returns those that crashed, by
+    // evidence. Runs whose attribution time is over are removed.
+    std::map<CrashEvidence, std::vector<DetectedCrash>> onServersChanged(
+        const ServerDirectory& servers, TimePoint now);
+    // Returns, once, the detected crashes whose servers turned out not to have ended.
+    std::vector<DetectedCrash> drainWithdrawn() { return std::exchange(m_withdrawn, {}); }
+    std::size_t pendingRuns() const { return m_runs.size(); }
+
+private:
+    struct PendingRun {
+        EndedRun run;
+        TimePoint endedAt {};
+    };
+    struct ReportedCrash {
+        DetectedCrash crash;
+        // The server has been seen unregistered since.
+        bool wasUnregistered = false;
+        TimePoint reportedAt {};
+    };
+
+    void onServerResponded(const ServerStart& server, TimePoint sentAt);
+    DetectedCrash report(const EndedRun& run, CrashEvidence evidence, TimePoint now);
+    void withdrawRegistered(const ServerDirectory& servers, TimePoint now);
+
+    CrashDetectorOptions m_options;
+    std::vector<PendingRun> m_runs;
+    std::vector<ReportedCrash> m_reported;
+    std::vector<DetectedCrash> m_withdrawn;
+};
+
+}
--- a/tests/platform/gatewaycluster.cpp
+++ b/tests/platform/gatewaycluster.cpp
@@ -14,6 +14,7 @@
 
 #include <algorithm>
 #include <thread>
+#include <unistd.h>
 
 using namespace Apricot;
 namespace Asio = boost::asio;
@@ -45,12 +46,23 @@
  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
  "tenants":[]})";
 
+// Returns a free port below the range from which the kernel assigns ports to clients.
 std::uint16_t findFreePort()
 {
+    constexpr std::uint16_t firstPort = 12'000;
+    constexpr std::uint16_t lastPort = 32'000;
+    static std::uint16_t next = firstPort + static_cast<std::uint16_t>(getpid() % 150) * 100;
     Asio::io_context context;
-    const Asio::ip::tcp::acceptor acceptor(
-        context, { Asio::ip::make_address("127.0.0.1"), 0 });
-    return acceptor.local_endpoint().port();
+    while (true) {
+        const std::uint16_t port = next;
+        next = next == lastPort ? firstPort : next + 1;
+        Asio::ip::tcp::acceptor acceptor(context, Asio::ip::tcp::v4());
+        acceptor.set_option(Asio::socket_base::reuse_address(true));
+        boost::system::error_code error;
+        acceptor.bind({ Asio::ip::make_address("127.0.0.1"), port }, error); // NOLINT(bugprone-unused-return-value)
+        if (!error)
+            return port;
+    }
 }
 
 std::string localAddress(std::uint16_t port)
@@ -73,7 +85,8 @@
     std::uint16_t port = 0;
     std::int64_t startedAt = 0;
     bool isUp = false;
-    std::set<HttpExchange*> exchanges;
+    // Shared with the handlers, which may be destroyed after the server.
+    std::shared_ptr<std::set<HttpExchange*>> exchanges = std::make_shared<std::set<HttpExchange*>>();
     // Listeners of earlier starts are kept until their connections have ended.
     std::vector<std::unique_ptr<HttpServer>> listeners;
 };
@@ -151,7 +164,7 @@
 {
     server.isUp = false;
     server.listeners.back()->stopAccepting();
-    for (HttpExchange* exchange : server.exchanges)
+    for (HttpExchange* exchange : *server.exchanges)
         exchange->abort();
     Asio::co_spawn(m_context, removeEntry("servers/" + server.id), Asio::detached);
     Asio::co_spawn(m_context, returnLater(server), Asio::detached);
@@ -186,20 +199,20 @@
 Asio::awaitable<void> GatewayCluster::serve(BackendServer& server, HttpExchange& exchange)
 {
     struct Registration {
-        Registration(std::set<HttpExchange*>& all, HttpExchange& exchange)
-            : exchanges(all)
+        Registration(std::shared_ptr<std::set<HttpExchange*>> all, HttpExchange& exchange)
+            : exchanges(std::move(all))
             , own(exchange)
         {
-            exchanges.insert(&own);
+            exchanges->insert(&own);
         }
-        ~Registration() { exchanges.erase(&own); }
-        std::set<HttpExchange*>& exchanges;
+        ~Registration() { exchanges->erase(&own); }
+        std::shared_ptr<std::set<HttpExchange*>> exchanges;
         HttpExchange& own;
     };
     const Registration registration(server.exchanges, exchange);
     const std::string_view expected = exchange.request().field(Names::expectInstanceField);
     if (!expected.empty() && expected != server.id)
-        co_return co_await exchange.respond(421, "text/plain", "", {});
+        co_return co_await exchange.respond(421, "text/plain", "");
     if (server.pool == "stages")
         co_return co_await serveStageCall(server, exchange);
     if (!recordRun(server, exchange.request().body))
@@ -266,7 +279,7 @@
     for (const auto& server : m_servers) {
         if (server->pool != pool)
             continue;
-        for (HttpExchange* exchange : server->exchanges)
+        for (HttpExchange* exchange : *server->exchanges)
             exchange->abort();
     }
 }
--- a/tests/platform/gatewayfixture.h
+++ b/tests/platform/gatewayfixture.h
@@ -34,16 +34,21 @@
     Apricot::ServerTracker tracker;
     Apricot::RetryWindow retries;
     Apricot::ColdLimiter coldLimiter;
+    Apricot::PoisonTable poison;
     Apricot::MetricRegistry registry;
     Apricot::BackendCaller backendCaller { context, view, tracker };
     Apricot::PeerClient peers { context };
-    Apricot::StageHome home { context, view, backendCaller };
+    Apricot::StageHome home { context, view, backendCaller, poison };
     Apricot::StageRouter router { context, Apricot::HostId("h1"), view, home, peers };
     Apricot::StageRunner stages { context, router };
-    Apricot::PlainForwarder plainForwarder { view, backendCaller, retries };
-    Apricot::StreamForwarder streamForwarder { view, backendCaller, retries, coldLimiter, stages };
+    Apricot::PlainForwarder plainForwarder { view, backendCaller, retries, poison };
+    Apricot::StreamForwarder streamForwarder {
+        view, backendCaller, retries, coldLimiter, stages, poison
+    };
     Apricot::GatewayMetrics metrics { registry };
-    Apricot::RequestService requests { context, view, plainForwarder, streamForwarder, metrics };
+    Apricot::RequestService requests {
+        context, view, plainForwarder, streamForwarder, poison, metrics
+    };
 
 private:
     Apricot::HttpServer m_callerServer;
--- a/tests/unit/poisontest.cpp
+++ b/tests/unit/poisontest.cpp
@@ -6,6 +6,15 @@
 
 using namespace Apricot;
 
+namespace {
+
+ServerCrash crashOf(int server, int stage = ServerCrash::requestStage)
+{
+    return { BackendServerId("s" + std::to_string(server)), server, stage };
+}
+
+}
+
 TEST_GROUP(Poison) {};
 
 TEST(Poison, aPoisonedRequestCrashesAtMostTwoServersAndOthersComplete)
@@ -59,3 +68,112 @@
     CHECK_TRUE(table.stateOf(1, now + Milliseconds(999)) == PoisonState::Refused);
     CHECK_FALSE(table.stateOf(1, now + Milliseconds(1000)).has_value());
 }
+
+TEST(Poison, aRequestIsRefusedAfterThreeCrashedServers)
+{
+    const TimePoint now { std::chrono::hours(1) };
+    PoisonTable table;
+    CHECK_TRUE(table.recordCrash(1, crashOf(1), now).has_value());
+    CHECK_FALSE(table.stateOf(1, now).has_value());
+    // The same crash may be detected more than once.
+    CHECK_FALSE(table.recordCrash(1, crashOf(1), now).has_value());
+    table.recordCrash(1, crashOf(2), now);
+    CHECK_TRUE(table.stateOf(1, now) == PoisonState::Suspect);
+    table.recordCrash(1, crashOf(3), now);
+    CHECK_TRUE(table.isRefused(1, now));
+    CHECK_FALSE(table.isRefused(2, now));
+}
+
+TEST(Poison, aSuspectRunsOnceInAnAttempt)
+{
+    const TimePoint now { std::chrono::hours(1) };
+    PoisonTable table;
+    table.recordCrash(1, crashOf(1), now);
+    CHECK_TRUE(table.mayRun(1, 1, now));
+    table.recordCrash(1, crashOf(2), now);
+    CHECK_TRUE(table.mayRun(1, 0, now));
+    CHECK_FALSE(table.mayRun(1, 1, now));
+    table.recordCrash(1, crashOf(3), now);
+    CHECK_FALSE(table.mayRun(1, 0, now));
+}
+
+// Guards against refusing ordinary requests that are in flight whenever servers crash: a request that has
+// finished since does not crash its servers.
+TEST(Poison, aRequestThatFinishesBetweenCrashesIsNeverRefused)
+{
+    TimePoint now { std::chrono::hours(1) };
+    PoisonTable table;
+    for (int server = 0; server < 20; ++server) {
+        now += Milliseconds(100);
+        table.recordCrash(1, crashOf(server), now);
+        CHECK_FALSE(table.isRefused(1, now));
+        if (server % 2 == 1)
+            CHECK_TRUE(table.recordFinish(1, ServerCrash::requestStage, now).has_value());
+    }
+}
+
+TEST(Poison, aFinishedStageDoesNotClearCrashesElsewhere)
+{
+    const TimePoint now { std::chrono::hours(1) };
+    PoisonTable table;
+    table.recordCrash(1, crashOf(1), now);
+    table.recordCrash(1, crashOf(2), now);
+    table.recordCrash(1, crashOf(3, 0), now);
+    CHECK_TRUE(table.isRefused(1, now));
+    table.recordFinish(1, 0, now);
+    LONGS_EQUAL(2, table.crashCount(1, now));
+}
+
+TEST(Poison, aNoticeThatIsReadAgainDoesNotExtendARefusal)
+{
+    const TimePoint now { std::chrono::hours(1) };
+    PoisonTable table({ .refusedLifetime = Milliseconds(1000) });
+    const PoisonNotice notice { .fingerprint = 1,
+        .remaining = Milliseconds(1000),
+        .crashes = { crashOf(1), crashOf(2), crashOf(3) } };
+    table.apply(notice, now);
+    table.apply(notice, now + Milliseconds(900));
+    CHECK_TRUE(table.isRefused(1, now + Milliseconds(999)));
+    CHECK_FALSE(table.isRefused(1, now + Milliseconds(1000)));
+}
+
+TEST(Poison, aTableIsBounded)
+{
+    TimePoint now { std::chrono::hours(1) };
+    PoisonTable table({ .maxEntries = 8 });
+    for (int index = 0; index < 100; ++index) {
+        now += Milliseconds(1);
+        table.recordCrash(static_cast<Fingerprint>(index), crashOf(index), now);
+        CHECK_TRUE(table.size() <= 8);
+    }
+    LONGS_EQUAL(1, table.crashCount(99, now));
+}
+
+TEST(Poison, hostsThatReceiveTheSameNoticesInAnyOrderAgree)
+{
+    checkProperty("the order and repetition of notices does not matter", [] {
+        const TimePoint now { std::chrono::hours(1) };
+        std::vector<PoisonNotice> notices;
+        const int count = *rc::gen::inRange(1, 8);
+        for (int index = 0; index < count; ++index) {
+            PoisonNotice notice { .fingerprint = 1, .remaining = Milliseconds(1000) };
+            notice.crashes.push_back(crashOf(*rc::gen::inRange(0, 5)));
+            if (*rc::gen::inRange(0, 3) == 0)
+                notice.cleared.push_back(crashOf(*rc::gen::inRange(0, 5)));
+            notices.push_back(notice);
+        }
+        PoisonTable first;
+        for (const PoisonNotice& notice : notices)
+            first.apply(notice, now);
+        std::vector<PoisonNotice> shuffled = notices;
+        shuffled.push_back(notices[static_cast<std::size_t>(*rc::gen::inRange(0, count))]);
+        for (std::size_t index = shuffled.size() - 1; index > 0; --index)
+            std::swap(shuffled[index],
+                shuffled[static_cast<std::size_t>(*rc::gen::inRange(0, static_cast<int>(index) + 1))]);
+        PoisonTable second;
+        for (const PoisonNotice& notice : shuffled)
+            second.apply(notice, now);
+        RC_ASSERT(first.crashCount(1, now) == second.crashCount(1, now));
+        RC_ASSERT(first.stateOf(1, now) == second.stateOf(1, now));
+    });
+}
