Show and clear refused requests with apricotctl

An operator could not see which requests the gateways refuse as poisoned, nor serve one again after servers were repaired. poisoned merges what all hosts stored as the hosts do; poisoned-clear marks its crashes as cleared, which all hosts read.

--- a/src/ctl/commandline.cpp
+++ b/src/ctl/commandline.cpp
@@ -1,6 +1,7 @@
 #include "ctl/commandline.h"
 
 #include "ctl/cataloguecommands.h"
+#include "ctl/poisoncommands.h"
 #include "ctl/servicecommands.h"
 #include "ctl/settingscommand.h"
 
@@ -93,6 +94,14 @@
                 "Compares the version that each host reports with the newest object. A host that\n"
                 "lags, or that reports an invalid object, makes the exit code 5.",
                 "apricotctl status", 0, 0, &runStatus },
+            { "poisoned", "", "list requests that crash servers",
+                "Lists each request during which servers ended, with its state (none, suspect or refused)\n"
+                "and the servers that count against it. The gateways refuse a request after three servers,\n"
+                "for ten minutes. The identity of a request is in the gateways' logs.",
+                "apricotctl poisoned", 0, 0, &runPoisoned },
+            { "poisoned-clear", "IDENTITY", "serve a refused request again",
+                "Clears the crashes that count against a request now; further ones count again.",
+                "apricotctl poisoned-clear 6eaa0dc24adefda9", 1, 1, &runPoisonedClear },
             { "dump", "ADDRESS:PORT", "print the state dump of a process",
                 "Asks the control endpoint of a daemon, [control] in its settings.",
                 "apricotctl dump 10.0.0.7:7071", 1, 1, &runDump },
--- a/tests/unit/ctltest.cpp
+++ b/tests/unit/ctltest.cpp
@@ -5,6 +5,7 @@
 #include "ctl/jsontext.h"
 #include "emulator/platform/platformserver.h"
 #include "libapricot/cellstatejson.h"
+#include "libserving/poisonobject.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/json/parse.hpp>
@@ -254,3 +255,20 @@
     STRCMP_EQUAL("$.a[1].b", differences.front().path.c_str());
     STRCMP_EQUAL("2", differences.back().after.c_str());
 }
+
+TEST(Ctl, aRefusedRequestIsListedAndCleared)
+{
+    const CtlFixture fixture;
+    PoisonNotice notice { .fingerprint = 0x2a };
+    for (int server = 1; server <= 3; ++server)
+        notice.crashes.push_back({ BackendServerId("s" + std::to_string(server)), server });
+    fixture.context("amina").store().put("apricot-poison/host-1", toJson({ notice }), 0);
+    STRCMP_EQUAL("000000000000002a  refused  s1  s2  s3\n", fixture.run({ "poisoned" }).text.c_str());
+    LONGS_EQUAL(static_cast<int>(ExitCode::Invalid), fixture.exitCode({ "poisoned-clear", "2a" }));
+    LONGS_EQUAL(static_cast<int>(ExitCode::NotFound),
+        fixture.exitCode({ "poisoned-clear", "000000000000002b" }));
+    fixture.run({ "poisoned-clear", "000000000000002a" });
+    STRCMP_EQUAL("000000000000002a  none\n", fixture.run({ "poisoned" }).text.c_str());
+    LONGS_EQUAL(static_cast<int>(ExitCode::NotFound),
+        fixture.exitCode({ "poisoned-clear", "000000000000002a" }));
+}
