Give a process no fresh share of the retry budget

A process now uses none of the slack until a window has passed since its start, nor while it knows no hosts; its own requests still allow retries by the ratio.

Seen failing before: processesThatStartAgainStayWithinTheRetryBudget (each restart adds 0.8 x slack), and aHostWithoutAHostListUsesNoSlack.

--- a/src/gateway/gatewaydaemon.cpp
+++ b/src/gateway/gatewaydaemon.cpp
@@ -60,6 +60,7 @@
 GatewayDaemon::GatewayDaemon(const GatewaySettings& settings, std::string settingsFile)
     : m_settings(settings)
     , m_settingsFile(std::move(settingsFile))
+    , m_retries(RetryWindowOptions {}, RuntimeClock::now())
     , m_store(m_context, storeOptionsFor(settings.store))
     , m_viewUpdater(m_context, m_store, m_view, settings.process.host,
           { requireEndpoint(settings.peers), settings.process.failureDomain })
--- a/src/libserving/retrywindow.cpp
+++ b/src/libserving/retrywindow.cpp
@@ -12,14 +12,22 @@
 
 }
 
-RetryWindow::RetryWindow(RetryWindowOptions options)
+RetryWindow::RetryWindow(RetryWindowOptions options, TimePoint startedAt)
     : m_options(options)
+    , m_startedAt(startedAt)
 {
 }
 
 void RetryWindow::setHosts(std::size_t hostCount)
 {
-    m_hostCount = static_cast<double>(std::max<std::size_t>(hostCount, 1));
+    m_hostCount = hostCount;
+}
+
+double RetryWindow::slackShare(TimePoint now) const
+{
+    if (m_hostCount == 0 || now < m_startedAt + m_options.window)
+        return 0;
+    return usedSlackShare * m_options.slack / static_cast<double>(m_hostCount);
 }
 
 void RetryWindow::recordRequest(const PoolId& pool, TimePoint now)
@@ -44,7 +52,7 @@
     expire(sendTimes.requests, now);
     expire(sendTimes.retries, now);
     const double allowed = m_options.ratio * static_cast<double>(sendTimes.requests.size())
-        + usedSlackShare * m_options.slack / m_hostCount;
+        + slackShare(now);
     return { .retries = sendTimes.retries.size(), .allowed = allowed };
 }
 
--- a/src/libserving/retrywindow.h
+++ b/src/libserving/retrywindow.h
@@ -28,10 +28,12 @@
 // over all hosts. Each host has an equal share of the fixed slack, so the hosts need not communicate.
 class RetryWindow {
 public:
-    explicit RetryWindow(RetryWindowOptions options = {});
+    // An earlier process of this host may have used its share of the slack, so this one uses none until a
+    // window has passed since it started.
+    explicit RetryWindow(RetryWindowOptions options = {}, TimePoint startedAt = TimePoint::min());
 
     void setOptions(const RetryWindowOptions& options) { m_options = options; }
-    // Sets the number of hosts that share the bound.
+    // Sets the number of hosts that share the bound; zero if they are not known, in which case no slack is used.
     void setHosts(std::size_t hostCount);
     // Records a caller's request to a pool.
     void recordRequest(const PoolId& pool, TimePoint now);
@@ -47,10 +49,12 @@
         std::deque<TimePoint> retries;
     };
 
+    double slackShare(TimePoint now) const;
     void expire(std::deque<TimePoint>& times, TimePoint now) const;
 
     RetryWindowOptions m_options;
-    double m_hostCount = 1;
+    TimePoint m_startedAt;
+    std::size_t m_hostCount = 0;
     std::map<PoolId, SendTimes> m_sendTimes;
 };
 
--- a/tests/platform/gatewayfixture.cpp
+++ b/tests/platform/gatewayfixture.cpp
@@ -56,6 +56,7 @@
     : m_callerServer(context, {}, [this](HttpExchange& exchange) { return requests.serve(exchange); })
 {
     view.applyConfig(makeConfig(), 1);
+    retries.setHosts(1);
     coldLimiter.setHosts(HostId("h1"), { HostId("h1") });
 }
 
--- a/tests/serving/limitstest.cpp
+++ b/tests/serving/limitstest.cpp
@@ -75,9 +75,46 @@
     });
 }
 
+// Guards against limits that start afresh with a process: all hosts restarted within a window used the slack
+// twice.
+TEST(ServingLimits, processesThatStartAgainStayWithinTheRetryBudget)
+{
+    checkProperty("retries of all hosts and of their earlier processes within a window", [] {
+        const int count = *rc::gen::inRange(1, 90);
+        const int restarts = *rc::gen::inRange(1, 4);
+        const PoolId ledger("ledger");
+        const RetryWindowOptions options { .ratio = 0.2, .slack = 52 };
+        const TimePoint start { std::chrono::hours(1) };
+        double retries = 0;
+        for (int host = 0; host < count; ++host) {
+            RetryWindow first(options, start - options.window);
+            first.setHosts(static_cast<std::size_t>(count));
+            while (first.tryAcquireRetry(ledger, start))
+                ++retries;
+            for (int restart = 1; restart <= restarts; ++restart) {
+                const TimePoint restartedAt = start + Milliseconds(2000 * restart);
+                RetryWindow next(options, restartedAt);
+                next.setHosts(static_cast<std::size_t>(count));
+                while (next.tryAcquireRetry(ledger, restartedAt + Milliseconds(1000)))
+                    ++retries;
+            }
+        }
+        RC_ASSERT(retries <= 52);
+    });
+}
+
+// Guards against limits that start afresh with a process: before the hosts were listed, each took the slack
+// of all.
+TEST(ServingLimits, aHostWithoutAHostListUsesNoSlack)
+{
+    RetryWindow window({ .ratio = 0, .slack = 52 });
+    CHECK_FALSE(window.tryAcquireRetry(pool, now));
+}
+
 TEST(ServingLimits, retriesAreAllowedAgainAfterTheWindow)
 {
     RetryWindow window({ .ratio = 0, .slack = 1.25 });
+    window.setHosts(1);
     CHECK(window.tryAcquireRetry(pool, now));
     CHECK(!window.tryAcquireRetry(pool, now + Milliseconds(9'999)));
     CHECK(window.tryAcquireRetry(pool, now + Milliseconds(10'000)));
