Remove servers that left while the store responds to peers

The log shows a host cut off from the store from 16.5 to 24.5 s that learned of the removal from a peer at 25.4 s, treated it as an entry that expired in an outage, and kept the server until two seconds after it reached the store itself, at 25.6 s. The store had been available to its peers all along.

A host now takes the store to be away only while it responds neither to it nor, within three seconds, to its peers. Seen failing before: removesEntriesAtOnceWhileTheStoreRespondsToPeers.

--- a/src/gateway/peerviewsync.cpp
+++ b/src/gateway/peerviewsync.cpp
@@ -133,6 +133,7 @@
         if (!entry)
             continue;
         const StoreDelta delta = readDelta(*entry);
+        m_view.servers().recordPeerEvidence(now - delta.age, now);
         if (!entry->as_object().contains("objects"))
             follower->recordEvidence(delta.revision, delta.age, now);
         else if (follower->applyDelta(delta, now))
--- a/src/gateway/servingviewupdater.cpp
+++ b/src/gateway/servingviewupdater.cpp
@@ -142,7 +142,7 @@
     const std::string prefix = options.prefix;
     StoreFollower::Handlers handlers { .onListed = std::move(onListed), .onChanged = std::move(onChanged) };
     handlers.onLost = [this, prefix](const std::string& reason) {
-        m_view.servers().onStoreLost();
+        m_view.servers().onStoreLost(RuntimeClock::now());
         writeLog(LogLevel::Warning, "store_lost", { { "kind", prefix }, { "reason", reason } });
     };
     handlers.onRegained = [this, prefix] {
--- a/src/libserving/serverdirectory.cpp
+++ b/src/libserving/serverdirectory.cpp
@@ -51,15 +51,31 @@
         m_servers.erase(found);
 }
 
-void ServerDirectory::onStoreLost()
+void ServerDirectory::onStoreLost(TimePoint now)
 {
     m_isStoreLost = true;
+    m_storeLostAt = now;
 }
 
 void ServerDirectory::onStoreRegained(TimePoint now)
 {
+    if (isStoreAway(now))
+        m_storeRegainedAt = now;
     m_isStoreLost = false;
-    m_storeRegainedAt = now;
+}
+
+void ServerDirectory::recordPeerEvidence(TimePoint respondedAt, TimePoint now)
+{
+    const bool wasAway = isStoreAway(now);
+    m_peerEvidenceAt = std::max(m_peerEvidenceAt, respondedAt);
+    if (wasAway && !isStoreAway(now))
+        m_storeRegainedAt = now;
+}
+
+bool ServerDirectory::isStoreAway(TimePoint now) const
+{
+    return m_isStoreLost
+        && (m_peerEvidenceAt <= m_storeLostAt || m_peerEvidenceAt + m_options.maxPeerEvidenceGap < now);
 }
 
 void ServerDirectory::setOutOfServiceDomains(std::set<FailureDomainId> domains,
@@ -111,7 +127,7 @@
 
 bool ServerDirectory::isRetainingMissing(TimePoint now) const
 {
-    return m_isStoreLost || (m_storeRegainedAt && now < *m_storeRegainedAt + m_options.missingGraceTime);
+    return isStoreAway(now) || (m_storeRegainedAt && now < *m_storeRegainedAt + m_options.missingGraceTime);
 }
 
 void ServerDirectory::expireMissing(TimePoint now)
--- a/src/libserving/serverdirectory.h
+++ b/src/libserving/serverdirectory.h
@@ -16,6 +16,8 @@
     // A server whose failure domain returns to service counts as cold for its pool's cold time plus this
     // margin, which is how old the store's entry may be.
     Milliseconds coldMargin { 1500 };
+    // Longest time between two responses of an available store to the peers of this host.
+    Milliseconds maxPeerEvidenceGap { 3000 };
 };
 
 // The state of a backend server as known to this process.
@@ -43,9 +45,12 @@
     // Removes an entry. During an outage of the store, and for the grace time after it, the entry of a
     // server that is not draining is retained and marked as missing instead.
     void remove(const BackendServerId& id, TimePoint now);
-    // Reports that the store stopped responding, or that it responds again.
-    void onStoreLost();
+    // Reports that the store stopped responding to this host, or that it responds again.
+    void onStoreLost(TimePoint now);
     void onStoreRegained(TimePoint now);
+    // Reports when the store has responded to a peer. While it responds to peers, entries do not expire because
+    // of an outage, even if this host does not reach it.
+    void recordPeerEvidence(TimePoint respondedAt, TimePoint now);
 
     // Replaces the failure domains that are out of service. Servers of a domain that returns to service
     // count as cold for their pool's cold time plus the margin.
@@ -66,6 +71,8 @@
 
 private:
     bool isUsable(const KnownServer& known) const;
+    // Whether the store responds neither to this host nor to its peers.
+    bool isStoreAway(TimePoint now) const;
     bool isRetainingMissing(TimePoint now) const;
     void expireMissing(TimePoint now);
 
@@ -73,6 +80,9 @@
     std::map<BackendServerId, KnownServer> m_servers;
     std::set<FailureDomainId> m_outOfServiceDomains;
     bool m_isStoreLost = false;
+    TimePoint m_storeLostAt {};
+    // When the store last responded to a peer.
+    TimePoint m_peerEvidenceAt {};
     std::optional<TimePoint> m_storeRegainedAt;
     std::uint64_t m_generation = 0;
 };
--- a/tests/serving/crashdetectortest.cpp
+++ b/tests/serving/crashdetectortest.cpp
@@ -93,7 +93,7 @@
 TEST(CrashDetector, anExpiredRegistrationDuringAnOutageIsNoCrash)
 {
     detector.recordRun(makeRun(server, RunEnd::Broken, now), servers, now);
-    servers.onStoreLost();
+    servers.onStoreLost(now);
     servers.remove(server.id, now);
     LONGS_EQUAL(0, crashesOnChange(now + Milliseconds(1)));
 }
--- a/tests/serving/serverdirectorytest.cpp
+++ b/tests/serving/serverdirectorytest.cpp
@@ -39,7 +39,7 @@
 TEST(ServerDirectory, retainsEntriesThatExpireDuringAStoreOutageForAGracePeriod)
 {
     directory.replaceAll({ makeEntry("s1"), makeEntry("s2") }, now);
-    directory.onStoreLost();
+    directory.onStoreLost(now);
     directory.remove(BackendServerId("s1"), now);
     now += Milliseconds(60'000);
     LONGS_EQUAL(2, usableCount());
@@ -53,12 +53,48 @@
     CHECK(directory.findUsable(BackendServerId("s1"), now) != nullptr);
 }
 
+// Guards against sending to servers that have left: a host that was cut off from the store learned of their
+// removal from peers, and kept them until two seconds after it reached the store itself.
+TEST(ServerDirectory, removesEntriesAtOnceWhileTheStoreRespondsToPeers)
+{
+    directory.put(makeEntry("s1"), now);
+    now += Milliseconds(1000);
+    directory.onStoreLost(now);
+    now += Milliseconds(100);
+    directory.recordPeerEvidence(now - Milliseconds(50), now);
+    now += Milliseconds(2100);
+    directory.recordPeerEvidence(now - Milliseconds(200), now);
+    directory.remove(BackendServerId("s1"), now);
+    LONGS_EQUAL(0, usableCount());
+    directory.onStoreRegained(now);
+    LONGS_EQUAL(0, usableCount());
+}
+
+// Peers that have lost the store too, or reach it again after an outage, are no reason to remove entries at once.
+TEST(ServerDirectory, retainsEntriesThatExpireWhileTheStoreRespondsToNobody)
+{
+    directory.put(makeEntry("s1"), now);
+    now += Milliseconds(1000);
+    directory.onStoreLost(now);
+    directory.recordPeerEvidence(now - Milliseconds(500), now);
+    directory.remove(BackendServerId("s1"), now);
+    LONGS_EQUAL(1, usableCount());
+    now += Milliseconds(10'000);
+    directory.recordPeerEvidence(now - Milliseconds(100), now);
+    LONGS_EQUAL(1, usableCount());
+    now += Milliseconds(1999);
+    directory.recordPeerEvidence(now - Milliseconds(100), now);
+    LONGS_EQUAL(1, usableCount());
+    now += Milliseconds(2);
+    LONGS_EQUAL(0, usableCount());
+}
+
 TEST(ServerDirectory, removesADrainingServerThatExpiresDuringAStoreOutage)
 {
     ServerEntry draining = makeEntry("s1");
     draining.isDraining = true;
     directory.put(draining, now);
-    directory.onStoreLost();
+    directory.onStoreLost(now);
     directory.remove(BackendServerId("s1"), now);
     LONGS_EQUAL(0, directory.size());
 }
