Give refused requests one probation run on all hosts together

Found while weighing who else the refusal meets: when servers end together for a reason of their own, a popular request that is in flight on three of them is condemned on every host, and as it is refused everywhere it can't finish and clear itself: it would stay refused for ten minutes.

Four seconds after a refusal, when such servers are back, the host that ranks first for the request lets one attempt through, marked in the store for all hosts. A response no longer withdraws a crash: a server that starts again under its ID may respond before its new entry is known.

--- a/src/gateway/gatewaydaemon.cpp
+++ b/src/gateway/gatewaydaemon.cpp
@@ -108,6 +108,8 @@
     m_viewUpdater.setPoisonHandlers([this](const PlatformList& list) { m_poisonSync.applyList(list); },
         [this](const PlatformEvent& event) { m_poisonSync.applyEvent(event); });
     m_backendCaller.setRunObserver(m_crashMonitor);
+    m_requests.setProbationHandler(
+        [this](Fingerprint fingerprint) { return m_poisonSync.tryStartProbation(fingerprint); });
     m_crashMonitor.setChangeHandler([this] { m_stageHome.onPoisonChanged(); });
     m_poisonSync.setChangeHandler([this] { m_stageHome.onPoisonChanged(); });
 }
--- a/src/gateway/plainforwarder.cpp
+++ b/src/gateway/plainforwarder.cpp
@@ -66,7 +66,8 @@
 {
     const KnownServer* known = chooseServer(request, progress);
     if (!known || progress.unreachable >= maxUnreachable || request.scope->isOver()
-        || !m_poison.mayRun(request.fingerprint, progress.runs, RuntimeClock::now()))
+        || !m_poison.mayRun(
+            request.fingerprint, request.isProbation, progress.runs, RuntimeClock::now()))
         return nullptr;
     return progress.outcome.sends == 0 || ensureRetryPermit(request, progress) ? known : nullptr;
 }
--- a/src/gateway/poisonsync.cpp
+++ b/src/gateway/poisonsync.cpp
@@ -33,7 +33,8 @@
     , m_store(store)
     , m_view(view)
     , m_poison(poison)
-    , m_ownKey(std::string(poisonPrefix) + self.value())
+    , m_self(std::move(self))
+    , m_ownKey(std::string(poisonPrefix) + m_self.value())
 {
 }
 
@@ -55,6 +56,25 @@
     scheduleWrite();
 }
 
+bool PoisonSync::ranksFirstFor(const std::string& key) const
+{
+    const std::vector<HostId> ranked = rankHosts(key, m_view.hostIds());
+    return !ranked.empty() && ranked.front() == m_self;
+}
+
+bool PoisonSync::tryStartProbation(Fingerprint fingerprint)
+{
+    const TimePoint now = RuntimeClock::now();
+    if (!m_poison.canStartProbation(fingerprint, now) || !ranksFirstFor(toText(fingerprint)))
+        return false;
+    m_poison.startProbation(fingerprint, now);
+    publish(fingerprint);
+    writeLog(LogLevel::Info, "probation_started",
+        { { "identity", toText(fingerprint) },
+            { "crashes", m_poison.crashCount(fingerprint, now) } });
+    return true;
+}
+
 void PoisonSync::removeExpired(TimePoint now)
 {
     std::erase_if(m_published, [now](const auto& entry) { return entry.second <= now; });
@@ -185,9 +205,7 @@
     const TimePoint changedBefore = RuntimeClock::now() - 2 * lifetime;
     std::vector<std::pair<std::string, ObjectVersion>> abandoned;
     for (const auto& [key, object] : m_objects) {
-        const std::vector<HostId> ranked = rankHosts(key, m_view.hostIds());
-        if (key != m_ownKey && object.changedAt < changedBefore && !ranked.empty()
-            && m_ownKey == std::string(poisonPrefix) + ranked.front().value())
+        if (key != m_ownKey && object.changedAt < changedBefore && ranksFirstFor(key))
             abandoned.emplace_back(key, object.version);
     }
     for (const auto& [key, version] : abandoned) {
--- a/src/gateway/poisonsync.h
+++ b/src/gateway/poisonsync.h
@@ -20,6 +20,8 @@
     void start();
     // Writes what the table holds about a fingerprint to this host's object.
     void publish(Fingerprint fingerprint);
+    // Whether a refused request has its probation run at this host now; if so, tells the other hosts.
+    bool tryStartProbation(Fingerprint fingerprint);
     void applyList(const PlatformList& list);
     void applyEvent(const PlatformEvent& event);
     // Called when another host's findings have changed the state of a request.
@@ -31,6 +33,8 @@
         TimePoint changedAt {};
     };
 
+    // Whether this host ranks first for a key among all hosts.
+    bool ranksFirstFor(const std::string& key) const;
     void applyObject(const PlatformObject& object);
     void removeExpired(TimePoint now);
     void scheduleWrite();
@@ -44,6 +48,7 @@
     PlatformClient& m_store;
     const ServingView& m_view;
     PoisonTable& m_poison;
+    HostId m_self;
     std::string m_ownKey;
     std::function<void()> m_changeHandler;
     // Fingerprints in this host's object, and when they expire there.
--- a/src/gateway/requestscope.h
+++ b/src/gateway/requestscope.h
@@ -50,6 +50,8 @@
     OwnerId owner;
     // Identifies the request beyond this attempt of its caller.
     Fingerprint fingerprint = 0;
+    // The request is refused otherwise; see PoisonTable.
+    bool isProbation = false;
     int rank = 0;
     TimePoint arrivedAt {};
     // When the request misses its objective, and when its caller stops waiting.
--- a/src/gateway/requestservice.cpp
+++ b/src/gateway/requestservice.cpp
@@ -156,7 +156,10 @@
         request.owner = owner->id;
     request.fingerprint = fingerprintOf(http.target, request.owner, http.body);
     labels.fingerprint = request.fingerprint;
-    if (m_poison.isRefused(request.fingerprint, now)) {
+    const bool isRefused = m_poison.isRefused(request.fingerprint, now);
+    request.isProbation
+        = isRefused && m_probationHandler && m_probationHandler(request.fingerprint);
+    if (isRefused && !request.isProbation) {
         co_await refuse(
             exchange, GatewayRefusal::Poisoned, m_poison.remaining(request.fingerprint, now));
         co_return refusalOutcome(GatewayRefusal::Poisoned);
--- a/src/gateway/requestservice.h
+++ b/src/gateway/requestservice.h
@@ -18,6 +18,11 @@
         StreamForwarder& streamForwarder, const PoisonTable& poison, GatewayMetrics& metrics);
 
     boost::asio::awaitable<void> serve(HttpExchange& exchange);
+    // Sets the handler that decides whether a refused request has its probation run at this host now.
+    void setProbationHandler(std::function<bool(Fingerprint)> handler)
+    {
+        m_probationHandler = std::move(handler);
+    }
     // Refuses the requests that have not been sent to a server yet, before this host stops.
     void refuseUnsent();
     // HTTP limits for callers in the current configuration.
@@ -40,6 +45,7 @@
     PlainForwarder& m_plainForwarder;
     StreamForwarder& m_streamForwarder;
     const PoisonTable& m_poison;
+    std::function<bool(Fingerprint)> m_probationHandler;
     GatewayMetrics& m_metrics;
     CallerWaitEstimator m_waitEstimator;
     // Scopes of the requests in flight.
--- a/src/gateway/stagehome.cpp
+++ b/src/gateway/stagehome.cpp
@@ -153,7 +153,7 @@
     Group* group = findGroup(key.first, key.second);
     if (!group || cancel->isCancelled())
         co_return StageWorkResult {};
-    if (m_poison.isRefused(work.fingerprint, RuntimeClock::now()))
+    if (!work.isProbation && m_poison.isRefused(work.fingerprint, RuntimeClock::now()))
         co_return StageWorkResult { .outcome = StageWorkOutcome::Poisoned };
     refreshServers(key, *group);
     const std::uint64_t taskId = m_nextTaskId++;
--- a/src/gateway/stagerunner.cpp
+++ b/src/gateway/stagerunner.cpp
@@ -146,7 +146,8 @@
         .preferredDomain = std::move(location.domain),
         .crossDomainBytes = location.crossDomainBytes,
         .isFirst = !progress.hasFinishedStage,
-        .fingerprint = request.fingerprint };
+        .fingerprint = request.fingerprint,
+        .isProbation = request.isProbation };
     return work;
 }
 
--- a/src/gateway/streamforwarder.cpp
+++ b/src/gateway/streamforwarder.cpp
@@ -82,7 +82,8 @@
 Asio::awaitable<void> StreamForwarder::sendToEngines(ServedRequest& request, StreamProgress& progress)
 {
     while (!request.scope->isOver() && progress.tried.size() < maxEngines
-        && m_poison.mayRun(request.fingerprint, progress.runs, RuntimeClock::now())) {
+        && m_poison.mayRun(
+            request.fingerprint, request.isProbation, progress.runs, RuntimeClock::now())) {
         const KnownServer* known = chooseEngine(request, progress);
         if (!known)
             co_return;
--- a/src/libapricot/poisontable.cpp
+++ b/src/libapricot/poisontable.cpp
@@ -45,10 +45,31 @@
     return stateOf(fingerprint, now) == PoisonState::Refused;
 }
 
-bool PoisonTable::mayRun(Fingerprint fingerprint, int earlierRuns, TimePoint now) const
+bool PoisonTable::mayRun(
+    Fingerprint fingerprint, bool isProbation, int earlierRuns, TimePoint now) const
 {
     const std::optional<PoisonState> state = stateOf(fingerprint, now);
-    return !state || (state == PoisonState::Suspect && earlierRuns == 0);
+    return !state || (earlierRuns == 0 && (state == PoisonState::Suspect || isProbation));
+}
+
+bool PoisonTable::canStartProbation(Fingerprint fingerprint, TimePoint now) const
+{
+    const Entry* entry = find(fingerprint, now);
+    return entry && entry->refusedSince && *entry->refusedSince + m_options.probationDelay <= now
+        && !entry->crashes.contains({ .stage = ServerCrash::probationStage });
+}
+
+void PoisonTable::startProbation(Fingerprint fingerprint, TimePoint now)
+{
+    findOrInsert(fingerprint, now).crashes[{ .stage = ServerCrash::probationStage }] = true;
+}
+
+void PoisonTable::updateRefusedSince(Entry& entry, TimePoint now) const
+{
+    if (stateOf(entry) != PoisonState::Refused)
+        entry.refusedSince.reset();
+    else if (!entry.refusedSince)
+        entry.refusedSince = now;
 }
 
 Milliseconds PoisonTable::remaining(Fingerprint fingerprint, TimePoint now) const
@@ -88,6 +109,7 @@
     if (!addCrash(entry, crash, false))
         return std::nullopt;
     entry.expiresAt = now + m_options.refusedLifetime;
+    updateRefusedSince(entry, now);
     return noticeOf(fingerprint, entry, now);
 }
 
@@ -111,6 +133,7 @@
         if (crash.stage == stage || stage == ServerCrash::requestStage)
             isCleared = true;
     }
+    updateRefusedSince(entry, now);
     if (!wasSuspect)
         return std::nullopt;
     return noticeOf(fingerprint, entry, now);
@@ -125,6 +148,7 @@
     const auto known = found->second.crashes.find(crash);
     if (known == found->second.crashes.end() || std::exchange(known->second, true))
         return std::nullopt;
+    updateRefusedSince(found->second, now);
     return noticeOf(fingerprint, found->second, now);
 }
 
@@ -139,6 +163,7 @@
     const bool isCounted = !notice.crashes.empty() || !notice.cleared.empty();
     if (isCounted && !isNew)
         return;
+    updateRefusedSince(entry, now);
     if (!isCounted && entry.state == PoisonState::Refused && notice.state == PoisonState::Suspect)
         return;
     if (!isCounted)
--- a/src/libapricot/poisontable.h
+++ b/src/libapricot/poisontable.h
@@ -26,6 +26,8 @@
 struct ServerCrash {
     // Value of `stage` for a server that ran the request itself.
     static constexpr int requestStage = -1;
+    // Value of `stage` that marks a probation run instead of a crash; see PoisonTable::startProbation().
+    static constexpr int probationStage = -2;
 
     BackendServerId server;
     // Unix time of the server's start in milliseconds.
@@ -61,6 +63,8 @@
     // which of the requests on a server crashed it.
     std::size_t suspectCrashes = 2;
     std::size_t refusedCrashes = 3;
+    // Time from the refusal of a fingerprint to its probation, in which crashed servers return.
+    Milliseconds probationDelay { 4000 };
     // Crashes that are remembered for one fingerprint.
     std::size_t maxCrashes = 16;
 };
@@ -73,7 +77,8 @@
 //
 // Otherwise the crashed servers of a fingerprint are counted. They are sets that only grow, of crashes and
 // of cleared crashes, so hosts that exchange notices in any order, several times or after a restart reach
-// the same count. A run that finishes clears the crashes of its stage.
+// the same count. A run that finishes clears the crashes of its stage. Servers that crash together for another
+// reason may condemn a popular request, so one probation run is allowed after a refusal, on all hosts together.
 class PoisonTable {
 public:
     explicit PoisonTable(PoisonTableOptions options = {})
@@ -84,9 +89,15 @@
     // State of a fingerprint, or nothing if it has no recent crash.
     std::optional<PoisonState> stateOf(Fingerprint fingerprint, TimePoint now) const;
     bool isRefused(Fingerprint fingerprint, TimePoint now) const;
-    // Whether a request may be sent after some runs in the same attempt of its caller. A suspect is not sent
-    // again in one attempt, so that it ends no further server before its last run is accounted for.
-    bool mayRun(Fingerprint fingerprint, int earlierRuns, TimePoint now) const;
+    // Whether a request may be sent after some runs in the same attempt of its caller. A suspect, and a request
+    // on probation, is not sent again in one attempt, so that it ends no further server before its last run is
+    // accounted for.
+    bool mayRun(Fingerprint fingerprint, bool isProbation, int earlierRuns, TimePoint now) const;
+    // Whether a refused fingerprint may have its probation run now.
+    bool canStartProbation(Fingerprint fingerprint, TimePoint now) const;
+    // Records that a refused fingerprint has its probation run. The other hosts have to be told, so that they
+    // allow no other one.
+    void startProbation(Fingerprint fingerprint, TimePoint now);
     // Time until the entry of the fingerprint expires; zero without an entry.
     Milliseconds remaining(Fingerprint fingerprint, TimePoint now) const;
     // Number of crashes that count against a fingerprint.
@@ -118,12 +129,15 @@
         // Set by crashes of requests of which it is known whether they ran alone.
         std::optional<PoisonState> state;
         TimePoint expiresAt {};
+        // When the fingerprint was refused, as long as it is.
+        std::optional<TimePoint> refusedSince;
         // Crashed servers, and whether they were cleared.
         std::map<ServerCrash, bool> crashes;
     };
 
     std::optional<PoisonState> stateOf(const Entry& entry) const;
     static std::size_t crashCount(const Entry& entry);
+    void updateRefusedSince(Entry& entry, TimePoint now) const;
     const Entry* find(Fingerprint fingerprint, TimePoint now) const;
     // The current entry, or a new one in place of an expired one.
     Entry& findOrInsert(Fingerprint fingerprint, TimePoint now);
--- a/src/libserving/crashdetector.cpp
+++ b/src/libserving/crashdetector.cpp
@@ -68,14 +68,6 @@
     std::erase_if(m_runs, [&](const PendingRun& pending) {
         return pending.run.server == server && pending.endedAt <= sentAt;
     });
-    std::erase_if(m_reported, [&](const ReportedCrash& reported) {
-        const ServerCrash& crash = reported.crash.crash;
-        const bool isAlive = crash.server == server.server && crash.startedAt == server.startedAt
-            && reported.reportedAt <= sentAt;
-        if (isAlive)
-            m_withdrawn.push_back(reported.crash);
-        return isAlive;
-    });
 }
 
 DetectedCrash CrashDetector::report(const EndedRun& run, CrashEvidence evidence, TimePoint now)
--- a/src/libserving/crashdetector.h
+++ b/src/libserving/crashdetector.h
@@ -70,8 +70,9 @@
 
 // Decides which runs ended because their server ended. A connection that breaks is no proof: responses
 // are lost, connections reset, and hosts partitioned or paused while the server continues. A run counts
-// as crashed only with evidence that its server's process ended, and no longer if that server turns up
-// again with the same start.
+// as crashed only with evidence that its server's process ended, and no longer if that server is registered
+// again with the same start. A response alone withdraws nothing: a server may start again under its ID before
+// its new entry is known.
 class CrashDetector {
 public:
     explicit CrashDetector(CrashDetectorOptions options = {});
--- a/src/libserving/stageschedulertaskends.cpp
+++ b/src/libserving/stageschedulertaskends.cpp
@@ -20,10 +20,10 @@
     std::vector<TaskId> poisoned;
     for (auto& [id, task] : m_tasks) {
         const StageWorkPermit permit = permitOf(task.work.fingerprint);
-        if (permit == StageWorkPermit::Poisoned)
+        if (permit == StageWorkPermit::Poisoned && !task.work.isProbation)
             poisoned.push_back(id);
         task.isExclusive
-            = permit == StageWorkPermit::Exclusive || task.brokenCalls >= m_options.exclusiveBrokenCalls;
+            = permit != StageWorkPermit::Shared || task.brokenCalls >= m_options.exclusiveBrokenCalls;
     }
     for (const TaskId id : poisoned)
         endTask(id, { .outcome = StageWorkOutcome::Poisoned });
--- a/src/libserving/stagework.h
+++ b/src/libserving/stagework.h
@@ -40,6 +40,8 @@
     bool isFirst = false;
     // Identifies the request beyond this attempt of its caller.
     Fingerprint fingerprint = 0;
+    // The work runs although its request is refused; see PoisonTable.
+    bool isProbation = false;
 
     auto operator<=>(const StageWork&) const = default;
 
@@ -48,7 +50,7 @@
     {
         archive(pool, group, requestId, stage, pieces, pieceKey, inputs, rank, objectiveSlack,
             deadlineSlack, callerTimeLeft, resultBytes, preferredDomain, crossDomainBytes, isFirst,
-            fingerprint);
+            fingerprint, isProbation);
     }
 };
 
--- a/tests/platform/gatewaycluster.cpp
+++ b/tests/platform/gatewaycluster.cpp
@@ -274,6 +274,14 @@
     }
 }
 
+void GatewayCluster::endServers(const std::string& pool)
+{
+    for (const auto& server : m_servers) {
+        if (server->pool == pool)
+            endServer(*server);
+    }
+}
+
 void GatewayCluster::resetConnections(const std::string& pool)
 {
     for (const auto& server : m_servers) {
--- a/tests/platform/gatewaycluster.h
+++ b/tests/platform/gatewaycluster.h
@@ -47,6 +47,8 @@
     void send(std::size_t host, const std::string& path, const std::string& content);
     // Ends the process of a host at once, and starts it again.
     void restartHost(std::size_t host);
+    // Ends all backend servers of a pool at the same time.
+    void endServers(const std::string& pool);
     // Breaks the caller connections of all backend servers of a pool; the servers continue.
     void resetConnections(const std::string& pool);
     // Sets the faults of the store; takes the JSON body of POST /faults.
--- a/tests/platform/poisonedrequesttest.cpp
+++ b/tests/platform/poisonedrequesttest.cpp
@@ -175,6 +175,28 @@
     LONGS_EQUAL(200, cluster.responses.back().status);
 }
 
+// Guards against refusing a popular request for long because all servers it ran on ended at the same time for
+// another reason.
+TEST(PoisonedRequest, aRequestThatWasOnServersThatEndedTogetherIsServedAgain)
+{
+    cluster.addServers("plain", 4);
+    cluster.waitUntilReady();
+    for (std::size_t host = 0; host < hostCount; ++host) {
+        for (int repeat = 0; repeat < 4; ++repeat)
+            cluster.send(host, "/once/x", "ordinary");
+    }
+    cluster.runFor(Milliseconds(15));
+    cluster.endServers("plain");
+    cluster.runFor(Milliseconds(1500));
+    checkRefusedRequests(1);
+    for (int round = 0; round < 50; ++round) {
+        cluster.send(static_cast<std::size_t>(round) % hostCount, "/once/x", "ordinary");
+        cluster.runFor(Milliseconds(100));
+    }
+    checkRefusedRequests(0);
+    LONGS_EQUAL(200, cluster.responses[cluster.responses.size() - 2].status);
+}
+
 TEST_GROUP(PoisonedRequestRelayed) {};
 
 // Guards against findings that arrive too late where most hosts read the store through others.
