--- a/tests/platform/poisonedrequesttest.cpp
+++ b/tests/platform/poisonedrequesttest.cpp
@@ -38,10 +38,14 @@
         }
     }
 
-    void checkNotSentAfterThirdEnd()
+    // Plays a returning request that ends its servers, and checks that it is refused in time.
+    void checkReturningRequest(const std::string& path)
     {
+        cluster.waitUntilReady();
+        playReturningRequest(path, Milliseconds(7000));
         CHECK_TRUE(cluster.runsOf("poison").size() >= 3);
         CHECK_COMPARE(cluster.runsAfterThirdEnd("poison", contactTime), <=, allowedRetries);
+        checkRefusedRequests(1);
     }
 
     // Sends a request once through each of the first three hosts, where it ends three servers.
@@ -65,29 +69,20 @@
 TEST(PoisonedRequest, aReturningPlainRequestIsNotSentToServersAfterItEndedThree)
 {
     cluster.addServers("plain", 8);
-    cluster.waitUntilReady();
-    playReturningRequest("/again/x", Milliseconds(7000));
-    checkNotSentAfterThirdEnd();
-    checkRefusedRequests(1);
+    checkReturningRequest("/again/x");
 }
 
 TEST(PoisonedRequest, aReturningStreamIsNotSentToEnginesAfterItEndedThree)
 {
     cluster.addServers("engines", 8);
-    cluster.waitUntilReady();
-    playReturningRequest("/stream/x", Milliseconds(7000));
-    checkNotSentAfterThirdEnd();
-    checkRefusedRequests(1);
+    checkReturningRequest("/stream/x");
 }
 
 TEST(PoisonedRequest, aReturningRequestIsNotSentToStageServersAfterItEndedThree)
 {
     cluster.addServers("engines", 2);
     cluster.addServers("stages", 8);
-    cluster.waitUntilReady();
-    playReturningRequest("/staged/x", Milliseconds(7000));
-    checkNotSentAfterThirdEnd();
-    checkRefusedRequests(1);
+    checkReturningRequest("/staged/x");
 }
 
 // Guards against limits that start afresh on each host: no host sees more than one of the three ends.
