Count further crashes of a request with many cleared ones

A request keeps sixteen crashes; once all were cleared ones, a further crash was not counted, so a request that ends servers after it had finished many times would never be refused. The oldest cleared crash now makes room.

--- a/src/libapricot/poisontable.cpp
+++ b/src/libapricot/poisontable.cpp
@@ -5,6 +5,26 @@
 
 namespace Apricot {
 
+namespace {
+
+    // Removes the cleared crash of the server that started first. Returns false if none is cleared.
+    bool removeOldestCleared(std::map<ServerCrash, bool>& crashes)
+    {
+        auto oldest = crashes.end();
+        for (auto crash = crashes.begin(); crash != crashes.end(); ++crash) {
+            const bool isRemovable = crash->second && crash->first.stage != ServerCrash::probationStage;
+            if (isRemovable
+                && (oldest == crashes.end() || crash->first.startedAt < oldest->first.startedAt))
+                oldest = crash;
+        }
+        if (oldest == crashes.end())
+            return false;
+        crashes.erase(oldest);
+        return true;
+    }
+
+}
+
 std::string_view poisonStateName(std::optional<PoisonState> state)
 {
     if (!state)
@@ -176,7 +196,7 @@
     const auto known = entry.crashes.find(crash);
     if (known != entry.crashes.end())
         return isCleared && !std::exchange(known->second, true);
-    if (entry.crashes.size() >= m_options.maxCrashes)
+    if (entry.crashes.size() >= m_options.maxCrashes && !removeOldestCleared(entry.crashes))
         return false;
     entry.crashes.emplace(crash, isCleared);
     return true;
