--- a/src/gateway/backendcaller.cpp
+++ b/src/gateway/backendcaller.cpp
@@ -172,13 +172,15 @@
 }
 
 void BackendCaller::reportIncompleteResponse(const ServedRequest& request, const ServerEntry& server,
-    TimePoint sentAt, const boost::system::system_error& error)
+    TimePoint sentAt, const IncompleteResponse& response)
 {
     const bool isOver = request.scope->isOver();
-    reportRun(request, server, isOver ? RunEnd::Silent : runEndOf(error.code()), sentAt);
+    reportRun(request, server, isOver ? RunEnd::Silent : response.end, sentAt);
     writeLog(LogLevel::Info, "backend_response_incomplete",
         { { "request", request.caller.id }, { "identity", toText(request.fingerprint) },
-            { "server", server.id.value() }, { "reason", error.code().message() } });
+            { "server", server.id.value() }, { "reason", response.reason },
+            { "framing", bodyFramingName(response.framing) },
+            { "unfinished_bytes", response.unfinishedBytes } });
 }
 
 SendResult BackendCaller::classify(std::unique_ptr<HttpStream> stream) const
--- a/src/gateway/backendcaller.h
+++ b/src/gateway/backendcaller.h
@@ -33,6 +33,16 @@
     int status = 0;
 };
 
+// A response whose body broke off before its end.
+struct IncompleteResponse {
+    RunEnd end = RunEnd::Broken;
+    // For logs.
+    std::string reason;
+    BodyFraming framing = BodyFraming::ConnectionEnd;
+    // Bytes that followed the last complete event of a stream.
+    std::size_t unfinishedBytes = 0;
+};
+
 // How a run ended whose call failed with an error.
 RunEnd runEndOf(const boost::system::error_code& error);
 
@@ -56,7 +66,7 @@
     void reportResponse(const ServedRequest& request, const ServerEntry& server, TimePoint sentAt);
     // Reports that the body of a response broke off before its end.
     void reportIncompleteResponse(const ServedRequest& request, const ServerEntry& server,
-        TimePoint sentAt, const boost::system::system_error& error);
+        TimePoint sentAt, const IncompleteResponse& response);
 
     // The observer must outlive this object.
     void setRunObserver(RunObserver& observer) { m_runObserver = &observer; }
--- a/src/gateway/plainforwarder.cpp
+++ b/src/gateway/plainforwarder.cpp
@@ -107,6 +107,7 @@
     }
     const ServedOutcome forwarded = co_await forwardResponse(request, server, sentAt, *sent.stream);
     progress.outcome.status = forwarded.status;
+    progress.outcome.framing = forwarded.framing;
     progress.outcome.refusal = forwarded.refusal;
     co_return true;
 }
@@ -168,7 +169,7 @@
 Asio::awaitable<ServedOutcome> PlainForwarder::forwardResponse(
     ServedRequest& request, const ServerEntry& server, TimePoint sentAt, HttpStream& stream)
 {
-    ServedOutcome outcome { .status = stream.status() };
+    ServedOutcome outcome { .status = stream.status(), .framing = stream.framing() };
     std::string body;
     bool isComplete = true;
     stream.setTimeout(std::max(request.timeLeft(RuntimeClock::now()), Milliseconds(1)));
@@ -176,13 +177,15 @@
         body = co_await readBody(stream);
         m_backendCaller.reportResponse(request, server, sentAt);
     } catch (const boost::system::system_error& error) {
-        m_backendCaller.reportIncompleteResponse(request, server, sentAt, error);
+        m_backendCaller.reportIncompleteResponse(
+            request, server, sentAt, { runEndOf(error.code()), error.code().message(), stream.framing() });
         isComplete = false;
     }
     if (!isComplete) {
         const bool isTimeout = request.scope->endReason() == ScopeEndReason::TimedOut;
         const GatewayRefusal reason
             = isTimeout ? GatewayRefusal::TimedOut : GatewayRefusal::ServerFailed;
+        outcome.framing.reset();
         outcome.refusal = refusalName(reason);
         outcome.status = refusalStatus(reason);
         if (request.scope->endReason() != ScopeEndReason::CallerDisconnected)
--- a/src/gateway/plainforwarder.h
+++ b/src/gateway/plainforwarder.h
@@ -18,6 +18,10 @@
     BackendServerId server;
     // Number of sends that may have reached a server.
     int sends = 0;
+    // Framing of the server's response that was forwarded, if one was.
+    std::optional<BodyFraming> framing;
+    // Bytes that followed the last complete event of a forwarded stream.
+    std::size_t unfinishedBytes = 0;
 };
 
 // Acquires a permit for one retry of a request, and logs it if there is none.
--- a/src/gateway/requestservice.cpp
+++ b/src/gateway/requestservice.cpp
@@ -109,6 +109,10 @@
         fields["refusal"] = outcome.refusal;
     if (!outcome.server.empty())
         fields["server"] = outcome.server.value();
+    if (outcome.framing) {
+        fields["framing"] = bodyFramingName(*outcome.framing);
+        fields["unfinished_bytes"] = outcome.unfinishedBytes;
+    }
     if (!failure.empty())
         fields["failure"] = failure;
     writeLog(LogLevel::Info, "request_ended", fields);
--- a/src/gateway/streamforwarder.cpp
+++ b/src/gateway/streamforwarder.cpp
@@ -166,13 +166,15 @@
     try {
         body = co_await readBody(stream);
     } catch (const boost::system::system_error& error) {
-        m_backendCaller.reportIncompleteResponse(request, engine, sentAt, error);
+        m_backendCaller.reportIncompleteResponse(
+            request, engine, sentAt, { runEndOf(error.code()), error.code().message(), stream.framing() });
         co_return false;
     }
     m_backendCaller.reportResponse(request, engine, sentAt);
     if (progress.hasBegun)
         co_return false;
     progress.outcome.status = stream.status();
+    progress.outcome.framing = stream.framing();
     co_await request.exchange.respond(
         stream.status(), "", std::move(body), Platform::callerFields(stream.head()));
     co_return true;
@@ -188,7 +190,9 @@
         try {
             data = co_await stream.read();
         } catch (const boost::system::system_error& error) {
-            m_backendCaller.reportIncompleteResponse(request, engine, sentAt, error);
+            m_backendCaller.reportIncompleteResponse(request, engine, sentAt,
+                { runEndOf(error.code()), error.code().message(), stream.framing(),
+                    progress.events.partialEvent().size() });
             co_return false;
         }
         // After the end of the stream, bytes that follow the last complete event are forwarded too.
@@ -212,6 +216,8 @@
         m_backendCaller.reportResponse(request, engine, sentAt);
         co_await exchange.endStream();
         progress.outcome.status = stream.status();
+        progress.outcome.framing = stream.framing();
+        progress.outcome.unfinishedBytes = progress.events.partialEvent().size();
         co_return true;
     }
 }
--- a/src/libnet/httpclient.h
+++ b/src/libnet/httpclient.h
@@ -3,6 +3,7 @@
 #include "libapricot/clock.h"
 #include "libapricot/endpoint.h"
 #include "libnet/httpserver.h"
+#include "libserving/bodyframing.h"
 
 #include <optional>
 
@@ -61,6 +62,7 @@
     virtual const HttpResponseHead& head() const = 0;
     int status() const { return head().status; }
     std::string_view field(std::string_view name) const { return head().field(name); }
+    virtual BodyFraming framing() const = 0;
     // Sets the timeout of each later read.
     virtual void setTimeout(Milliseconds timeout) = 0;
     // Returns the next part of the body, or nothing at its regular end. Throws
--- a/src/libnet/httpstreamimpl.h
+++ b/src/libnet/httpstreamimpl.h
@@ -34,6 +34,7 @@
     void releaseUnused();
 
     const HttpResponseHead& head() const override { return m_head; }
+    BodyFraming framing() const override { return m_framing; }
     void setTimeout(Milliseconds timeout) override { m_timeout = timeout; }
     boost::asio::awaitable<std::optional<std::string>> read() override;
 
@@ -58,6 +59,7 @@
     boost::beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
     HttpResponseHead m_head;
+    BodyFraming m_framing = BodyFraming::ConnectionEnd;
     std::array<char, 16384> m_bodyBuffer {};
 };
 
