--- /dev/null
+++ b/tests/platform/clustersupport.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "libnet/httpserver.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+// Parts of GatewayCluster and its scripted servers.
+
+// Configuration of the cluster as the operator writes it to the store.
+extern const char* const clusterConfig;
+
+// Returns a free port below the range from which the kernel assigns ports to clients.
+std::uint16_t findFreePort();
+std::string localAddress(std::uint16_t port);
+// Fields that a backend server adds to its response: the ID of the request and its signature.
+std::vector<Apricot::HttpField> signedFields(const Apricot::HttpRequest& request);
--- a/tests/platform/gatewaycluster.cpp
+++ b/tests/platform/gatewaycluster.cpp
@@ -1,5 +1,7 @@
 #include "gatewaycluster.h"
 
+#include "clustersupport.h"
+
 #include "libnet/asyncevent.h"
 #include "platform/names.h"
 
@@ -14,7 +16,6 @@
 
 #include <algorithm>
 #include <thread>
-#include <unistd.h>
 
 using namespace Apricot;
 namespace Asio = boost::asio;
@@ -25,58 +26,12 @@
 
 constexpr const char* poisonWord = "poison";
 constexpr std::size_t fatalServers = 3;
+constexpr std::int64_t firstStart = 1'700'000'000'000;
 // A server whose process ended is removed from the store after this time.
 constexpr Milliseconds registrationTimeout { 3600 };
 // Time that a run of an ordinary request takes.
 constexpr Milliseconds runTime { 30 };
 
-constexpr const char* clusterConfig = R"({"version":1,"routes":[
-  {"name":"once","host":"h","pathPrefix":"/once/","routeKind":"non_idempotent","timeoutMs":3000,
-   "sloMs":300,"service":"plain","maxAttempts":1,"public":true},
-  {"name":"again","host":"h","pathPrefix":"/again/","routeKind":"idempotent","timeoutMs":3000,
-   "sloMs":300,"service":"plain","maxAttempts":2,"public":true},
-  {"name":"stream","host":"h","pathPrefix":"/stream/","routeKind":"streaming","resumable":true,
-   "timeoutMs":6000,"sloMs":1000,"service":"engines","maxAttempts":2,"public":true},
-  {"name":"staged","host":"h","pathPrefix":"/staged/","routeKind":"streaming","resumable":true,
-   "timeoutMs":6000,"sloMs":1000,"service":"engines","maxAttempts":2,"public":true,
-   "stages":[{"service":"stages","after":[],"byteCount":1000}]}],
- "services":[{"name":"plain"},{"name":"engines","runtime":{"slots":8,"kvCapacity":100000}},
-  {"name":"stages","segments":{"slots":1,"queue":2,"batch":4,"callMs":40.0,"itemMs":5.0,
-   "headroomMb":10.0,"handleTtlS":4.0}}],
- "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
- "tenants":[]})";
-
-// Returns a free port below the range from which the kernel assigns ports to clients.
-std::uint16_t findFreePort()
-{
-    constexpr std::uint16_t firstPort = 12'000;
-    constexpr std::uint16_t lastPort = 32'000;
-    static std::uint16_t next = firstPort + static_cast<std::uint16_t>(getpid() % 150) * 100;
-    Asio::io_context context;
-    while (true) {
-        const std::uint16_t port = next;
-        next = next == lastPort ? firstPort : next + 1;
-        Asio::ip::tcp::acceptor acceptor(context, Asio::ip::tcp::v4());
-        acceptor.set_option(Asio::socket_base::reuse_address(true));
-        boost::system::error_code error;
-        acceptor.bind({ Asio::ip::make_address("127.0.0.1"), port }, error); // NOLINT(bugprone-unused-return-value)
-        if (!error)
-            return port;
-    }
-}
-
-std::string localAddress(std::uint16_t port)
-{
-    return "127.0.0.1:" + std::to_string(port);
-}
-
-std::vector<HttpField> signedFields(const HttpExchange& exchange)
-{
-    return { { std::string(Names::requestIdField),
-                 std::string(exchange.request().field(Names::requestIdField)) },
-        { std::string(Names::signatureField), "signature" } };
-}
-
 }
 
 struct GatewayCluster::BackendServer {
@@ -99,7 +54,8 @@
     std::unique_ptr<GatewayDaemon> daemon;
 };
 
-GatewayCluster::GatewayCluster(std::size_t hosts)
+GatewayCluster::GatewayCluster(std::size_t hosts, double retryRatio)
+    : m_retryRatio(retryRatio)
 {
     const json::value config = json::parse(clusterConfig);
     Asio::co_spawn(m_context, writeEntry(std::string(Names::configurationKey), config), Asio::detached);
@@ -120,6 +76,7 @@
         .admin = localAddress(entry.admin),
         .seeds = localAddress(m_hosts.front()->peers),
         .store = localAddress(m_platform.port()) };
+    settings.retryRatio = m_retryRatio;
     settings.process.host = HostId("host-" + std::to_string(host));
     settings.process.failureDomain = FailureDomainId("zone-" + std::to_string(host % 3));
     return settings;
@@ -147,19 +104,39 @@
 {
     const int number = m_nextServer++;
     server.id = "server-" + std::to_string(number);
-    server.startedAt = 1'700'000'000'000 + number;
+    server.startedAt = firstStart + number;
     server.isUp = true;
     server.listeners.push_back(std::make_unique<HttpServer>(m_context,
         HttpServerOptions { .port = server.port },
         [this, &server](HttpExchange& exchange) { return serve(server, exchange); }));
+    registerServer(server, "v1");
+}
+
+void GatewayCluster::registerServer(const BackendServer& server, const std::string& version)
+{
+    const std::string zone = "zone-" + std::to_string(server.startedAt % 3);
     Asio::co_spawn(m_context,
         writeEntry("servers/" + server.id,
-            { { "service", server.pool }, { "addr", localAddress(server.port) },
-                { "zone", "zone-" + std::to_string(number % 3) }, { "version", "v1" }, { "slots", 8 },
-                { "state", "ready" }, { "coldLeftMs", 0 }, { "seq", 1 }, { "born", server.startedAt } }),
+            { { "service", server.pool }, { "addr", localAddress(server.port) }, { "zone", zone },
+                { "version", version }, { "slots", 8 }, { "state", "ready" }, { "coldLeftMs", 0 },
+                { "seq", 1 }, { "born", server.startedAt } }),
         Asio::detached);
 }
 
+std::string GatewayCluster::addScriptedServer(
+    const std::string& pool, const std::string& version, ResponseScript script)
+{
+    const int number = m_nextServer++;
+    const BackendServer server { .pool = pool,
+        .id = "server-" + std::to_string(number),
+        .port = findFreePort(),
+        .startedAt = firstStart + number };
+    m_scriptedServers.push_back(
+        std::make_unique<ScriptedServer>(m_context, server.port, std::move(script)));
+    registerServer(server, version);
+    return server.id;
+}
+
 void GatewayCluster::endServer(BackendServer& server)
 {
     server.isUp = false;
@@ -219,9 +196,9 @@
         co_return;
     if (server.pool == "plain") {
         co_await sleepFor(m_context.get_executor(), runTime);
-        co_return co_await exchange.respond(200, "text/plain", "done", signedFields(exchange));
+        co_return co_await exchange.respond(200, "text/plain", "done", signedFields(exchange.request()));
     }
-    co_await exchange.beginStream(200, "text/event-stream", signedFields(exchange));
+    co_await exchange.beginStream(200, "text/event-stream", signedFields(exchange.request()));
     co_await exchange.writeChunk("id: 1\ndata: a\n\n");
     co_await sleepFor(m_context.get_executor(), runTime);
     co_await exchange.writeChunk("id: 2\ndata: b\n\n");
@@ -249,17 +226,28 @@
 
 void GatewayCluster::send(std::size_t host, const std::string& path, const std::string& content)
 {
-    HttpCall call { .method = "POST",
-        .target = path,
-        .fields = { { "Host", "h" },
-            { std::string(Names::requestIdField), "r" + std::to_string(m_nextRequest++) },
-            { std::string(Names::deadlineField), "6000" },
-            { std::string(Names::pieceCountsField), "1" },
-            { std::string(Names::pieceKeyField), content } },
-        .body = content };
-    responses.push_back({ content, RuntimeClock::now() });
+    startCall(host, { .path = path, .content = content });
+}
+
+ClusterResponse GatewayCluster::call(std::size_t host, const ClusterRequest& request)
+{
+    const std::size_t index = startCall(host, request);
+    runUntil([&] { return responses[index].hasEnded; }, Milliseconds(10'000));
+    return responses[index];
+}
+
+std::size_t GatewayCluster::startCall(std::size_t host, const ClusterRequest& request)
+{
+    const std::string id = "r" + std::to_string(m_nextRequest++);
+    HttpCall call { .method = "POST", .target = request.path, .fields = request.fields, .body = request.content };
+    const std::vector<HttpField> fields { { "Host", "h" }, { std::string(Names::requestIdField), id },
+        { std::string(Names::deadlineField), "6000" }, { std::string(Names::pieceCountsField), "1" },
+        { std::string(Names::pieceKeyField), request.content } };
+    call.fields.insert(call.fields.end(), fields.begin(), fields.end());
+    responses.push_back({ .content = request.content, .id = id, .sentAt = RuntimeClock::now() });
     Asio::co_spawn(m_context,
         callHost(m_hosts.at(host)->callers, std::move(call), responses.size() - 1), Asio::detached);
+    return responses.size() - 1;
 }
 
 Asio::awaitable<void> GatewayCluster::callHost(std::uint16_t port, HttpCall call, std::size_t index)
@@ -267,11 +255,15 @@
     HttpClient client(m_context, { .port = port });
     call.timeout = Milliseconds(8000);
     try {
-        const HttpResponse response = co_await client.send(std::move(call));
-        responses[index].status = response.status;
+        const std::unique_ptr<HttpStream> stream = co_await client.open(std::move(call));
+        responses[index].status = stream->status();
+        while (const std::optional<std::string> data = co_await stream->read())
+            responses[index].body += *data;
+        responses[index].isComplete = true;
     } catch (const boost::system::system_error&) {
-        responses[index].status = 0;
+        // The response stays incomplete.
     }
+    responses[index].hasEnded = true;
 }
 
 void GatewayCluster::endServers(const std::string& pool)
@@ -391,6 +383,7 @@
 {
     return static_cast<std::size_t>(
         std::count_if(responses.begin(), responses.end(), [&](const ClusterResponse& response) {
-            return response.status == status && response.content.find(word) != std::string::npos;
+            return response.isComplete && response.status == status
+                && response.content.find(word) != std::string::npos;
         }));
 }
--- a/tests/platform/gatewaycluster.h
+++ b/tests/platform/gatewaycluster.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "scriptedserver.h"
+
 #include "emulator/platform/platformserver.h"
 #include "gateway/gatewaydaemon.h"
 #include "platform/platformclient.h"
@@ -20,11 +22,25 @@
     bool endedServer = false;
 };
 
+// A request of a caller of the cluster.
+struct ClusterRequest {
+    std::string path;
+    std::string content;
+    // Fields beside those that every request has.
+    std::vector<Apricot::HttpField> fields;
+};
+
 // A response to a caller of the cluster; status zero if its connection ended without one.
 struct ClusterResponse {
     std::string content;
+    // ID of the attempt.
+    std::string id;
     Apricot::TimePoint sentAt {};
     int status = 0;
+    // Body as far as it was received, and whether it reached the end that its framing declares.
+    std::string body;
+    bool isComplete = false;
+    bool hasEnded = false;
 };
 
 // The gateway daemons of several hosts, the platform emulator as their store, and scripted backend
@@ -32,7 +48,8 @@
 // later as another one at the same address. Each daemon has its own event loop; all run on this thread.
 class GatewayCluster {
 public:
-    explicit GatewayCluster(std::size_t hosts);
+    // Each request of a caller allows `retryRatio` retries.
+    explicit GatewayCluster(std::size_t hosts, double retryRatio = 0.2);
     ~GatewayCluster();
 
     GatewayCluster(const GatewayCluster&) = delete;
@@ -40,11 +57,16 @@
 
     // Adds backend servers to one of the pools "plain", "engines" and "stages".
     void addServers(const std::string& pool, int count);
+    // Adds a backend server of a software version whose responses follow a script. Returns its ID.
+    std::string addScriptedServer(
+        const std::string& pool, const std::string& version, ResponseScript script);
     // Runs until the hosts are ready to serve callers. Fails the test after ten seconds.
     void waitUntilReady();
     void runFor(Apricot::Milliseconds time);
     // Sends a caller's request to a host, without waiting for the response.
     void send(std::size_t host, const std::string& path, const std::string& content);
+    // Sends a caller's request to a host, and runs until its response has ended.
+    ClusterResponse call(std::size_t host, const ClusterRequest& request);
     // Ends the process of a host at once, and starts it again.
     void restartHost(std::size_t host);
     // Ends all backend servers of a pool at the same time.
@@ -83,13 +105,18 @@
     boost::asio::awaitable<void> returnLater(BackendServer& server);
     boost::asio::awaitable<void> writeEntry(std::string key, boost::json::value value);
     boost::asio::awaitable<void> removeEntry(std::string key);
+    // Returns the index of the response.
+    std::size_t startCall(std::size_t host, const ClusterRequest& request);
     boost::asio::awaitable<void> callHost(std::uint16_t port, Apricot::HttpCall call, std::size_t index);
+    void registerServer(const BackendServer& server, const std::string& version);
     Apricot::GatewaySettings settingsFor(std::size_t host) const;
 
     boost::asio::io_context m_context;
     Apricot::PlatformServer m_platform { m_context, {} };
     Apricot::PlatformClient m_store { m_context, { .port = m_platform.port() } };
+    double m_retryRatio;
     std::vector<std::unique_ptr<BackendServer>> m_servers;
+    std::vector<std::unique_ptr<ScriptedServer>> m_scriptedServers;
     std::vector<std::unique_ptr<Host>> m_hosts;
     int m_nextServer = 1;
     int m_nextRequest = 1;
--- /dev/null
+++ b/tests/platform/scriptedserver.cpp
@@ -0,0 +1,133 @@
+#include "scriptedserver.h"
+
+#include "clustersupport.h"
+
+#include "libnet/asyncevent.h"
+#include "libnet/httpexchangeimpl.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+
+using namespace Apricot;
+namespace Asio = boost::asio;
+namespace Http = boost::beast::http;
+using Tcp = Asio::ip::tcp;
+
+namespace {
+
+constexpr Milliseconds partInterval { 10 };
+// Bytes by which an incomplete body falls short of its declared length.
+constexpr std::size_t missingBytes = 10;
+
+std::string chunkOf(const std::string& part)
+{
+    std::ostringstream chunk;
+    chunk << std::hex << part.size() << "\r\n"
+          << part << "\r\n";
+    return chunk.str();
+}
+
+std::string headerOf(const ScriptedResponse& response, const HttpRequest& request)
+{
+    std::string header = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n";
+    for (const HttpField& field : signedFields(request))
+        header += field.name + ": " + field.value + "\r\n";
+    std::size_t length = response.isComplete ? 0 : missingBytes;
+    for (const std::string& part : response.parts)
+        length += part.size();
+    if (response.framing == BodyFraming::Length)
+        header += "Content-Length: " + std::to_string(length) + "\r\n";
+    if (response.framing == BodyFraming::Chunks)
+        header += "Transfer-Encoding: chunked\r\n";
+    return header + "\r\n";
+}
+
+}
+
+class ScriptedServer::Impl : public std::enable_shared_from_this<ScriptedServer::Impl> {
+public:
+    Impl(Asio::io_context& context, std::uint16_t port, ResponseScript script)
+        : m_acceptor(context, Tcp::endpoint(Asio::ip::make_address("127.0.0.1"), port))
+        , m_script(std::move(script))
+    {
+    }
+
+    void start() { Asio::co_spawn(m_acceptor.get_executor(), accept(shared_from_this()), Asio::detached); }
+
+    void stop()
+    {
+        boost::system::error_code ignored;
+        m_acceptor.close(ignored); // NOLINT(bugprone-unused-return-value)
+    }
+
+private:
+    static Asio::awaitable<void> accept(std::shared_ptr<Impl> self)
+    {
+        while (self->m_acceptor.is_open()) {
+            boost::system::error_code error;
+            Tcp::socket socket = co_await self->m_acceptor.async_accept(
+                Asio::redirect_error(Asio::use_awaitable, error));
+            if (!error)
+                Asio::co_spawn(self->m_acceptor.get_executor(), serve(self, std::move(socket)), Asio::detached);
+        }
+    }
+
+    static Asio::awaitable<void> serve(std::shared_ptr<Impl> self, Tcp::socket socket)
+    {
+        boost::beast::flat_buffer buffer;
+        while (true) {
+            Http::request<Http::string_body> message;
+            boost::system::error_code error;
+            co_await Http::async_read(
+                socket, buffer, message, Asio::redirect_error(Asio::use_awaitable, error));
+            if (error)
+                co_return;
+            const HttpRequest request = toRequest(message);
+            const ScriptedResponse response = self->m_script(request);
+            co_await write(socket, response, request);
+            if (response.endsServer)
+                self->stop();
+            if (response.end == ConnectionEnd::Reset)
+                socket.set_option(Asio::socket_base::linger(true, 0));
+            if (response.end != ConnectionEnd::KeepOpen)
+                co_return;
+        }
+    }
+
+    static Asio::awaitable<void> write(
+        Tcp::socket& socket, const ScriptedResponse& response, const HttpRequest& request)
+    {
+        std::string bytes = headerOf(response, request);
+        const bool isChunked = response.framing == BodyFraming::Chunks;
+        boost::system::error_code ignored;
+        for (const std::string& part : response.parts) {
+            bytes += isChunked ? chunkOf(part) : part;
+            co_await Asio::async_write(
+                socket, Asio::buffer(bytes), Asio::redirect_error(Asio::use_awaitable, ignored));
+            co_await sleepFor(socket.get_executor(), partInterval);
+            bytes.clear();
+        }
+        if (isChunked && response.isComplete)
+            bytes += "0\r\n\r\n";
+        co_await Asio::async_write(
+            socket, Asio::buffer(bytes), Asio::redirect_error(Asio::use_awaitable, ignored));
+    }
+
+    Tcp::acceptor m_acceptor;
+    ResponseScript m_script;
+};
+
+ScriptedServer::ScriptedServer(Asio::io_context& context, std::uint16_t port, ResponseScript script)
+    : m_impl(std::make_shared<Impl>(context, port, std::move(script)))
+{
+    m_impl->start();
+}
+
+ScriptedServer::~ScriptedServer()
+{
+    m_impl->stop();
+}
--- /dev/null
+++ b/tests/platform/scriptedserver.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "libnet/httpserver.h"
+#include "libserving/bodyframing.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+// How a scripted server treats its connection after a response.
+enum class ConnectionEnd {
+    KeepOpen,
+    // Closes it in order, as a process does that ends.
+    Close,
+    Reset,
+};
+
+// A signed response with status 200, written byte by byte as given here.
+struct ScriptedResponse {
+    // Written one after another, with a pause between them.
+    std::vector<std::string> parts;
+    Apricot::BodyFraming framing = Apricot::BodyFraming::Chunks;
+    // Whether the end is reached that the framing declares.
+    bool isComplete = true;
+    ConnectionEnd end = ConnectionEnd::KeepOpen;
+    // Stops listening before the connection ends, as a process does that ends.
+    bool endsServer = false;
+};
+
+using ResponseScript = std::function<ScriptedResponse(const Apricot::HttpRequest&)>;
+
+// A backend server whose framing, and whose end of the connection, are scripted.
+class ScriptedServer {
+public:
+    ScriptedServer(boost::asio::io_context& context, std::uint16_t port, ResponseScript script);
+    ~ScriptedServer();
+
+    ScriptedServer(const ScriptedServer&) = delete;
+    ScriptedServer& operator=(const ScriptedServer&) = delete;
+
+private:
+    class Impl;
+    std::shared_ptr<Impl> m_impl;
+};
