Treat a stream that ends inside an event as broken off

Callers saw a stream of two events and a piece of the third, framed as complete (ORDER). HTTP ends a response without length and chunks with its connection, so the reader reports its regular end wherever the server stopped; the forwarder then passed on the bytes of the unfinished event and wrote the last chunk, which claims more than the server had said.

The end of a stream is now judged by its framing and by what follows its last event (streamEndOf). A response without a length that has no event at all is broken too. A resumable stream then goes on at another engine, any other is cut before its last chunk, and a caller that has received nothing gets 502.

--- a/src/gateway/streamforwarder.cpp
+++ b/src/gateway/streamforwarder.cpp
@@ -1,5 +1,6 @@
 #include "gateway/streamforwarder.h"
 
+#include "libserving/streamend.h"
 #include "platform/requesttranslation.h"
 
 #include <algorithm>
@@ -184,7 +185,7 @@
     HttpStream& stream, ServerEntry engine, TimePoint sentAt)
 {
     HttpExchange& exchange = request.exchange;
-    bool isFirst = true;
+    bool hasEvents = false;
     while (true) {
         std::optional<std::string> data;
         try {
@@ -195,15 +196,22 @@
                     progress.events.partialEvent().size() });
             co_return false;
         }
-        // After the end of the stream, bytes that follow the last complete event are forwarded too.
+        if (!data
+            && streamEndOf(stream.framing(), progress.events, hasEvents) == StreamEnd::Broken) {
+            m_backendCaller.reportIncompleteResponse(request, engine, sentAt,
+                { RunEnd::Broken, "the stream ended inside an event or before the first", stream.framing(),
+                    progress.events.partialEvent().size() });
+            co_return false;
+        }
+        // After the end of the stream, comments that follow the last event are forwarded too.
         const std::string events = data ? progress.events.feed(*data) : progress.events.partialEvent();
         if (!progress.hasBegun && (!events.empty() || !data)) {
             progress.hasBegun = true;
             co_await exchange.beginStream(
                 stream.status(), "", Platform::callerFields(stream.head()));
         }
-        if (isFirst && !events.empty()) {
-            isFirst = false;
+        if (!hasEvents && !events.empty()) {
+            hasEvents = true;
             m_firstEventEstimator.recordFirstEvent(request.caller.promptTokens, RuntimeClock::now() - sentAt);
             onPromptEnded(request, progress, engine.id);
             // The engine has read the stage results. They are not kept for a resumption at another engine,
--- a/src/libnet/httpstreamimpl.cpp
+++ b/src/libnet/httpstreamimpl.cpp
@@ -90,8 +90,8 @@
     } while (m_parser->get().result_int() / statusClass == 1);
     m_head.status = static_cast<int>(m_parser->get().result_int());
     m_framing = m_parser->chunked() ? BodyFraming::Chunks
-        : m_parser->need_eof()          ? BodyFraming::ConnectionEnd
-                                        : BodyFraming::Length;
+        : m_parser->need_eof()      ? BodyFraming::ConnectionEnd
+                                    : BodyFraming::Length;
     m_head.fields.clear();
     for (const auto& field : m_parser->get())
         m_head.fields.push_back({ std::string(field.name_string()), std::string(field.value()) });
--- a/src/libserving/eventsplitter.cpp
+++ b/src/libserving/eventsplitter.cpp
@@ -6,13 +6,14 @@
 
 namespace {
 
-    constexpr std::string_view eventTerminator = "\n\n";
-    constexpr std::string_view eventTerminatorCrlf = "\r\n\r\n";
     constexpr std::string_view idField = "id:";
+    constexpr char commentMark = ':';
 
     // Position after the last complete event of a text; zero when there is none.
     std::size_t endOfEvents(std::string_view text)
     {
+        constexpr std::string_view eventTerminator = "\n\n";
+        constexpr std::string_view eventTerminatorCrlf = "\r\n\r\n";
         std::size_t end = 0;
         for (const std::string_view terminator : { eventTerminator, eventTerminatorCrlf }) {
             const std::size_t found = text.rfind(terminator);
@@ -30,13 +31,23 @@
     const std::size_t end = endOfEvents(m_partialEvent);
     std::string events = m_partialEvent.substr(0, end);
     m_partialEvent.erase(0, end);
-    if (!events.empty()) {
-        m_hasEvents = true;
-        updateLastId(events);
-    }
+    updateLastId(events);
     return events;
 }
 
+bool EventSplitter::isInsideEvent() const
+{
+    std::string_view rest = m_partialEvent;
+    while (!rest.empty()) {
+        const std::size_t end = rest.find('\n');
+        const bool isFieldLine = rest.front() != commentMark && rest.front() != '\r' && rest.front() != '\n';
+        if (end == std::string_view::npos || isFieldLine)
+            return true;
+        rest.remove_prefix(end + 1);
+    }
+    return false;
+}
+
 void EventSplitter::updateLastId(std::string_view events)
 {
     while (!events.empty()) {
--- a/src/libserving/eventsplitter.h
+++ b/src/libserving/eventsplitter.h
@@ -13,18 +13,18 @@
     std::string feed(std::string_view bytes);
     // Bytes received after the last complete event.
     const std::string& partialEvent() const { return m_partialEvent; }
+    // Whether these bytes begin an event, or a line, that they do not finish. Comments begin none.
+    bool isInsideEvent() const;
     // Discards a partial event before the stream is resumed at another server.
     void discardPartialEvent() { m_partialEvent.clear(); }
     // ID of the last complete event that had one, or empty.
     const std::string& lastEventId() const { return m_lastEventId; }
-    bool hasEvents() const { return m_hasEvents; }
 
 private:
     void updateLastId(std::string_view events);
 
     std::string m_partialEvent;
     std::string m_lastEventId;
-    bool m_hasEvents = false;
 };
 
 }
--- a/tests/platform/scriptedserver.cpp
+++ b/tests/platform/scriptedserver.cpp
@@ -91,8 +91,11 @@
             co_await write(socket, response, request);
             if (response.endsServer)
                 self->stop();
-            if (response.end == ConnectionEnd::Reset)
+            if (response.end == ConnectionEnd::Reset) {
+                // The destructor of a socket ignores the option.
                 socket.set_option(Asio::socket_base::linger(true, 0));
+                socket.close();
+            }
             if (response.end != ConnectionEnd::KeepOpen)
                 co_return;
         }
