Check that a server runs whose response ended with its connection

The same class as the unfinished event, where the bytes show nothing: the system closes the connections of a process that ends in order, so a response without length of a server that ended between two events, and any plain response, looked complete. Resumable streams were not resumed, and a plain response was given a length that its server had never stated.

Such an end is unproven, so the gateway connects once to the server's address, 20 ms later, as the crash monitor does after a broken connection. A refused connection shows that the process has ended: the response is incomplete, and with it the run counts towards the requests that crash their servers. Only responses without length and chunks pay for the connection; the events have been forwarded.

Responses of stages and of the store are JSON objects, which state their own end; peers use HTTP/2.

--- a/src/gateway/backendcaller.cpp
+++ b/src/gateway/backendcaller.cpp
@@ -1,5 +1,6 @@
 #include "gateway/backendcaller.h"
 
+#include "gateway/serverprobe.h"
 #include "libnet/log.h"
 #include "platform/requesttranslation.h"
 
@@ -183,6 +184,34 @@
             { "unfinished_bytes", response.unfinishedBytes } });
 }
 
+Asio::awaitable<std::optional<std::string>> BackendCaller::readResponse(
+    const ServedRequest& request, ServerEntry server, HttpStream& stream, TimePoint sentAt)
+{
+    std::optional<std::string> body;
+    IncompleteResponse incomplete { .framing = stream.framing() };
+    try {
+        body = co_await readBody(stream);
+    } catch (const boost::system::system_error& error) {
+        incomplete.end = runEndOf(error.code());
+        incomplete.reason = error.code().message();
+    }
+    if (body && stream.framing() == BodyFraming::ConnectionEnd && co_await hasEnded(server)) {
+        incomplete.reason = serverEndedReason;
+        body.reset();
+    }
+    if (body)
+        reportResponse(request, server, sentAt);
+    else
+        reportIncompleteResponse(request, server, sentAt, incomplete);
+    co_return body;
+}
+
+Asio::awaitable<bool> BackendCaller::hasEnded(const ServerEntry& server)
+{
+    Endpoint endpoint = server.endpoint;
+    return refusesConnections(m_context, std::move(endpoint));
+}
+
 SendResult BackendCaller::classify(std::unique_ptr<HttpStream> stream) const
 {
     if (!stream)
--- a/src/gateway/backendcaller.h
+++ b/src/gateway/backendcaller.h
@@ -43,6 +43,9 @@
     std::size_t unfinishedBytes = 0;
 };
 
+// Reason of an incomplete response that ended with its connection as its server ended.
+constexpr const char* serverEndedReason = "the server ended with its response";
+
 // How a run ended whose call failed with an error.
 RunEnd runEndOf(const boost::system::error_code& error);
 
@@ -62,6 +65,13 @@
     // Makes a call that assigns no new work, such as the release of results, to any server.
     boost::asio::awaitable<HttpResponse> callWithoutCheck(Endpoint endpoint, HttpCall call);
 
+    // Reads the body of a response and reports how it ended. Returns nothing if it is incomplete.
+    boost::asio::awaitable<std::optional<std::string>> readResponse(
+        const ServedRequest& request, ServerEntry server, HttpStream& stream, TimePoint sentAt);
+    // Whether the process of a server has ended whose response ended with its connection. The system closes
+    // the connections of such a process in order, so the end of the response does not show it.
+    boost::asio::awaitable<bool> hasEnded(const ServerEntry& server);
+
     // Reports that the body of a response was read to its end, or that the response is discarded.
     void reportResponse(const ServedRequest& request, const ServerEntry& server, TimePoint sentAt);
     // Reports that the body of a response broke off before its end.
--- a/src/gateway/crashmonitor.cpp
+++ b/src/gateway/crashmonitor.cpp
@@ -1,7 +1,6 @@
 #include "gateway/crashmonitor.h"
 
-#include "libnet/asyncevent.h"
-#include "libnet/httpclient.h"
+#include "gateway/serverprobe.h"
 #include "libnet/log.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -12,15 +11,6 @@
 
 namespace Asio = boost::asio;
 
-namespace {
-
-    // A process that ends closes its connections and its listener at the same time; the kernel may take a
-    // moment between them.
-    constexpr Milliseconds probeDelay { 20 };
-    constexpr Milliseconds probeTimeout { 350 };
-
-}
-
 CrashMonitor::CrashMonitor(Asio::io_context& context, ServingView& view, PoisonTable& poison,
     PoisonSync& sync, MetricRegistry& metrics)
     : m_context(context)
@@ -41,11 +31,9 @@
 
 Asio::awaitable<void> CrashMonitor::probe(ServerStart server, Endpoint endpoint)
 {
-    co_await sleepFor(m_context.get_executor(), probeDelay);
-    const boost::system::error_code error
-        = co_await tryConnect(m_context, std::move(endpoint), probeTimeout);
+    const bool hasEnded = co_await refusesConnections(m_context, std::move(endpoint));
     m_probed.erase(server);
-    if (error != Asio::error::connection_refused)
+    if (!hasEnded)
         co_return;
     const std::vector<DetectedCrash> crashes
         = m_detector.onConnectionRefused(server, RuntimeClock::now());
--- a/src/gateway/plainforwarder.cpp
+++ b/src/gateway/plainforwarder.cpp
@@ -170,18 +170,10 @@
     ServedRequest& request, const ServerEntry& server, TimePoint sentAt, HttpStream& stream)
 {
     ServedOutcome outcome { .status = stream.status(), .framing = stream.framing() };
-    std::string body;
-    bool isComplete = true;
     stream.setTimeout(std::max(request.timeLeft(RuntimeClock::now()), Milliseconds(1)));
-    try {
-        body = co_await readBody(stream);
-        m_backendCaller.reportResponse(request, server, sentAt);
-    } catch (const boost::system::system_error& error) {
-        m_backendCaller.reportIncompleteResponse(
-            request, server, sentAt, { runEndOf(error.code()), error.code().message(), stream.framing() });
-        isComplete = false;
-    }
-    if (!isComplete) {
+    std::optional<std::string> body
+        = co_await m_backendCaller.readResponse(request, server, stream, sentAt);
+    if (!body) {
         const bool isTimeout = request.scope->endReason() == ScopeEndReason::TimedOut;
         const GatewayRefusal reason
             = isTimeout ? GatewayRefusal::TimedOut : GatewayRefusal::ServerFailed;
@@ -193,7 +185,7 @@
         co_return outcome;
     }
     co_await request.exchange.respond(
-        outcome.status, "", std::move(body), Platform::callerFields(stream.head()));
+        outcome.status, "", std::move(*body), Platform::callerFields(stream.head()));
     co_return outcome;
 }
 
--- a/src/gateway/streamforwarder.cpp
+++ b/src/gateway/streamforwarder.cpp
@@ -23,6 +23,8 @@
     // Minimum Retry-After when stages failed.
     constexpr Milliseconds minStageRetryAfter { 200 };
 
+    constexpr const char* unfinishedEventReason = "the stream ended inside an event or before the first";
+
     GatewayRefusal refusalFor(StageWorkOutcome outcome)
     {
         switch (outcome) {
@@ -163,21 +165,16 @@
     if (isSuccess)
         co_return co_await forwardEvents(request, progress, stream, engine, sentAt);
     // The engine responded with an error. It can't be forwarded once the caller's stream has begun.
-    std::string body;
-    try {
-        body = co_await readBody(stream);
-    } catch (const boost::system::system_error& error) {
-        m_backendCaller.reportIncompleteResponse(
-            request, engine, sentAt, { runEndOf(error.code()), error.code().message(), stream.framing() });
+    std::optional<std::string> body
+        = co_await m_backendCaller.readResponse(request, engine, stream, sentAt);
+    if (!body)
         co_return false;
-    }
-    m_backendCaller.reportResponse(request, engine, sentAt);
     if (progress.hasBegun)
         co_return false;
     progress.outcome.status = stream.status();
     progress.outcome.framing = stream.framing();
     co_await request.exchange.respond(
-        stream.status(), "", std::move(body), Platform::callerFields(stream.head()));
+        stream.status(), "", std::move(*body), Platform::callerFields(stream.head()));
     co_return true;
 }
 
@@ -196,13 +193,8 @@
                     progress.events.partialEvent().size() });
             co_return false;
         }
-        if (!data
-            && streamEndOf(stream.framing(), progress.events, hasEvents) == StreamEnd::Broken) {
-            m_backendCaller.reportIncompleteResponse(request, engine, sentAt,
-                { RunEnd::Broken, "the stream ended inside an event or before the first", stream.framing(),
-                    progress.events.partialEvent().size() });
+        if (!data && !co_await isComplete(request, progress, stream, engine, hasEvents, sentAt))
             co_return false;
-        }
         // After the end of the stream, comments that follow the last event are forwarded too.
         const std::string events = data ? progress.events.feed(*data) : progress.events.partialEvent();
         if (!progress.hasBegun && (!events.empty() || !data)) {
@@ -230,6 +222,21 @@
     }
 }
 
+Asio::awaitable<bool> StreamForwarder::isComplete(const ServedRequest& request,
+    const StreamProgress& progress, const HttpStream& stream, ServerEntry engine, bool hasEvents,
+    TimePoint sentAt)
+{
+    const StreamEnd end = streamEndOf(stream.framing(), progress.events, hasEvents);
+    const bool hasServerEnded
+        = end == StreamEnd::Unproven && co_await m_backendCaller.hasEnded(engine);
+    if (end != StreamEnd::Broken && !hasServerEnded)
+        co_return true;
+    m_backendCaller.reportIncompleteResponse(request, engine, sentAt,
+        { RunEnd::Broken, hasServerEnded ? serverEndedReason : unfinishedEventReason, stream.framing(),
+            progress.events.partialEvent().size() });
+    co_return false;
+}
+
 void StreamForwarder::onPromptSent(
     ServedRequest& request, StreamProgress& progress, const BackendServerId& engine)
 {
--- a/src/gateway/streamforwarder.h
+++ b/src/gateway/streamforwarder.h
@@ -44,6 +44,9 @@
         HttpStream& stream, ServerEntry engine, TimePoint sentAt);
     boost::asio::awaitable<bool> forwardEvents(ServedRequest& request, StreamProgress& progress,
         HttpStream& stream, ServerEntry engine, TimePoint sentAt);
+    // Whether a response that has reached its regular end is complete; reports it if not.
+    boost::asio::awaitable<bool> isComplete(const ServedRequest& request, const StreamProgress& progress,
+        const HttpStream& stream, ServerEntry engine, bool hasEvents, TimePoint sentAt);
     void onPromptSent(ServedRequest& request, StreamProgress& progress, const BackendServerId& engine);
     void onPromptEnded(ServedRequest& request, StreamProgress& progress, const BackendServerId& engine);
     boost::asio::awaitable<void> refuseOrAbort(ServedRequest& request, StreamProgress& progress);
