Send callers of HTTP/1.0 streams without chunks, and reset broken ones

It now gets the bytes as they are; a complete stream ends with its connection, and a broken one with a reset.

--- a/src/libnet/httpexchangeimpl.cpp
+++ b/src/libnet/httpexchangeimpl.cpp
@@ -44,11 +44,13 @@
 }
 
 HttpExchangeImpl::HttpExchangeImpl(
-    Asio::ip::tcp::socket& socket, HttpRequest request, bool keepAlive, const bool& isClosing)
+    Asio::ip::tcp::socket& socket, HttpRequest request, bool keepAlive,
+    bool acceptsChunks, const bool& isClosing)
     : m_socket(socket)
     , m_request(std::move(request))
     , m_watchEnded(socket.get_executor())
     , m_keepAlive(keepAlive)
+    , m_acceptsChunks(acceptsChunks)
     , m_isClosing(isClosing)
 {
 }
@@ -83,9 +85,10 @@
     int status, std::string contentType, std::vector<HttpField> fields)
 {
     m_responseStarted = true;
+    m_keepAlive = m_keepAlive && m_acceptsChunks;
     Http::response<Http::empty_body> response;
     fillHeader(response, status, std::move(contentType), fields);
-    response.chunked(true);
+    response.chunked(m_acceptsChunks);
     Http::response_serializer<Http::empty_body> serializer(response);
     co_await Http::async_write_header(m_socket, serializer, Asio::use_awaitable);
 }
@@ -94,13 +97,19 @@
 {
     if (data.empty())
         co_return;
+    if (!m_acceptsChunks) {
+        co_await Asio::async_write(
+            m_socket, Asio::const_buffer(data.data(), data.size()), Asio::use_awaitable);
+        co_return;
+    }
     co_await Asio::async_write(m_socket,
         Http::make_chunk(Asio::const_buffer(data.data(), data.size())), Asio::use_awaitable);
 }
 
 Asio::awaitable<void> HttpExchangeImpl::endStream()
 {
-    co_await Asio::async_write(m_socket, Http::make_chunk_last(), Asio::use_awaitable);
+    if (m_acceptsChunks)
+        co_await Asio::async_write(m_socket, Http::make_chunk_last(), Asio::use_awaitable);
     m_finished = true;
 }
 
@@ -112,6 +121,9 @@
 void HttpExchangeImpl::abort()
 {
     boost::system::error_code ignored;
+    // An orderly close would end a stream without chunks as complete.
+    if (!m_acceptsChunks)
+        m_socket.set_option(Asio::socket_base::linger(true, 0), ignored); // NOLINT(bugprone-unused-return-value)
     m_socket.close(ignored); // NOLINT(bugprone-unused-return-value)
     m_keepAlive = false;
 }
--- a/src/libnet/httpexchangeimpl.h
+++ b/src/libnet/httpexchangeimpl.h
@@ -14,9 +14,10 @@
 // An exchange over one connection of HttpServer.
 class HttpExchangeImpl : public HttpExchange {
 public:
-    // The server sets isClosing if connections are to close after their next response.
+    // The server sets isClosing if connections are to close after their next response. Without chunks, a stream
+    // ends with its connection.
     HttpExchangeImpl(boost::asio::ip::tcp::socket& socket, HttpRequest request, bool keepAlive,
-        const bool& isClosing);
+        bool acceptsChunks, const bool& isClosing);
 
     const HttpRequest& request() const override { return m_request; }
     boost::asio::awaitable<void> respond(int status, std::string contentType, std::string body,
@@ -48,6 +49,7 @@
     AsyncEvent m_watchEnded;
     std::function<void()> m_peerDisconnectedHandler;
     bool m_keepAlive;
+    bool m_acceptsChunks;
     const bool& m_isClosing;
     bool m_responseStarted = false;
     bool m_finished = false;
--- a/src/libnet/httpserver.cpp
+++ b/src/libnet/httpserver.cpp
@@ -185,8 +185,9 @@
                 error.message());
             co_return false;
         }
-        HttpExchangeImpl exchange(
-            socket, toRequest(parser.get()), parser.get().keep_alive(), m_closingAfterResponses);
+        constexpr unsigned httpVersion11 = 11;
+        HttpExchangeImpl exchange(socket, toRequest(parser.get()), parser.get().keep_alive(),
+            parser.get().version() >= httpVersion11, m_closingAfterResponses);
         co_return co_await runHandler(exchange);
     }
 
@@ -204,7 +205,7 @@
     // transit.
     Asio::awaitable<void> rejectMalformed(Tcp::socket& socket, int status, std::string detail)
     {
-        HttpExchangeImpl exchange(socket, HttpRequest {}, false, m_closingAfterResponses);
+        HttpExchangeImpl exchange(socket, HttpRequest {}, false, false, m_closingAfterResponses);
         std::string body = R"({"refusal":{"reason":"malformed_request","ran":"unknown",)"
                            R"("retry_after_ms":0,"detail":")"
             + detail + "\"}}";
