Recognise events by their lines instead of by two byte patterns

Events were found by LF LF and CR LF CR LF only. A stream whose lines end with CR was held back until its end, and one with a blank line of another kind was forwarded late; a block of comments alone counted as an event, so that a response without length which broke off after a keep-alive comment was not known to be broken.

The splitter now reads lines, which end with LF, CR LF or CR, and counts an event where a blank line follows a field.

StreamEndOf, needsAnEventInAResponseWithoutLength has a further line.

--- a/src/gateway/streamforwarder.cpp
+++ b/src/gateway/streamforwarder.cpp
@@ -182,7 +182,8 @@
     HttpStream& stream, ServerEntry engine, TimePoint sentAt)
 {
     HttpExchange& exchange = request.exchange;
-    bool hasEvents = false;
+    const std::size_t earlierEvents = progress.events.eventCount();
+    bool isPromptRead = false;
     while (true) {
         std::optional<std::string> data;
         try {
@@ -193,6 +194,7 @@
                     progress.events.partialEvent().size() });
             co_return false;
         }
+        const bool hasEvents = progress.events.eventCount() > earlierEvents;
         if (!data && !co_await isComplete(request, progress, stream, engine, hasEvents, sentAt))
             co_return false;
         // After the end of the stream, comments that follow the last event are forwarded too.
@@ -202,8 +204,8 @@
             co_await exchange.beginStream(
                 stream.status(), "", Platform::callerFields(stream.head()));
         }
-        if (!hasEvents && !events.empty()) {
-            hasEvents = true;
+        if (!isPromptRead && progress.events.eventCount() > earlierEvents) {
+            isPromptRead = true;
             m_firstEventEstimator.recordFirstEvent(request.caller.promptTokens, RuntimeClock::now() - sentAt);
             onPromptEnded(request, progress, engine.id);
             // The engine has read the stage results. They are not kept for a resumption at another engine,
--- a/src/libserving/eventsplitter.cpp
+++ b/src/libserving/eventsplitter.cpp
@@ -1,6 +1,6 @@
 #include "libserving/eventsplitter.h"
 
-#include <algorithm>
+#include <optional>
 
 namespace Apricot {
 
@@ -9,16 +9,28 @@
     constexpr std::string_view idField = "id:";
     constexpr char commentMark = ':';
 
+    // Removes the first line, which ends with LF, CR LF or CR, and returns it without its end. Returns nothing if
+    // the line is not finished. A text that ends with CR may be continued by the LF of the same line end, which is
+    // then a blank line of its own.
+    std::optional<std::string_view> popLine(std::string_view& text)
+    {
+        const std::size_t end = text.find_first_of("\r\n");
+        if (end == std::string_view::npos)
+            return std::nullopt;
+        const std::string_view line = text.substr(0, end);
+        const bool isCrlf = text.substr(end).starts_with("\r\n");
+        text.remove_prefix(end + (isCrlf ? 2 : 1));
+        return line;
+    }
+
     // Position after the last complete event of a text; zero when there is none.
     std::size_t endOfEvents(std::string_view text)
     {
-        constexpr std::string_view eventTerminator = "\n\n";
-        constexpr std::string_view eventTerminatorCrlf = "\r\n\r\n";
         std::size_t end = 0;
-        for (const std::string_view terminator : { eventTerminator, eventTerminatorCrlf }) {
-            const std::size_t found = text.rfind(terminator);
-            if (found != std::string_view::npos)
-                end = std::max(end, found + terminator.size());
+        std::string_view rest = text;
+        while (const std::optional<std::string_view> line = popLine(rest)) {
+            if (line->empty())
+                end = text.size() - rest.size();
         }
         return end;
     }
@@ -31,7 +43,7 @@
     const std::size_t end = endOfEvents(m_partialEvent);
     std::string events = m_partialEvent.substr(0, end);
     m_partialEvent.erase(0, end);
-    updateLastId(events);
+    recordEvents(events);
     return events;
 }
 
@@ -39,29 +51,26 @@
 {
     std::string_view rest = m_partialEvent;
     while (!rest.empty()) {
-        const std::size_t end = rest.find('\n');
-        const bool isFieldLine = rest.front() != commentMark && rest.front() != '\r' && rest.front() != '\n';
-        if (end == std::string_view::npos || isFieldLine)
+        const std::optional<std::string_view> line = popLine(rest);
+        if (!line || !line->starts_with(commentMark))
             return true;
-        rest.remove_prefix(end + 1);
     }
     return false;
 }
 
-void EventSplitter::updateLastId(std::string_view events)
+void EventSplitter::recordEvents(std::string_view events)
 {
-    while (!events.empty()) {
-        const std::size_t end = std::min(events.find('\n'), events.size());
-        std::string_view line = events.substr(0, end);
-        events.remove_prefix(std::min(end + 1, events.size()));
-        if (!line.starts_with(idField))
+    bool hasField = false;
+    while (std::optional<std::string_view> line = popLine(events)) {
+        if (line->empty() && hasField)
+            ++m_eventCount;
+        hasField = !line->empty() && (hasField || !line->starts_with(commentMark));
+        if (!line->starts_with(idField))
             continue;
-        line.remove_prefix(idField.size());
-        if (line.starts_with(' '))
-            line.remove_prefix(1);
-        if (line.ends_with('\r'))
-            line.remove_suffix(1);
-        m_lastEventId = line;
+        line->remove_prefix(idField.size());
+        if (line->starts_with(' '))
+            line->remove_prefix(1);
+        m_lastEventId = *line;
     }
 }
 
--- a/src/libserving/eventsplitter.h
+++ b/src/libserving/eventsplitter.h
@@ -19,12 +19,15 @@
     void discardPartialEvent() { m_partialEvent.clear(); }
     // ID of the last complete event that had one, or empty.
     const std::string& lastEventId() const { return m_lastEventId; }
+    // Number of complete events. Comments are none.
+    std::size_t eventCount() const { return m_eventCount; }
 
 private:
-    void updateLastId(std::string_view events);
+    void recordEvents(std::string_view events);
 
     std::string m_partialEvent;
     std::string m_lastEventId;
+    std::size_t m_eventCount = 0;
 };
 
 }
--- a/tests/serving/streamendtest.cpp
+++ b/tests/serving/streamendtest.cpp
@@ -9,8 +9,8 @@
 StreamEnd endAfter(std::string_view stream, BodyFraming framing = BodyFraming::ConnectionEnd)
 {
     EventSplitter events;
-    const bool hasEvents = !events.feed(stream).empty();
-    return streamEndOf(framing, events, hasEvents);
+    events.feed(stream);
+    return streamEndOf(framing, events, events.eventCount() > 0);
 }
 
 }
@@ -40,6 +40,7 @@
 {
     CHECK(endAfter("") == StreamEnd::Broken);
     CHECK(endAfter(": comment\n") == StreamEnd::Broken);
+    CHECK(endAfter(": comment\n\n") == StreamEnd::Broken);
     CHECK(endAfter("", BodyFraming::Length) == StreamEnd::Complete);
 }
 
--- a/tests/serving/streamtest.cpp
+++ b/tests/serving/streamtest.cpp
@@ -27,6 +27,49 @@
     });
 }
 
+// Server-sent events may end their lines with LF, CR LF or CR.
+TEST(StreamParts, eventsEndWithABlankLineWhateverItsLineEnd)
+{
+    checkProperty("line ends of all kinds are recognised, however they are split",
+        [](const std::vector<unsigned>& lineEnds, const std::vector<unsigned>& chunkSizes) {
+            const std::string kinds[] = { "\n", "\r\n", "\r" };
+            std::size_t next = 0;
+            const auto lineEnd = [&] { return kinds[lineEnds.empty() ? 0 : lineEnds[next++ % lineEnds.size()] % 3]; };
+            std::string stream;
+            for (const char* id : { "1", "2" }) {
+                stream += "id: " + std::string(id) + lineEnd();
+                const std::string last = lineEnd();
+                // A line feed after a carriage return would be part of the same line end.
+                stream += "data: a" + last + (last == "\r" ? last : "\n");
+            }
+            const std::string unfinished = "id: 3";
+            EventSplitter splitter;
+            std::string events;
+            std::string_view rest = stream;
+            for (const unsigned chunkSize : chunkSizes) {
+                const std::size_t size = std::min<std::size_t>(chunkSize % 5, rest.size());
+                events += splitter.feed(rest.substr(0, size));
+                rest.remove_prefix(size);
+            }
+            events += splitter.feed(std::string(rest));
+            events += splitter.feed(unfinished);
+            RC_ASSERT(events == stream);
+            RC_ASSERT(splitter.lastEventId() == "2");
+            RC_ASSERT(splitter.isInsideEvent());
+        });
+}
+
+TEST(StreamParts, anEventEndsWithCarriageReturnsSplitOverReads)
+{
+    EventSplitter splitter;
+    STRCMP_EQUAL("", splitter.feed("id: 1\r\ndata: a\r\n").c_str());
+    STRCMP_EQUAL("id: 1\r\ndata: a\r\n\r", splitter.feed("\r").c_str());
+    STRCMP_EQUAL("\n", splitter.feed("\n").c_str());
+    CHECK_FALSE(splitter.isInsideEvent());
+    STRCMP_EQUAL("id: 2\rdata: b\r\r", splitter.feed("id: 2\rdata: b\r\r").c_str());
+    STRCMP_EQUAL("2", splitter.lastEventId().c_str());
+}
+
 TEST(StreamParts, stagesStartOnceTheirInputsAreDone)
 {
     StagePlan plan({ { .pool = PoolId("a") }, { .pool = PoolId("b"), .inputs = { 0 } },
