Log the software version of servers and the attempt that a request resumes

Entries without a version are read as before, with an empty one; an entry whose version is not a text names no server. Nothing uses the version yet.

--- a/src/gateway/backendcaller.cpp
+++ b/src/gateway/backendcaller.cpp
@@ -50,7 +50,7 @@
         writeLog(LogLevel::Info, "backend_send_failed",
             { { "request", request.caller.id }, { "identity", toText(request.fingerprint) },
                 { "server", server.id.value() }, { "started_at", server.startedAt },
-                { "reason", reason }, { "end", sendOutcomeName(result.outcome) }, { "status", result.status },
+                { "server_version", server.softwareVersion.value() }, { "reason", reason }, { "end", sendOutcomeName(result.outcome) }, { "status", result.status },
                 { "ms", std::chrono::duration_cast<Milliseconds>(duration).count() },
                 { "left_ms", request.timeLeft(RuntimeClock::now()).count() } });
     }
@@ -179,7 +179,8 @@
     reportRun(request, server, isOver ? RunEnd::Silent : response.end, sentAt);
     writeLog(LogLevel::Info, "backend_response_incomplete",
         { { "request", request.caller.id }, { "identity", toText(request.fingerprint) },
-            { "server", server.id.value() }, { "reason", response.reason },
+            { "server", server.id.value() }, { "server_version", server.softwareVersion.value() },
+            { "reason", response.reason },
             { "framing", bodyFramingName(response.framing) },
             { "unfinished_bytes", response.unfinishedBytes } });
 }
--- a/src/gateway/plainforwarder.cpp
+++ b/src/gateway/plainforwarder.cpp
@@ -93,6 +93,7 @@
     }
     ++progress.outcome.sends;
     progress.outcome.server = server.id;
+    progress.outcome.serverVersion = server.softwareVersion;
     progress.hasRetryPermit = false;
     if (sent.outcome == SendOutcome::NotRun)
         co_return false;
--- a/src/gateway/plainforwarder.h
+++ b/src/gateway/plainforwarder.h
@@ -16,6 +16,8 @@
     std::string_view refusal;
     // Server that the request was last sent to.
     BackendServerId server;
+    // Version of its software.
+    SoftwareVersion serverVersion;
     // Number of sends that may have reached a server.
     int sends = 0;
     // Framing of the server's response that was forwarded, if one was.
--- a/src/gateway/requestservice.cpp
+++ b/src/gateway/requestservice.cpp
@@ -88,6 +88,7 @@
     const TimePoint startedAt = RuntimeClock::now();
     CallerRequest caller = Platform::readCallerRequest(exchange.request());
     const std::string id = caller.id;
+    const std::string resumedRequestId = caller.resumedRequestId;
     ServedOutcome outcome;
     RequestLabels labels;
     std::string failure;
@@ -107,8 +108,12 @@
         fields["identity"] = toText(*labels.fingerprint);
     if (!outcome.refusal.empty())
         fields["refusal"] = outcome.refusal;
-    if (!outcome.server.empty())
+    if (!outcome.server.empty()) {
         fields["server"] = outcome.server.value();
+        fields["server_version"] = outcome.serverVersion.value();
+    }
+    if (!resumedRequestId.empty())
+        fields["resumes"] = resumedRequestId;
     if (outcome.framing) {
         fields["framing"] = bodyFramingName(*outcome.framing);
         fields["unfinished_bytes"] = outcome.unfinishedBytes;
--- a/src/gateway/servingviewupdater.cpp
+++ b/src/gateway/servingviewupdater.cpp
@@ -221,7 +221,8 @@
         writeLog(LogLevel::Info, "server_changed",
             { { "server", name }, { "revision", event.version },
                 { "draining", server->isDraining }, { "cold_ms", server->coldTimeLeft.count() },
-                { "started_at", server->startedAt }, { "endpoint", toText(server->endpoint) } });
+                { "started_at", server->startedAt },
+                { "server_version", server->softwareVersion.value() }, { "endpoint", toText(server->endpoint) } });
     } else {
         m_view.servers().remove(BackendServerId(name), now);
         writeLog(LogLevel::Info, event.value ? "server_entry_ignored" : "server_gone",
--- a/src/gateway/streamforwarder.cpp
+++ b/src/gateway/streamforwarder.cpp
@@ -102,6 +102,7 @@
         if (sent.outcome != SendOutcome::NotSent) {
             ++progress.outcome.sends;
             progress.outcome.server = engine.id;
+            progress.outcome.serverVersion = engine.softwareVersion;
         }
         if (sent.outcome == SendOutcome::Responded) {
             ++progress.runs;
--- a/src/libserving/callerrequest.h
+++ b/src/libserving/callerrequest.h
@@ -36,6 +36,8 @@
     std::string pieceKey;
     // ID of the last event that the caller received from an earlier stream, or empty.
     std::string lastEventId;
+    // ID of the caller's attempt that brought the first event of that stream, or empty.
+    std::string resumedRequestId;
 
     auto operator<=>(const CallerRequest&) const = default;
 };
--- a/src/libserving/serverentry.h
+++ b/src/libserving/serverentry.h
@@ -14,6 +14,8 @@
     PoolId pool;
     Endpoint endpoint;
     FailureDomainId domain;
+    // Empty if the entry names none.
+    SoftwareVersion softwareVersion;
     int slots = 1;
     bool isDraining = false;
     // Remaining time for which the server is cold, as of when the entry was written.
--- a/tests/platform/objecttranslationtest.cpp
+++ b/tests/platform/objecttranslationtest.cpp
@@ -56,6 +56,17 @@
     CHECK(server->endpoint == (Endpoint { "10.128.0.9", 8080 }));
     LONGS_EQUAL(120, server->coldTimeLeft.count());
     CHECK(!server->isDraining);
+    STRCMP_EQUAL("v1", server->softwareVersion.value().c_str());
+}
+
+// A server without a version serves, but its streams can't go on at another one.
+TEST(ObjectTranslation, aServerEntryMayLackItsSoftwareVersion)
+{
+    const auto server
+        = readServer(R"({"service":"m1","addr":"10.0.0.1:1","zone":"a","state":"ready"})");
+    CHECK(server.has_value());
+    CHECK(server->softwareVersion.empty());
+    CHECK(!readServer(R"({"service":"m1","addr":"10.0.0.1:1","zone":"a","state":"ready","version":2})"));
 }
 
 TEST(ObjectTranslation, ignoresInvalidServerEntries)
