--- a/tests/platform/gatewaycluster.cpp
+++ b/tests/platform/gatewaycluster.cpp
@@ -84,11 +84,16 @@
 
 void GatewayCluster::restartHost(std::size_t host)
 {
-    m_hosts.at(host)->daemon.reset();
+    killHost(host);
     m_hosts.at(host)->daemon = std::make_unique<GatewayDaemon>(settingsFor(host), "");
     m_hosts.at(host)->daemon->start();
 }
 
+void GatewayCluster::killHost(std::size_t host)
+{
+    m_hosts.at(host)->daemon.reset();
+}
+
 void GatewayCluster::addServers(const std::string& pool, int count)
 {
     for (int index = 0; index < count; ++index) {
@@ -353,6 +358,8 @@
         m_context.restart();
         std::size_t handled = m_context.poll();
         for (const auto& host : m_hosts) {
+            if (!host->daemon)
+                continue;
             host->daemon->context().restart();
             handled += host->daemon->context().poll();
         }
--- a/tests/platform/gatewaycluster.h
+++ b/tests/platform/gatewaycluster.h
@@ -69,6 +69,8 @@
     ClusterResponse call(std::size_t host, const ClusterRequest& request);
     // Ends the process of a host at once, and starts it again.
     void restartHost(std::size_t host);
+    // Ends the process of a host at once. The store still lists the host.
+    void killHost(std::size_t host);
     // Ends all backend servers of a pool at the same time.
     void endServers(const std::string& pool);
     // Breaks the caller connections of all backend servers of a pool; the servers continue.
--- /dev/null
+++ b/tests/platform/streamversiontest.cpp
@@ -0,0 +1,126 @@
+#include "gatewaycluster.h"
+
+#include "platform/names.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace Apricot;
+namespace Names = PlatformNames;
+
+namespace {
+
+constexpr std::size_t hostCount = 4;
+constexpr int streamCount = 30;
+constexpr const char* firstEvent = "id: 1\ndata: a\n\n";
+constexpr const char* secondEvent = "id: 2\ndata: b\n\n";
+
+// Names the attempt that brought the first event.
+ClusterRequest resumptionOf(const std::string& requestId, const std::string& content)
+{
+    return { .path = "/stream/x",
+        .content = content,
+        .fields = { { std::string(Names::lastEventField), "1" },
+            { std::string(Names::resumesField), requestId } } };
+}
+
+}
+
+// Engines of several software versions; the first run of each stream breaks off after its first event.
+TEST_GROUP(StreamVersion)
+{
+    // Versions of the engines that ran each stream, in order.
+    std::map<std::string, std::vector<std::string>> versionsOf;
+
+    void addEngines(GatewayCluster & cluster, const std::string& version, int count)
+    {
+        const auto script = [this, version](const HttpRequest& request) -> ScriptedResponse {
+            versionsOf[request.body].push_back(version);
+            if (request.field(Names::lastEventField) == "1")
+                return { .parts = { secondEvent } };
+            return { .parts = { firstEvent }, .isComplete = false, .end = ConnectionEnd::Reset };
+        };
+        for (int index = 0; index < count; ++index)
+            cluster.addScriptedServer("engines", version, script);
+    }
+
+    int countJoinedStreams() const
+    {
+        int joined = 0;
+        for (const auto& [stream, versions] : versionsOf) {
+            if (std::any_of(versions.begin(), versions.end(),
+                    [&versions](const std::string& version) { return version != versions.front(); }))
+                ++joined;
+        }
+        return joined;
+    }
+
+    static std::string streamName(int index) { return "stream " + std::to_string(index); }
+};
+
+TEST(StreamVersion, aStreamGoesOnAtTheVersionThatBeganItWithinOneResponse)
+{
+    GatewayCluster cluster { 2, 1.0 };
+    addEngines(cluster, "v1", 2);
+    addEngines(cluster, "v2", 6);
+    cluster.waitUntilReady();
+    int complete = 0;
+    for (int index = 0; index < streamCount; ++index) {
+        const ClusterRequest request { .path = "/stream/x", .content = streamName(index) };
+        complete += cluster.call(static_cast<std::size_t>(index) % 2, request).isComplete ? 1 : 0;
+    }
+    LONGS_EQUAL(0, countJoinedStreams());
+    LONGS_EQUAL(streamCount, complete);
+}
+
+TEST(StreamVersion, aStreamGoesOnAtTheVersionThatBeganItWhenItsCallerResumesAtAnotherHost)
+{
+    // Hosts have no permit to resume a stream themselves.
+    GatewayCluster cluster { hostCount, 0.0 };
+    addEngines(cluster, "v1", 2);
+    addEngines(cluster, "v2", 6);
+    cluster.waitUntilReady();
+    int complete = 0;
+    for (int index = 0; index < streamCount; ++index) {
+        const auto host = static_cast<std::size_t>(index) % hostCount;
+        const ClusterResponse begun
+            = cluster.call(host, { .path = "/stream/x", .content = streamName(index) });
+        CHECK_FALSE(begun.isComplete);
+        const ClusterRequest resumption = resumptionOf(begun.id, streamName(index));
+        complete += cluster.call((host + 1) % hostCount, resumption).isComplete ? 1 : 0;
+    }
+    LONGS_EQUAL(0, countJoinedStreams());
+    LONGS_EQUAL(streamCount, complete);
+}
+
+TEST(StreamVersion, aStreamGoesOnAtTheVersionThatBeganItWhenItsHostWasKilled)
+{
+    GatewayCluster cluster { hostCount, 0.0 };
+    addEngines(cluster, "v1", 2);
+    addEngines(cluster, "v2", 6);
+    cluster.waitUntilReady();
+    std::vector<std::string> begun;
+    for (int index = 0; index < streamCount; ++index)
+        begun.push_back(cluster.call(0, { .path = "/stream/x", .content = streamName(index) }).id);
+    cluster.runFor(Milliseconds(100));
+    cluster.killHost(0);
+    int complete = 0;
+    for (int index = 0; index < streamCount; ++index) {
+        const ClusterRequest resumption = resumptionOf(begun[static_cast<std::size_t>(index)], streamName(index));
+        const auto host = 1 + static_cast<std::size_t>(index) % (hostCount - 1);
+        complete += cluster.call(host, resumption).isComplete ? 1 : 0;
+    }
+    LONGS_EQUAL(0, countJoinedStreams());
+    // Of the streams that are resumed, half of the share of new streams have to go on.
+    CHECK_COMPARE(complete, >=, streamCount / 2);
+}
+
+TEST(StreamVersion, aStreamOfUnknownOriginIsRefusedWithoutARun)
+{
+    GatewayCluster cluster { 2, 1.0 };
+    addEngines(cluster, "v1", 2);
+    addEngines(cluster, "v2", 2);
+    cluster.waitUntilReady();
+    const ClusterResponse response = cluster.call(0, resumptionOf("unknown", "stream"));
+    LONGS_EQUAL(503, response.status);
+    LONGS_EQUAL(0, versionsOf.size());
+}
