Resume a broken stream only at the software version that began it

Callers saw streams whose events came from two software versions of one service (ORDER). A host that resumed a broken stream within its response chose any engine not yet tried; servers do not check the version.

The version of the engine that sent the first event is now part of the stream's progress. Only engines of this version are candidates, also for the failure domain that the stages run near; without one the stream is cut at once, before its stages run again. A stream that began at an entry without a version does not go on, because the entry may hide any version. A server entry that changes its version counts as a new start, and a request is not sent to a server whose start or version has changed since it was chosen.

--- a/src/gateway/backendcaller.cpp
+++ b/src/gateway/backendcaller.cpp
@@ -112,7 +112,7 @@
     };
     auto sent = std::make_shared<bool>(false);
     HttpSendGate gate = [this, sent, server, scope = request.scope] {
-        *sent = mayReceiveWork(server);
+        *sent = mayReceiveRequest(server);
         if (*sent)
             scope->markSent();
         return *sent;
@@ -137,7 +137,8 @@
     }
     const TimePoint now = RuntimeClock::now();
     logFailedSend(request, server, result, reason, now - startedAt);
-    const bool isInconclusive = request.scope->isOver() || (!*sent && !mayReceiveWork(server));
+    const bool isInconclusive = request.scope->isOver()
+        || (!*sent && !mayReceiveRequest(server));
     m_tracker.onCallEnded(server.id,
         isInconclusive ? CallOutcome::Abandoned : callOutcomeOf(result.outcome), now - startedAt, now);
     co_return result;
@@ -253,6 +254,14 @@
     return known && known->server.endpoint == server.endpoint;
 }
 
+bool BackendCaller::mayReceiveRequest(const ServerEntry& server)
+{
+    const KnownServer* known = m_view.servers().findUsable(server.id, RuntimeClock::now());
+    return known && known->server.endpoint == server.endpoint
+        && known->server.startedAt == server.startedAt
+        && known->server.softwareVersion == server.softwareVersion;
+}
+
 std::shared_ptr<HttpClient> BackendCaller::clientFor(const Endpoint& endpoint)
 {
     std::shared_ptr<HttpClient>& client = m_clients[endpoint];
--- a/src/gateway/backendcaller.h
+++ b/src/gateway/backendcaller.h
@@ -91,6 +91,8 @@
 private:
     std::shared_ptr<HttpClient> clientFor(const Endpoint& endpoint);
     bool mayReceiveWork(const ServerEntry& server);
+    // The same, and the server has not started again or changed its software version under its ID.
+    bool mayReceiveRequest(const ServerEntry& server);
     void reportRun(
         const ServedRequest& request, const ServerEntry& server, RunEnd end, TimePoint sentAt);
     SendResult classify(std::unique_ptr<HttpStream> stream) const;
--- a/src/gateway/streamforwarder.cpp
+++ b/src/gateway/streamforwarder.cpp
@@ -1,6 +1,7 @@
 #include "gateway/streamforwarder.h"
 
 #include "libserving/streamend.h"
+#include "libserving/streamversion.h"
 #include "platform/requesttranslation.h"
 
 #include <algorithm>
@@ -62,7 +63,7 @@
         if (progress.stages.outcome == StageWorkOutcome::Done && !request.scope->isOver())
             co_await sendToEngines(request, progress);
         m_stages.release(std::exchange(progress.stages.results, {}));
-        if (!progress.needsStageRerun || request.scope->isOver())
+        if (!progress.needsStageRerun || request.scope->isOver() || !hasUntriedEngine(request, progress))
             break;
     }
     if (progress.outcome.status == 0 && request.scope->endReason() != ScopeEndReason::CallerDisconnected)
@@ -79,7 +80,7 @@
         request.firstEventDeadline = std::min(
             request.deadlineAt, RuntimeClock::now() + request.route.firstEventTimeout());
     progress.stages = co_await m_stages.run(request,
-        m_firstEventEstimator.expectedTime(request.caller.promptTokens), expectedEngineDomain(request));
+        m_firstEventEstimator.expectedTime(request.caller.promptTokens), expectedEngineDomain(request, progress));
 }
 
 Asio::awaitable<void> StreamForwarder::sendToEngines(ServedRequest& request, StreamProgress& progress)
@@ -132,11 +133,31 @@
     }
 }
 
-FailureDomainId StreamForwarder::expectedEngineDomain(const ServedRequest& request) const
+std::vector<const KnownServer*> StreamForwarder::usableEngines(
+    const ServedRequest& request, const StreamProgress& progress) const
 {
-    const TimePoint now = RuntimeClock::now();
-    const auto engines = m_placement.rank(request.caller,
-        m_view.servers().usable(request.pool, now), {}, m_backendCaller.tracker(), now);
+    std::vector<const KnownServer*> engines
+        = m_view.servers().usable(request.pool, RuntimeClock::now());
+    if (progress.version)
+        std::erase_if(engines, [&progress](const KnownServer* engine) {
+            return !canContinueStream(*progress.version, engine->server.softwareVersion);
+        });
+    return engines;
+}
+
+bool StreamForwarder::hasUntriedEngine(const ServedRequest& request, const StreamProgress& progress) const
+{
+    const auto engines = usableEngines(request, progress);
+    return std::any_of(engines.begin(), engines.end(), [&progress](const KnownServer* engine) {
+        return !progress.tried.contains(engine->server.id);
+    });
+}
+
+FailureDomainId StreamForwarder::expectedEngineDomain(
+    const ServedRequest& request, const StreamProgress& progress) const
+{
+    const auto engines = m_placement.rank(request.caller, usableEngines(request, progress), {},
+        m_backendCaller.tracker(), RuntimeClock::now());
     return engines.empty() ? FailureDomainId() : engines.front()->server.domain;
 }
 
@@ -144,9 +165,8 @@
 {
     const TimePoint now = RuntimeClock::now();
     const Pool* pool = request.config->findPool(request.pool);
-    const auto engines = m_placement.rank(request.caller,
-        m_view.servers().usable(request.pool, now), progress.stages.inputBytes,
-        m_backendCaller.tracker(), now);
+    const auto engines = m_placement.rank(request.caller, usableEngines(request, progress),
+        progress.stages.inputBytes, m_backendCaller.tracker(), now);
     for (const KnownServer* engine : engines) {
         if (progress.tried.contains(engine->server.id))
             continue;
@@ -207,6 +227,8 @@
         }
         if (!isPromptRead && progress.events.eventCount() > earlierEvents) {
             isPromptRead = true;
+            if (!progress.version)
+                progress.version = engine.softwareVersion;
             m_firstEventEstimator.recordFirstEvent(request.caller.promptTokens, RuntimeClock::now() - sentAt);
             onPromptEnded(request, progress, engine.id);
             // The engine has read the stage results. They are not kept for a resumption at another engine,
--- a/src/gateway/streamforwarder.h
+++ b/src/gateway/streamforwarder.h
@@ -32,10 +32,17 @@
         bool isPromptPending = false;
         // The stages have to run again before an engine can run the request.
         bool needsStageRerun = false;
+        // Software version of the engine that began the stream; only engines of this version may go on with it.
+        std::optional<SoftwareVersion> version;
     };
 
     // Failure domain of the engine that the request would be sent to now.
-    FailureDomainId expectedEngineDomain(const ServedRequest& request) const;
+    FailureDomainId expectedEngineDomain(
+        const ServedRequest& request, const StreamProgress& progress) const;
+    // Engines that may receive work and whose version fits the stream.
+    std::vector<const KnownServer*> usableEngines(
+        const ServedRequest& request, const StreamProgress& progress) const;
+    bool hasUntriedEngine(const ServedRequest& request, const StreamProgress& progress) const;
     const KnownServer* chooseEngine(const ServedRequest& request, const StreamProgress& progress);
     boost::asio::awaitable<void> runStages(ServedRequest& request, StreamProgress& progress);
     boost::asio::awaitable<void> sendToEngines(ServedRequest& request, StreamProgress& progress);
--- a/src/libserving/serverdirectory.cpp
+++ b/src/libserving/serverdirectory.cpp
@@ -30,7 +30,8 @@
     ++m_generation;
     KnownServer& known = m_servers[server.id];
     const bool isNewStart = known.server.id.empty() || known.server.startedAt != server.startedAt
-        || known.server.endpoint != server.endpoint;
+        || known.server.endpoint != server.endpoint
+        || known.server.softwareVersion != server.softwareVersion;
     if (isNewStart)
         known = { .firstSeenAt = now };
     known.server = server;
--- a/tests/platform/gatewayfixture.cpp
+++ b/tests/platform/gatewayfixture.cpp
@@ -66,7 +66,8 @@
         std::make_unique<HttpServer>(context, HttpServerOptions {}, std::move(handler)));
     const ServerEntry entry { .id = BackendServerId(id),
         .pool = PoolId(pool),
-        .endpoint = { "127.0.0.1", m_servers.back()->port() } };
+        .endpoint = { "127.0.0.1", m_servers.back()->port() },
+        .softwareVersion = SoftwareVersion("v1") };
     view.servers().put(entry, RuntimeClock::now());
     return m_servers.back()->port();
 }
--- a/tests/platform/streamversiontest.cpp
+++ b/tests/platform/streamversiontest.cpp
@@ -124,3 +124,13 @@
     LONGS_EQUAL(503, response.status);
     LONGS_EQUAL(0, versionsOf.size());
 }
+
+TEST(StreamVersion, aStreamThatBeganAtAnUnknownVersionIsCutInsteadOfGoingOn)
+{
+    GatewayCluster cluster { 2, 1.0 };
+    addEngines(cluster, "", 2);
+    cluster.waitUntilReady();
+    const ClusterResponse response = cluster.call(0, { .path = "/stream/x", .content = "stream" });
+    CHECK_FALSE(response.isComplete);
+    LONGS_EQUAL(1, versionsOf["stream"].size());
+}
--- a/tests/serving/serverdirectorytest.cpp
+++ b/tests/serving/serverdirectorytest.cpp
@@ -117,3 +117,13 @@
     CHECK(directory.findUsable(cold.id, now)->isCold(now + Milliseconds(2400)));
     CHECK(!directory.findUsable(cold.id, now)->isCold(now + Milliseconds(2600)));
 }
+
+TEST(ServerDirectory, aServerThatChangesItsSoftwareVersionUnderItsIdHasStartedAgain)
+{
+    ServerEntry server = makeEntry("s1");
+    server.softwareVersion = SoftwareVersion("v1");
+    directory.put(server, TimePoint(Milliseconds(1000)));
+    server.softwareVersion = SoftwareVersion("v2");
+    directory.put(server, TimePoint(Milliseconds(5000)));
+    CHECK(directory.all().at(server.id).firstSeenAt == TimePoint(Milliseconds(5000)));
+}
