Resume a caller's stream only at the software version that began it

Callers saw streams joined from two software versions over their attempts (ORDER): nothing was remembered of a stream after its response had ended, so a caller's Last-Event-Id went to whichever engine was chosen, at any host.

Each host records which version, of which pool, began a resumable stream, under the owner and the ID of the attempt, which resumptions name in Resumes. While the pool has or may have had several versions, it also sends this to two hosts of different failure domains, chosen by rendezvous hashing of the ID. A host at which a stream is resumed uses its own record or asks the two; if neither responds, the next two. Without a record the stream goes on only if the pool had a single version, and routes led to the same pools, for as long as a stream may be resumed; a host knows this from a list of servers that is fresh and was confirmed without a gap (PoolVersions), and not while no other host responds. Otherwise the request is refused at once with 503 unknown_origin, or version_unavailable where no server of the version may receive work: nothing has run.

Weighed, with docs/PLATFORM.md: one home for each stream loses them with one host; the store takes 400 writes a second on each site, which the streams of the grown fleets reach; records at every host grow with the square of the hosts. Pools with one version, the usual case, cost no message.

--- a/src/gateway/gatewaydaemon.cpp
+++ b/src/gateway/gatewaydaemon.cpp
@@ -73,8 +73,10 @@
     , m_stageHome(m_context, m_view, m_backendCaller, m_poison)
     , m_stageRouter(m_context, settings.process.host, m_view, m_stageHome, m_peers)
     , m_stageRunner(m_context, m_stageRouter)
+    , m_streamOrigins(m_context, m_view, m_peers, settings.process.host, m_metrics)
     , m_plainForwarder(m_view, m_backendCaller, m_retries, m_poison)
-    , m_streamForwarder(m_view, m_backendCaller, m_retries, m_coldLimiter, m_stageRunner, m_poison)
+    , m_streamForwarder(m_view, m_backendCaller, m_retries, m_coldLimiter, m_stageRunner,
+          m_streamOrigins, m_poison)
     , m_gatewayMetrics(m_metrics)
     , m_requests(m_context, m_view, m_plainForwarder, m_streamForwarder, m_poison, m_gatewayMetrics)
     , m_callerServer(
@@ -177,9 +179,16 @@
 Asio::awaitable<void> GatewayDaemon::respondToPeer(
     std::shared_ptr<PeerStream> stream, TextMessage request)
 {
-    if (request.topic != PeerViewSync::topic)
+    if (request.topic == StreamOriginSync::noticeTopic)
+        co_return m_streamOrigins.applyNotice(request.json);
+    std::string text;
+    if (request.topic == PeerViewSync::topic)
+        text = m_peerViewSync.respondTo(request.json);
+    else if (request.topic == StreamOriginSync::questionTopic)
+        text = m_streamOrigins.respondTo(request.json);
+    else
         co_return;
-    Message response = TextMessage { request.topic, m_peerViewSync.respondTo(request.json) };
+    Message response = TextMessage { request.topic, std::move(text) };
     co_await stream->write(std::move(response));
 }
 
@@ -253,7 +262,7 @@
     return boost::json::object { { "config_version", config ? config->version : 0 },
         { "config_revision", m_view.configRevision() },
         { "servers", m_view.servers().size() }, { "hosts", m_view.hosts().size() },
-        { "waiting_pieces", m_stageHome.waitingPieces() },
+        { "waiting_pieces", m_stageHome.waitingPieces() }, { "stream_origins", m_streamOrigins.size() },
         { "poisoned_requests", m_poison.count(PoisonState::Refused, RuntimeClock::now()) },
         { "stopping", m_isStopping } };
 }
--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -59,6 +59,7 @@
     StageHome m_stageHome;
     StageRouter m_stageRouter;
     StageRunner m_stageRunner;
+    StreamOriginSync m_streamOrigins;
     PlainForwarder m_plainForwarder;
     StreamForwarder m_streamForwarder;
     GatewayMetrics m_gatewayMetrics;
--- a/src/gateway/refusals.cpp
+++ b/src/gateway/refusals.cpp
@@ -18,6 +18,10 @@
         return "out_of_time";
     case GatewayRefusal::Poisoned:
         return "poisoned";
+    case GatewayRefusal::UnknownOrigin:
+        return "unknown_origin";
+    case GatewayRefusal::VersionUnavailable:
+        return "version_unavailable";
     case GatewayRefusal::UnknownRoute:
         return "unknown_route";
     case GatewayRefusal::UnknownKey:
@@ -38,6 +42,8 @@
     case GatewayRefusal::NoServer:
     case GatewayRefusal::OutOfTime:
     case GatewayRefusal::Poisoned:
+    case GatewayRefusal::UnknownOrigin:
+    case GatewayRefusal::VersionUnavailable:
         return 503;
     case GatewayRefusal::UnknownRoute:
         return 404;
--- a/src/gateway/refusals.h
+++ b/src/gateway/refusals.h
@@ -17,6 +17,10 @@
     OutOfTime,
     // Earlier attempts of the same request crashed servers.
     Poisoned,
+    // Which software version began the stream that is to be resumed is not known.
+    UnknownOrigin,
+    // No server of the version that began the stream may receive work.
+    VersionUnavailable,
     // A retry will be refused too.
     UnknownRoute,
     UnknownKey,
--- a/src/gateway/requestservice.cpp
+++ b/src/gateway/requestservice.cpp
@@ -150,7 +150,7 @@
     const Milliseconds waited = caller.timeout
         ? m_waitEstimator.recordAttempt(route->name, *caller.timeout)
         : Milliseconds(0);
-    PoolId pool = choosePool(*route, caller.id);
+    PoolId pool = choosePool(*route, caller.lastEventId.empty() ? caller.id : caller.resumedRequestId);
     ServedRequest request { .exchange = exchange,
         .caller = std::move(caller),
         .config = config,
--- a/src/gateway/servingviewupdater.cpp
+++ b/src/gateway/servingviewupdater.cpp
@@ -150,6 +150,8 @@
             m_view.servers().onStoreRegained(RuntimeClock::now());
         writeLog(LogLevel::Info, "store_regained", { { "kind", prefix } });
     };
+    if (prefix == PlatformNames::serversPrefix)
+        handlers.onConfirmed = [this](TimePoint confirmedAt) { m_view.servers().confirm(confirmedAt); };
     return { m_context, m_store, m_probeState, std::move(options), std::move(handlers) };
 }
 
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -93,6 +93,7 @@
         if (list.revision >= m_revision)
             applyList(list);
         m_mustList = false;
+        notifyConfirmed();
         co_return;
     }
     const bool isLongPoll = !m_isLost && !m_isRelayed;
@@ -110,6 +111,7 @@
             recordRemoval(event.key, events.revision);
     }
     m_revision = std::max(m_revision, events.revision);
+    notifyConfirmed();
     if (!events.events.empty())
         co_await pause(m_batchDelay);
 }
@@ -151,6 +153,7 @@
     }
     if (m_revision > 0)
         m_mustList = false;
+    notifyConfirmed();
     return isNew;
 }
 
@@ -158,6 +161,7 @@
 {
     if (revision == m_revision) {
         recordPeerEvidence(age, now);
+        notifyConfirmed();
     } else if (revision > m_revision && m_isRelayed && !m_mustReadStore) {
         m_mustReadStore = true;
         m_pauseTimer.cancel();
@@ -173,6 +177,12 @@
         endOutage();
 }
 
+void StoreFollower::notifyConfirmed()
+{
+    if (m_handlers.onConfirmed)
+        m_handlers.onConfirmed(m_evidenceAt);
+}
+
 void StoreFollower::applyList(const PlatformList& list)
 {
     m_objects.clear();
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -55,6 +55,8 @@
         // The store stopped responding, with the reason, or responds again.
         std::function<void(const std::string&)> onLost;
         std::function<void()> onRegained;
+        // All objects are known to have been current at a time.
+        std::function<void(TimePoint)> onConfirmed;
     };
 
     StoreFollower(boost::asio::io_context& context, PlatformClient& store, StoreProbeState& probeState,
@@ -96,6 +98,7 @@
     void applyEvent(const PlatformEvent& event);
     void recordRemoval(const std::string& key, ObjectVersion revision);
     void recordPeerEvidence(Milliseconds age, TimePoint now);
+    void notifyConfirmed();
     void onStoreLost(const std::string& reason);
     void onStoreResponse();
     void endOutage();
--- a/src/gateway/streamforwarder.cpp
+++ b/src/gateway/streamforwarder.cpp
@@ -43,12 +43,13 @@
 }
 
 StreamForwarder::StreamForwarder(ServingView& view, BackendCaller& backendCaller, RetryWindow& retries,
-    ColdLimiter& coldLimiter, StageRunner& stages, const PoisonTable& poison)
+    ColdLimiter& coldLimiter, StageRunner& stages, StreamOriginSync& origins, const PoisonTable& poison)
     : m_view(view)
     , m_backendCaller(backendCaller)
     , m_retries(retries)
     , m_coldLimiter(coldLimiter)
     , m_stages(stages)
+    , m_origins(origins)
     , m_poison(poison)
 {
 }
@@ -56,8 +57,10 @@
 Asio::awaitable<ServedOutcome> StreamForwarder::serve(ServedRequest& request)
 {
     StreamProgress progress;
+    if (!request.caller.lastEventId.empty())
+        co_await findOrigin(request, progress);
     m_retries.recordRequest(request.pool, RuntimeClock::now());
-    for (int round = 0; round < maxStageRounds; ++round) {
+    for (int round = 0; round < maxStageRounds && !progress.refusal; ++round) {
         progress.needsStageRerun = false;
         co_await runStages(request, progress);
         if (progress.stages.outcome == StageWorkOutcome::Done && !request.scope->isOver())
@@ -71,6 +74,22 @@
     co_return progress.outcome;
 }
 
+Asio::awaitable<void> StreamForwarder::findOrigin(ServedRequest& request, StreamProgress& progress)
+{
+    const std::optional<StreamOrigin> origin = co_await m_origins.find(request);
+    const bool isServed = origin
+        && std::any_of(request.route.pools.begin(), request.route.pools.end(),
+            [&origin](const PoolShare& share) { return share.pool == origin->pool; });
+    if (!isServed) {
+        progress.refusal = GatewayRefusal::UnknownOrigin;
+        co_return;
+    }
+    request.pool = origin->pool;
+    progress.version = origin->version;
+    if (!hasUntriedEngine(request, progress))
+        progress.refusal = GatewayRefusal::VersionUnavailable;
+}
+
 Asio::awaitable<void> StreamForwarder::runStages(ServedRequest& request, StreamProgress& progress)
 {
     if (request.route.stages.empty())
@@ -229,6 +248,8 @@
             isPromptRead = true;
             if (!progress.version)
                 progress.version = engine.softwareVersion;
+            if (request.route.isResumable)
+                m_origins.recordBegin(request, *progress.version);
             m_firstEventEstimator.recordFirstEvent(request.caller.promptTokens, RuntimeClock::now() - sentAt);
             onPromptEnded(request, progress, engine.id);
             // The engine has read the stage results. They are not kept for a resumption at another engine,
@@ -278,6 +299,16 @@
         m_placement.onPromptRead(request.caller, engine);
 }
 
+std::optional<Milliseconds> StreamForwarder::versionRetryAfter(
+    const ServedRequest& request, const SoftwareVersion& version) const
+{
+    const auto servers = m_view.servers().notDraining(request.pool);
+    const bool mayReturn = std::any_of(servers.begin(), servers.end(), [&version](const KnownServer* known) {
+        return canContinueStream(version, known->server.softwareVersion);
+    });
+    return mayReturn ? std::optional(fullPoolRetryAfter) : std::nullopt;
+}
+
 Asio::awaitable<void> StreamForwarder::refuseOrAbort(ServedRequest& request, StreamProgress& progress)
 {
     if (progress.hasBegun) {
@@ -286,10 +317,13 @@
         progress.outcome.refusal = "cut";
         co_return;
     }
-    GatewayRefusal reason = GatewayRefusal::NoServer;
+    GatewayRefusal reason = progress.refusal.value_or(GatewayRefusal::NoServer);
     std::optional<Milliseconds> retryAfter;
     const bool isTimeout = request.scope->endReason() == ScopeEndReason::TimedOut;
-    if (progress.runs > 0) {
+    if (progress.refusal) {
+        if (progress.version)
+            retryAfter = versionRetryAfter(request, *progress.version);
+    } else if (progress.runs > 0) {
         reason = isTimeout ? GatewayRefusal::TimedOut : GatewayRefusal::ServerFailed;
     } else if (progress.stages.outcome != StageWorkOutcome::Done) {
         reason = refusalFor(progress.stages.outcome);
--- a/src/gateway/streamforwarder.h
+++ b/src/gateway/streamforwarder.h
@@ -2,6 +2,7 @@
 
 #include "gateway/plainforwarder.h"
 #include "gateway/stagerunner.h"
+#include "gateway/streamoriginsync.h"
 #include "libserving/coldlimiter.h"
 #include "libserving/engineplacement.h"
 #include "libserving/eventsplitter.h"
@@ -14,7 +15,8 @@
 class StreamForwarder {
 public:
     StreamForwarder(ServingView& view, BackendCaller& backendCaller, RetryWindow& retries,
-        ColdLimiter& coldLimiter, StageRunner& stages, const PoisonTable& poison);
+        ColdLimiter& coldLimiter, StageRunner& stages, StreamOriginSync& origins,
+        const PoisonTable& poison);
 
     boost::asio::awaitable<ServedOutcome> serve(ServedRequest& request);
 
@@ -34,6 +36,8 @@
         bool needsStageRerun = false;
         // Software version of the engine that began the stream; only engines of this version may go on with it.
         std::optional<SoftwareVersion> version;
+        // Why a stream that its caller resumes can't go on.
+        std::optional<GatewayRefusal> refusal;
     };
 
     // Failure domain of the engine that the request would be sent to now.
@@ -44,6 +48,9 @@
         const ServedRequest& request, const StreamProgress& progress) const;
     bool hasUntriedEngine(const ServedRequest& request, const StreamProgress& progress) const;
     const KnownServer* chooseEngine(const ServedRequest& request, const StreamProgress& progress);
+    // Finds the pool and the version that may go on with a stream that its caller resumes. Sets the refusal if
+    // there are none.
+    boost::asio::awaitable<void> findOrigin(ServedRequest& request, StreamProgress& progress);
     boost::asio::awaitable<void> runStages(ServedRequest& request, StreamProgress& progress);
     boost::asio::awaitable<void> sendToEngines(ServedRequest& request, StreamProgress& progress);
     // Forwards the response. Returns true if it was forwarded completely.
@@ -56,6 +63,9 @@
         const HttpStream& stream, ServerEntry engine, bool hasEvents, TimePoint sentAt);
     void onPromptSent(ServedRequest& request, StreamProgress& progress, const BackendServerId& engine);
     void onPromptEnded(ServedRequest& request, StreamProgress& progress, const BackendServerId& engine);
+    // Retry-After for a stream none of whose engines may receive work; not set if none may do so later.
+    std::optional<Milliseconds> versionRetryAfter(
+        const ServedRequest& request, const SoftwareVersion& version) const;
     boost::asio::awaitable<void> refuseOrAbort(ServedRequest& request, StreamProgress& progress);
 
     ServingView& m_view;
@@ -63,6 +73,7 @@
     RetryWindow& m_retries;
     ColdLimiter& m_coldLimiter;
     StageRunner& m_stages;
+    StreamOriginSync& m_origins;
     const PoisonTable& m_poison;
     EnginePlacement m_placement;
     FirstEventEstimator m_firstEventEstimator;
--- a/src/libserving/serverdirectory.cpp
+++ b/src/libserving/serverdirectory.cpp
@@ -28,7 +28,10 @@
 void ServerDirectory::put(const ServerEntry& server, TimePoint now)
 {
     ++m_generation;
+    m_versions.onServerAdded(server.pool, server.softwareVersion);
     KnownServer& known = m_servers[server.id];
+    if (!known.server.id.empty())
+        m_versions.onServerRemoved(known.server.pool, known.server.softwareVersion, now);
     const bool isNewStart = known.server.id.empty() || known.server.startedAt != server.startedAt
         || known.server.endpoint != server.endpoint
         || known.server.softwareVersion != server.softwareVersion;
@@ -49,7 +52,7 @@
     if (isRetainingMissing(now) && !found->second.server.isDraining)
         found->second.isMissing = true;
     else
-        m_servers.erase(found);
+        erase(found, now);
 }
 
 void ServerDirectory::onStoreLost(TimePoint now)
@@ -135,8 +138,21 @@
 {
     if (isRetainingMissing(now))
         return;
-    m_generation += std::erase_if(
-        m_servers, [](const auto& entry) { return entry.second.isMissing; });
+    for (auto entry = m_servers.begin(); entry != m_servers.end();) {
+        if (!entry->second.isMissing) {
+            ++entry;
+            continue;
+        }
+        ++m_generation;
+        entry = erase(entry, now);
+    }
+}
+
+std::map<BackendServerId, KnownServer>::iterator ServerDirectory::erase(
+    std::map<BackendServerId, KnownServer>::iterator entry, TimePoint now)
+{
+    m_versions.onServerRemoved(entry->second.server.pool, entry->second.server.softwareVersion, now);
+    return m_servers.erase(entry);
 }
 
 }
--- a/src/libserving/serverdirectory.h
+++ b/src/libserving/serverdirectory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "libserving/poolversions.h"
 #include "libserving/serverentry.h"
 
 #include <functional>
@@ -52,6 +53,11 @@
     // of an outage, even if this host does not reach it.
     void recordPeerEvidence(TimePoint respondedAt, TimePoint now);
 
+    // Reports that the entries were current at a time.
+    void confirm(TimePoint confirmedAt) { m_versions.confirm(confirmedAt); }
+    // The software versions that the servers have had.
+    const PoolVersions& versions() const { return m_versions; }
+
     // Replaces the failure domains that are out of service. Servers of a domain that returns to service
     // count as cold for their pool's cold time plus the margin.
     void setOutOfServiceDomains(std::set<FailureDomainId> domains,
@@ -75,9 +81,13 @@
     bool isStoreAway(TimePoint now) const;
     bool isRetainingMissing(TimePoint now) const;
     void expireMissing(TimePoint now);
+    // Removes an entry, and returns the one that follows it.
+    std::map<BackendServerId, KnownServer>::iterator erase(
+        std::map<BackendServerId, KnownServer>::iterator entry, TimePoint now);
 
     ServerDirectoryOptions m_options;
     std::map<BackendServerId, KnownServer> m_servers;
+    PoolVersions m_versions;
     std::set<FailureDomainId> m_outOfServiceDomains;
     bool m_isStoreLost = false;
     TimePoint m_storeLostAt {};
--- a/src/libserving/servingconfig.cpp
+++ b/src/libserving/servingconfig.cpp
@@ -55,4 +55,19 @@
     return found == pools.end() ? nullptr : &found->second;
 }
 
+Milliseconds ServingConfig::resumptionTime(const PoolId& pool) const
+{
+    // A route without a timeout leaves it to its callers.
+    constexpr Milliseconds unlimitedTimeout { 60'000 };
+    constexpr int attempts = 2;
+    Milliseconds longest { 0 };
+    for (const Route& route : routes) {
+        const bool usesPool = std::any_of(route.pools.begin(), route.pools.end(),
+            [&pool](const PoolShare& share) { return share.pool == pool; });
+        if (route.retryRule == RetryRule::Stream && usesPool)
+            longest = std::max(longest, route.timeout.count() > 0 ? route.timeout : unlimitedTimeout);
+    }
+    return attempts * longest;
+}
+
 }
--- a/src/libserving/servingconfig.h
+++ b/src/libserving/servingconfig.h
@@ -137,6 +137,9 @@
     // The owner of an API key, or null.
     const Owner* findOwner(std::string_view key) const;
     const Pool* findPool(const PoolId& id) const;
+    // Longest time after its first event at which a caller may resume a stream of a pool, in a later attempt
+    // with a time limit of its own.
+    Milliseconds resumptionTime(const PoolId& pool) const;
     // Whether requests need an API key, except on public routes.
     bool requiresKeys() const { return !owners.empty(); }
 };
--- a/src/libserving/servingview.cpp
+++ b/src/libserving/servingview.cpp
@@ -1,11 +1,28 @@
 #include "libserving/servingview.h"
 
+#include <algorithm>
+
 namespace Apricot {
 
+namespace {
+
+    bool haveSameRouting(const ServingConfig& left, const ServingConfig& right)
+    {
+        return std::equal(left.routes.begin(), left.routes.end(), right.routes.begin(), right.routes.end(),
+            [](const Route& leftRoute, const Route& rightRoute) {
+                return leftRoute.host == rightRoute.host && leftRoute.pathPrefix == rightRoute.pathPrefix
+                    && leftRoute.pools == rightRoute.pools;
+            });
+    }
+
+}
+
 bool ServingView::applyConfig(ServingConfig config, std::uint64_t revision)
 {
     if (m_config && revision <= m_configRevision)
         return false;
+    if (!m_config || !haveSameRouting(*m_config, config))
+        m_routingChangedAt = RuntimeClock::now();
     m_config = std::make_shared<const ServingConfig>(std::move(config));
     m_configRevision = revision;
     return true;
--- a/src/libserving/servingview.h
+++ b/src/libserving/servingview.h
@@ -28,6 +28,8 @@
     // The current configuration, or null before the first one was applied.
     std::shared_ptr<const ServingConfig> config() const { return m_config; }
     std::uint64_t configRevision() const { return m_configRevision; }
+    // When a configuration last sent requests to other pools than the one before, or the first one was applied.
+    TimePoint routingChangedAt() const { return m_routingChangedAt; }
 
     ServerDirectory& servers() { return m_servers; }
     const ServerDirectory& servers() const { return m_servers; }
@@ -43,6 +45,7 @@
 private:
     std::shared_ptr<const ServingConfig> m_config;
     std::uint64_t m_configRevision = 0;
+    TimePoint m_routingChangedAt {};
     ServerDirectory m_servers;
     std::map<HostId, PeerHost> m_hosts;
 };
--- a/tests/platform/gatewaycluster.cpp
+++ b/tests/platform/gatewaycluster.cpp
@@ -77,6 +77,8 @@
         .seeds = localAddress(m_hosts.front()->peers),
         .store = localAddress(m_platform.port()) };
     settings.retryRatio = m_retryRatio;
+    if (m_retryRatio == 0)
+        settings.retrySlack = 0;
     settings.process.host = HostId("host-" + std::to_string(host));
     settings.process.failureDomain = FailureDomainId("zone-" + std::to_string(host % 3));
     return settings;
@@ -128,7 +130,7 @@
         Asio::detached);
 }
 
-std::string GatewayCluster::addScriptedServer(
+void GatewayCluster::addScriptedServer(
     const std::string& pool, const std::string& version, ResponseScript script)
 {
     const int number = m_nextServer++;
@@ -138,8 +140,15 @@
         .startedAt = firstStart + number };
     m_scriptedServers.push_back(
         std::make_unique<ScriptedServer>(m_context, server.port, std::move(script)));
+    m_scriptedEntries.emplace(version, "servers/" + server.id);
     registerServer(server, version);
-    return server.id;
+}
+
+void GatewayCluster::removeScriptedServers(const std::string& version)
+{
+    const auto [begin, end] = m_scriptedEntries.equal_range(version);
+    for (auto entry = begin; entry != end; ++entry)
+        Asio::co_spawn(m_context, removeEntry(entry->second, Milliseconds(0)), Asio::detached);
 }
 
 void GatewayCluster::endServer(BackendServer& server)
@@ -148,7 +157,7 @@
     server.listeners.back()->stopAccepting();
     for (HttpExchange* exchange : *server.exchanges)
         exchange->abort();
-    Asio::co_spawn(m_context, removeEntry("servers/" + server.id), Asio::detached);
+    Asio::co_spawn(m_context, removeEntry("servers/" + server.id, registrationTimeout), Asio::detached);
     Asio::co_spawn(m_context, returnLater(server), Asio::detached);
 }
 
@@ -163,9 +172,9 @@
     co_await m_store.put(std::move(key), std::move(value), std::nullopt);
 }
 
-Asio::awaitable<void> GatewayCluster::removeEntry(std::string key)
+Asio::awaitable<void> GatewayCluster::removeEntry(std::string key, Milliseconds delay)
 {
-    co_await sleepFor(m_context.get_executor(), registrationTimeout);
+    co_await sleepFor(m_context.get_executor(), delay);
     co_await m_store.remove(std::move(key), std::nullopt);
 }
 
--- a/tests/platform/gatewaycluster.h
+++ b/tests/platform/gatewaycluster.h
@@ -48,7 +48,7 @@
 // later as another one at the same address. Each daemon has its own event loop; all run on this thread.
 class GatewayCluster {
 public:
-    // Each request of a caller allows `retryRatio` retries.
+    // Each request of a caller allows `retryRatio` retries; zero allows none at all.
     explicit GatewayCluster(std::size_t hosts, double retryRatio = 0.2);
     ~GatewayCluster();
 
@@ -57,9 +57,11 @@
 
     // Adds backend servers to one of the pools "plain", "engines" and "stages".
     void addServers(const std::string& pool, int count);
-    // Adds a backend server of a software version whose responses follow a script. Returns its ID.
-    std::string addScriptedServer(
+    // Adds a backend server of a software version whose responses follow a script.
+    void addScriptedServer(
         const std::string& pool, const std::string& version, ResponseScript script);
+    // Removes the scripted servers of a version from the store.
+    void removeScriptedServers(const std::string& version);
     // Runs until the hosts are ready to serve callers. Fails the test after ten seconds.
     void waitUntilReady();
     void runFor(Apricot::Milliseconds time);
@@ -106,7 +108,7 @@
     bool recordRun(BackendServer& server, const std::string& content);
     boost::asio::awaitable<void> returnLater(BackendServer& server);
     boost::asio::awaitable<void> writeEntry(std::string key, boost::json::value value);
-    boost::asio::awaitable<void> removeEntry(std::string key);
+    boost::asio::awaitable<void> removeEntry(std::string key, Apricot::Milliseconds delay);
     // Returns the index of the response.
     std::size_t startCall(std::size_t host, const ClusterRequest& request);
     boost::asio::awaitable<void> callHost(std::uint16_t port, Apricot::HttpCall call, std::size_t index);
@@ -119,6 +121,8 @@
     double m_retryRatio;
     std::vector<std::unique_ptr<BackendServer>> m_servers;
     std::vector<std::unique_ptr<ScriptedServer>> m_scriptedServers;
+    // Keys of their entries by version.
+    std::multimap<std::string, std::string> m_scriptedEntries;
     std::vector<std::unique_ptr<Host>> m_hosts;
     int m_nextServer = 1;
     int m_nextRequest = 1;
--- a/tests/platform/gatewayfixture.h
+++ b/tests/platform/gatewayfixture.h
@@ -41,9 +41,10 @@
     Apricot::StageHome home { context, view, backendCaller, poison };
     Apricot::StageRouter router { context, Apricot::HostId("h1"), view, home, peers };
     Apricot::StageRunner stages { context, router };
+    Apricot::StreamOriginSync origins { context, view, peers, Apricot::HostId("h1"), registry };
     Apricot::PlainForwarder plainForwarder { view, backendCaller, retries, poison };
     Apricot::StreamForwarder streamForwarder {
-        view, backendCaller, retries, coldLimiter, stages, poison
+        view, backendCaller, retries, coldLimiter, stages, origins, poison
     };
     Apricot::GatewayMetrics metrics { registry };
     Apricot::RequestService requests {
--- a/tests/platform/streamversiontest.cpp
+++ b/tests/platform/streamversiontest.cpp
@@ -134,3 +134,31 @@
     CHECK_FALSE(response.isComplete);
     LONGS_EQUAL(1, versionsOf["stream"].size());
 }
+
+TEST(StreamVersion, aStreamWhoseVersionHasLeftIsRefusedAtOnceWithoutARun)
+{
+    GatewayCluster cluster { 2, 0.0 };
+    addEngines(cluster, "v1", 1);
+    cluster.waitUntilReady();
+    const ClusterResponse begun = cluster.call(0, { .path = "/stream/x", .content = "stream" });
+    addEngines(cluster, "v2", 2);
+    cluster.removeScriptedServers("v1");
+    cluster.runFor(Milliseconds(3000));
+    const ClusterResponse response = cluster.call(1, resumptionOf(begun.id, "stream"));
+    LONGS_EQUAL(503, response.status);
+    LONGS_EQUAL(1, versionsOf["stream"].size());
+}
+
+// Guards against refusing every stream of a pool with one version whose host has no record.
+TEST(StreamVersion, aStreamOfAPoolWithASingleVersionGoesOnWithoutARecord)
+{
+    GatewayCluster cluster { 3, 0.0 };
+    addEngines(cluster, "v1", 2);
+    cluster.waitUntilReady();
+    // Twice the timeout of the route, which is how long a stream may be resumed.
+    cluster.runFor(Milliseconds(12'500));
+    const ClusterResponse begun = cluster.call(0, { .path = "/stream/x", .content = "stream" });
+    cluster.killHost(0);
+    CHECK_TRUE(cluster.call(1, resumptionOf(begun.id, "stream")).isComplete);
+    LONGS_EQUAL(2, versionsOf["stream"].size());
+}
--- a/tests/serving/servingconfigtest.cpp
+++ b/tests/serving/servingconfigtest.cpp
@@ -56,3 +56,32 @@
     CHECK(!view.applyConfig({ .version = 7 }, 70));
     LONGS_EQUAL(7, view.config()->version);
 }
+
+TEST(ServingConfig, tellsWhenRoutesLastLedToOtherPools)
+{
+    const Route route { .host = "h", .pathPrefix = "/a/", .pools = { { .pool = PoolId("p") } } };
+    ServingView view;
+    view.applyConfig({ .version = 1, .routes = { route } }, 1);
+    const TimePoint first = view.routingChangedAt();
+    Route slower = route;
+    slower.timeout = Milliseconds(9000);
+    view.applyConfig({ .version = 2, .routes = { slower } }, 2);
+    CHECK(view.routingChangedAt() == first);
+    Route moved = route;
+    moved.pools = { { .pool = PoolId("q") } };
+    view.applyConfig({ .version = 3, .routes = { moved } }, 3);
+    CHECK(view.routingChangedAt() > first);
+    const TimePoint second = view.routingChangedAt();
+    view.applyConfig({ .version = 4, .routes = { moved, { .host = "h", .pathPrefix = "/a/b/" } } }, 4);
+    CHECK(view.routingChangedAt() > second);
+}
+
+TEST(ServingConfig, aStreamMayBeResumedForTwiceTheLongestTimeoutOfItsPool)
+{
+    const ServingConfig config { .routes
+        = { { .retryRule = RetryRule::Stream, .timeout = Milliseconds(6000), .pools = { { .pool = PoolId("p") } } },
+            { .retryRule = RetryRule::Stream, .timeout = Milliseconds(8000), .pools = { { .pool = PoolId("p") } } },
+            { .timeout = Milliseconds(90'000), .pools = { { .pool = PoolId("p") } } } } };
+    LONGS_EQUAL(16'000, config.resumptionTime(PoolId("p")).count());
+    LONGS_EQUAL(0, config.resumptionTime(PoolId("q")).count());
+}
