Keep retries within the budget while callers move between hosts

Causes, all of one class, shares of a bound that are computed from what a host sees alone: - A host allowed retries for all its requests of the last window. Callers move when hosts leave, freeze or are killed, so the requests of one window allowed retries at two hosts in turn: those that had used theirs, and those that the callers came to. - When hosts left the list, the others divided the slack among fewer while the retries of those that had left still counted. - A retry counted from when its permit was acquired, not from when it reached its server, which is later by a connection, or by the time for which a process was stopped.

Requests now allow retries only as far as the host had as many in the window before (the rule counts that window too), plus 0.15 of the host's share of the slack; a host that left keeps its share until its grace time and a window have passed; a permit is held until its send has ended and counts for a window from then on. No message between hosts.

Cost: in its first window a new process has at most 0.15 of its share of the slack, where it had a retry for each five of its requests.

The callers of tests that need a retry soon after a start have a shorter window (ClusterRetries::Allowed).

--- a/src/gateway/gatewaydaemon.cpp
+++ b/src/gateway/gatewaydaemon.cpp
@@ -136,7 +136,7 @@
 
 void GatewayDaemon::onViewChanged()
 {
-    m_retries.setHosts(m_view.hosts().size());
+    m_retries.setHosts(m_view.hostIds(), RuntimeClock::now());
     m_coldLimiter.setHosts(m_settings.process.host, m_view.hostIds());
     m_peerViewSync.onHostsChanged();
     m_backendCaller.removeUnknownServers();
@@ -227,7 +227,8 @@
 {
     m_retries.setOptions({ .ratio = m_settings.retryRatio,
         .slack = m_settings.retrySlack,
-        .window = toMilliseconds(m_settings.retryWindowSeconds) });
+        .window = toMilliseconds(m_settings.retryWindowSeconds),
+        .leavingTime = toMilliseconds(m_settings.graceSeconds) });
     m_coldLimiter.setOptions(
         { .overshoot = m_settings.coldOvershoot, .tolerance = m_settings.coldTolerance });
 }
--- a/src/gateway/plainforwarder.cpp
+++ b/src/gateway/plainforwarder.cpp
@@ -26,17 +26,17 @@
 
 }
 
-bool tryAcquireRetry(RetryWindow& retries, const ServedRequest& request)
+std::optional<RetryPermit> tryAcquireRetry(RetryWindow& retries, const ServedRequest& request)
 {
     const TimePoint now = RuntimeClock::now();
-    if (retries.tryAcquireRetry(request.pool, now))
-        return true;
+    if (std::optional<RetryPermit> permit = retries.tryAcquireRetry(request.pool, now))
+        return permit;
     const RetryUsage usage = retries.usage(request.pool, now);
     writeLog(LogLevel::Info, "retry_refused",
         { { "request", request.caller.id }, { "identity", toText(request.fingerprint) },
             { "pool", request.pool.value() }, { "retries", usage.retries },
             { "allowed", usage.allowed } });
-    return false;
+    return std::nullopt;
 }
 
 PlainForwarder::PlainForwarder(ServingView& view, BackendCaller& backendCaller, RetryWindow& retries,
@@ -74,9 +74,11 @@
 
 bool PlainForwarder::ensureRetryPermit(const ServedRequest& request, Progress& progress)
 {
-    if (!progress.hasRetryPermit)
-        progress.hasRetryPermit = tryAcquireRetry(m_retries, request);
-    return progress.hasRetryPermit;
+    if (!progress.retryPermit) {
+        if (std::optional<RetryPermit> permit = tryAcquireRetry(m_retries, request))
+            progress.retryPermit.emplace(std::move(*permit));
+    }
+    return progress.retryPermit.has_value();
 }
 
 Asio::awaitable<bool> PlainForwarder::trySend(
@@ -94,7 +96,7 @@
     ++progress.outcome.sends;
     progress.outcome.server = server.id;
     progress.outcome.serverVersion = server.softwareVersion;
-    progress.hasRetryPermit = false;
+    progress.retryPermit.reset();
     if (sent.outcome == SendOutcome::NotRun)
         co_return false;
     ++progress.runs;
--- a/src/gateway/plainforwarder.h
+++ b/src/gateway/plainforwarder.h
@@ -27,7 +27,7 @@
 };
 
 // Acquires a permit for one retry of a request, and logs it if there is none.
-bool tryAcquireRetry(RetryWindow& retries, const ServedRequest& request);
+std::optional<RetryPermit> tryAcquireRetry(RetryWindow& retries, const ServedRequest& request);
 
 // Forwards requests to pools that respond with a complete body instead of a stream. A request that is not
 // idempotent is retried only after a server stated that it did not run the request.
@@ -46,8 +46,8 @@
         // Number of servers that may have run the request, and of those that could not be reached.
         int runs = 0;
         int unreachable = 0;
-        // A retry permit was acquired and is not used yet.
-        bool hasRetryPermit = false;
+        // Acquired for the next send, and held until it has ended.
+        std::optional<RetryPermit> retryPermit;
     };
 
     // The server with the lowest expected cost among those not tried yet; avoided servers come last.
--- a/src/gateway/streamforwarder.cpp
+++ b/src/gateway/streamforwarder.cpp
@@ -112,13 +112,19 @@
             co_return;
         const bool isRetry = progress.outcome.sends > 0;
         const TimePoint sentAt = RuntimeClock::now();
-        if (isRetry && !tryAcquireRetry(m_retries, request))
-            co_return;
+        std::optional<RetryPermit> permit;
+        if (isRetry) {
+            if (std::optional<RetryPermit> acquired = tryAcquireRetry(m_retries, request))
+                permit.emplace(std::move(*acquired));
+            else
+                co_return;
+        }
         const ServerEntry engine = known->server;
         progress.tried.insert(engine.id);
         onPromptSent(request, progress, engine.id);
         SendResult sent = co_await m_backendCaller.send(request, engine, progress.stages.inputs,
             progress.events.lastEventId(), std::max(request.timeLeft(sentAt), Milliseconds(1)));
+        permit.reset();
         if (sent.outcome != SendOutcome::NotSent) {
             ++progress.outcome.sends;
             progress.outcome.server = engine.id;
--- a/src/libserving/retrywindow.cpp
+++ b/src/libserving/retrywindow.cpp
@@ -6,10 +6,40 @@
 
 namespace {
 
-    // Share of the slack that the known hosts use. The rest is a reserve for hosts that have just joined
-    // and that other hosts do not know yet.
+    // Shares of the slack: for all retries, and for those of requests that the window before does not cover. The
+    // rest is a reserve for hosts that have just joined and that other hosts do not know yet.
     constexpr double usedSlackShare = 0.8;
+    constexpr double growthSlackShare = 0.15;
 
+    void expire(std::deque<TimePoint>& times, TimePoint end)
+    {
+        while (!times.empty() && times.front() <= end)
+            times.pop_front();
+    }
+
+}
+
+RetryPermit::RetryPermit(RetryWindow& retries, PoolId pool)
+    : m_retries(&retries)
+    , m_pool(std::move(pool))
+{
+}
+
+RetryPermit::RetryPermit(RetryPermit&& other) noexcept
+    : m_retries(std::exchange(other.m_retries, nullptr))
+    , m_pool(std::move(other.m_pool))
+{
+}
+
+RetryPermit::~RetryPermit()
+{
+    release(RuntimeClock::now());
+}
+
+void RetryPermit::release(TimePoint now)
+{
+    if (RetryWindow* retries = std::exchange(m_retries, nullptr))
+        retries->releasePermit(m_pool, now);
 }
 
 RetryWindow::RetryWindow(RetryWindowOptions options, TimePoint startedAt)
@@ -18,42 +48,74 @@
 {
 }
 
-void RetryWindow::setHosts(std::size_t hostCount)
+void RetryWindow::setHosts(const std::vector<HostId>& hosts, TimePoint now)
 {
-    m_hostCount = hostCount;
+    for (const HostId& host : m_listedHosts)
+        m_leftHosts[host] = now;
+    for (const HostId& host : hosts)
+        m_leftHosts.erase(host);
+    std::erase_if(m_leftHosts, [&](const auto& host) { return !isCounted(host.second, now); });
+    m_listedHosts = hosts;
 }
 
-double RetryWindow::slackShare(TimePoint now) const
+bool RetryWindow::isCounted(TimePoint leftAt, TimePoint now) const
 {
-    if (m_hostCount == 0 || now < m_startedAt + m_options.window)
+    return now < leftAt + m_options.leavingTime + m_options.window;
+}
+
+std::size_t RetryWindow::hostCount(TimePoint now) const
+{
+    if (m_listedHosts.empty())
         return 0;
-    return usedSlackShare * m_options.slack / static_cast<double>(m_hostCount);
+    const auto left = std::count_if(m_leftHosts.begin(), m_leftHosts.end(),
+        [&](const auto& host) { return isCounted(host.second, now); });
+    return m_listedHosts.size() + static_cast<std::size_t>(left);
 }
 
 void RetryWindow::recordRequest(const PoolId& pool, TimePoint now)
 {
     SendTimes& sendTimes = m_sendTimes[pool];
-    expire(sendTimes.requests, now);
+    expire(sendTimes.requests, now - 2 * m_options.window);
     sendTimes.requests.push_back(now);
 }
 
-bool RetryWindow::tryAcquireRetry(const PoolId& pool, TimePoint now)
+std::optional<RetryPermit> RetryWindow::tryAcquireRetry(const PoolId& pool, TimePoint now)
 {
     const RetryUsage used = usage(pool, now);
     if (static_cast<double>(used.retries) + 1 > used.allowed)
-        return false;
-    m_sendTimes[pool].retries.push_back(now);
-    return true;
+        return std::nullopt;
+    ++m_sendTimes[pool].permits;
+    return RetryPermit(*this, pool);
+}
+
+void RetryWindow::releasePermit(const PoolId& pool, TimePoint now)
+{
+    SendTimes& sendTimes = m_sendTimes[pool];
+    --sendTimes.permits;
+    sendTimes.retries.push_back(now);
 }
 
 RetryUsage RetryWindow::usage(const PoolId& pool, TimePoint now)
 {
     SendTimes& sendTimes = m_sendTimes[pool];
-    expire(sendTimes.requests, now);
-    expire(sendTimes.retries, now);
-    const double allowed = m_options.ratio * static_cast<double>(sendTimes.requests.size())
-        + slackShare(now);
-    return { .retries = sendTimes.retries.size(), .allowed = allowed };
+    expire(sendTimes.requests, now - 2 * m_options.window);
+    expire(sendTimes.retries, now - m_options.window);
+    return { .retries = sendTimes.permits + sendTimes.retries.size(),
+        .allowed = allowedRetries(sendTimes, now) };
+}
+
+double RetryWindow::allowedRetries(const SendTimes& sendTimes, TimePoint now) const
+{
+    const auto& requests = sendTimes.requests;
+    const auto windowBegin
+        = std::upper_bound(requests.begin(), requests.end(), now - m_options.window);
+    const double earlier = m_options.ratio * static_cast<double>(windowBegin - requests.begin());
+    const double current = m_options.ratio * static_cast<double>(requests.end() - windowBegin);
+    const std::size_t hosts = hostCount(now);
+    const double slackShare = hosts == 0 ? 0 : m_options.slack / static_cast<double>(hosts);
+    const double earned = std::min(current, earlier + growthSlackShare * slackShare);
+    const bool isFirstWindow = now < m_startedAt + m_options.window;
+    return earned + (isFirstWindow ? 0 : usedSlackShare * slackShare);
 }
 
 std::vector<PoolId> RetryWindow::pools() const
@@ -64,10 +126,4 @@
     return pools;
 }
 
-void RetryWindow::expire(std::deque<TimePoint>& times, TimePoint now) const
-{
-    while (!times.empty() && times.front() + m_options.window <= now)
-        times.pop_front();
-}
-
 }
--- a/src/libserving/retrywindow.h
+++ b/src/libserving/retrywindow.h
@@ -5,6 +5,8 @@
 
 #include <deque>
 #include <map>
+#include <optional>
+#include <utility>
 #include <vector>
 
 namespace Apricot {
@@ -14,6 +16,8 @@
     double ratio = 0.2;
     double slack = 50;
     Milliseconds window { 10'000 };
+    // Longest time for which a host that has left the list of hosts still serves.
+    Milliseconds leavingTime { 8000 };
 };
 
 // Retries in the current window, and how many this host may send in it.
@@ -24,8 +28,30 @@
     auto operator<=>(const RetryUsage&) const = default;
 };
 
+class RetryWindow;
+
+// Permits one retry. The retry counts until a window after the permit was released, by which the request has
+// arrived at its server.
+class RetryPermit {
+public:
+    RetryPermit(RetryWindow& retries, PoolId pool);
+    ~RetryPermit();
+
+    RetryPermit(RetryPermit&& other) noexcept;
+    RetryPermit& operator=(RetryPermit&& other) = delete;
+
+    // Ends the retry. The destructor does so otherwise.
+    void release(TimePoint now);
+
+private:
+    RetryWindow* m_retries;
+    PoolId m_pool;
+};
+
 // Limits how often this host sends a request to another server of the same pool, as its share of a bound
-// over all hosts. Each host has an equal share of the fixed slack, so the hosts need not communicate.
+// over all hosts, without communication between the hosts. Callers move between hosts, and hosts leave that have
+// used their permits, so a host's requests allow retries only as far as it had as many requests in the window
+// before: a request that moved here counts there, at another host. Each host has an equal share of the slack.
 class RetryWindow {
 public:
     // An earlier process of this host may have used its share of the slack, so this one uses none until a
@@ -33,28 +59,39 @@
     explicit RetryWindow(RetryWindowOptions options = {}, TimePoint startedAt = TimePoint::min());
 
     void setOptions(const RetryWindowOptions& options) { m_options = options; }
-    // Sets the number of hosts that share the bound; zero if they are not known, in which case no slack is used.
-    void setHosts(std::size_t hostCount);
+    // Sets the hosts that share the bound, none if they are not known, in which case no slack is used. A host
+    // that has left keeps its share until its retries no longer count.
+    void setHosts(const std::vector<HostId>& hosts, TimePoint now);
     // Records a caller's request to a pool.
     void recordRequest(const PoolId& pool, TimePoint now);
-    // Acquires a permit for one retry. Returns false when this host's share of the bound is used up.
-    bool tryAcquireRetry(const PoolId& pool, TimePoint now);
+    // Returns nothing when this host's share of the bound is used up.
+    std::optional<RetryPermit> tryAcquireRetry(const PoolId& pool, TimePoint now);
     RetryUsage usage(const PoolId& pool, TimePoint now);
     // Pools that requests were recorded for.
     std::vector<PoolId> pools() const;
 
 private:
+    friend class RetryPermit;
+
     struct SendTimes {
         std::deque<TimePoint> requests;
+        std::size_t permits = 0;
+        // When permits were released.
         std::deque<TimePoint> retries;
     };
 
-    double slackShare(TimePoint now) const;
-    void expire(std::deque<TimePoint>& times, TimePoint now) const;
+    void releasePermit(const PoolId& pool, TimePoint now);
+    // Whether retries of a host that left the list may count now.
+    bool isCounted(TimePoint leftAt, TimePoint now) const;
+    // Number of hosts that may have sent retries within the window.
+    std::size_t hostCount(TimePoint now) const;
+    double allowedRetries(const SendTimes& sendTimes, TimePoint now) const;
 
     RetryWindowOptions m_options;
     TimePoint m_startedAt;
-    std::size_t m_hostCount = 0;
+    // Hosts that are listed, and when the others were last listed.
+    std::vector<HostId> m_listedHosts;
+    std::map<HostId, TimePoint> m_leftHosts;
     std::map<PoolId, SendTimes> m_sendTimes;
 };
 
--- a/tests/platform/gatewaycluster.cpp
+++ b/tests/platform/gatewaycluster.cpp
@@ -26,6 +26,8 @@
 
 constexpr const char* poisonWord = "poison";
 constexpr std::size_t fatalServers = 3;
+// Processes use their share of the slack a window after their start.
+constexpr double shortRetryWindowSeconds = 0.5;
 constexpr std::int64_t firstStart = 1'700'000'000'000;
 // A server whose process ended is removed from the store after this time.
 constexpr Milliseconds registrationTimeout { 3600 };
@@ -54,8 +56,8 @@
     std::unique_ptr<GatewayDaemon> daemon;
 };
 
-GatewayCluster::GatewayCluster(std::size_t hosts, double retryRatio)
-    : m_retryRatio(retryRatio)
+GatewayCluster::GatewayCluster(std::size_t hosts, ClusterRetries retries)
+    : m_retries(retries)
 {
     const json::value config = json::parse(clusterConfig);
     Asio::co_spawn(m_context, writeEntry(std::string(Names::configurationKey), config), Asio::detached);
@@ -76,9 +78,10 @@
         .admin = localAddress(entry.admin),
         .seeds = localAddress(m_hosts.front()->peers),
         .store = localAddress(m_platform.port()) };
-    settings.retryRatio = m_retryRatio;
-    if (m_retryRatio == 0)
-        settings.retrySlack = 0;
+    if (m_retries == ClusterRetries::Allowed)
+        settings.retryWindowSeconds = shortRetryWindowSeconds;
+    if (m_retries == ClusterRetries::Never)
+        settings.retryRatio = settings.retrySlack = 0;
     settings.process.host = HostId("host-" + std::to_string(host));
     settings.process.failureDomain = FailureDomainId("zone-" + std::to_string(host % 3));
     return settings;
--- a/tests/platform/gatewaycluster.h
+++ b/tests/platform/gatewaycluster.h
@@ -43,13 +43,20 @@
     bool hasEnded = false;
 };
 
+// How often the hosts of a cluster may send a request again.
+enum class ClusterRetries {
+    AsConfigured,
+    // Whenever a request of a test needs it, soon after a start too.
+    Allowed,
+    Never,
+};
+
 // The gateway daemons of several hosts, the platform emulator as their store, and scripted backend
 // servers: a request or piece whose content contains the word "poison" ends its server, which comes back
 // later as another one at the same address. Each daemon has its own event loop; all run on this thread.
 class GatewayCluster {
 public:
-    // Each request of a caller allows `retryRatio` retries; zero allows none at all.
-    explicit GatewayCluster(std::size_t hosts, double retryRatio = 0.2);
+    explicit GatewayCluster(std::size_t hosts, ClusterRetries retries = ClusterRetries::AsConfigured);
     ~GatewayCluster();
 
     GatewayCluster(const GatewayCluster&) = delete;
@@ -118,7 +125,7 @@
     boost::asio::io_context m_context;
     Apricot::PlatformServer m_platform { m_context, {} };
     Apricot::PlatformClient m_store { m_context, { .port = m_platform.port() } };
-    double m_retryRatio;
+    ClusterRetries m_retries;
     std::vector<std::unique_ptr<BackendServer>> m_servers;
     std::vector<std::unique_ptr<ScriptedServer>> m_scriptedServers;
     // Keys of their entries by version.
--- a/tests/platform/gatewayfixture.cpp
+++ b/tests/platform/gatewayfixture.cpp
@@ -56,7 +56,7 @@
     : m_callerServer(context, {}, [this](HttpExchange& exchange) { return requests.serve(exchange); })
 {
     view.applyConfig(makeConfig(), 1);
-    retries.setHosts(1);
+    retries.setHosts({ HostId("h1") }, RuntimeClock::now());
     coldLimiter.setHosts(HostId("h1"), { HostId("h1") });
 }
 
--- a/tests/platform/streamendtest.cpp
+++ b/tests/platform/streamendtest.cpp
@@ -16,7 +16,7 @@
 
 TEST_GROUP(StreamEnd)
 {
-    GatewayCluster cluster { 2, 1.0 };
+    GatewayCluster cluster { 2, ClusterRetries::Allowed };
 
     // Sends a request to a pool with one server that gives this response.
     ClusterResponse callServerWith(
--- a/tests/platform/streamversiontest.cpp
+++ b/tests/platform/streamversiontest.cpp
@@ -59,7 +59,7 @@
 
 TEST(StreamVersion, aStreamGoesOnAtTheVersionThatBeganItWithinOneResponse)
 {
-    GatewayCluster cluster { 2, 1.0 };
+    GatewayCluster cluster { 2, ClusterRetries::Allowed };
     addEngines(cluster, "v1", 2);
     addEngines(cluster, "v2", 6);
     cluster.waitUntilReady();
@@ -75,7 +75,7 @@
 TEST(StreamVersion, aStreamGoesOnAtTheVersionThatBeganItWhenItsCallerResumesAtAnotherHost)
 {
     // Hosts have no permit to resume a stream themselves.
-    GatewayCluster cluster { hostCount, 0.0 };
+    GatewayCluster cluster { hostCount, ClusterRetries::Never };
     addEngines(cluster, "v1", 2);
     addEngines(cluster, "v2", 6);
     cluster.waitUntilReady();
@@ -94,7 +94,7 @@
 
 TEST(StreamVersion, aStreamGoesOnAtTheVersionThatBeganItWhenItsHostWasKilled)
 {
-    GatewayCluster cluster { hostCount, 0.0 };
+    GatewayCluster cluster { hostCount, ClusterRetries::Never };
     addEngines(cluster, "v1", 2);
     addEngines(cluster, "v2", 6);
     cluster.waitUntilReady();
@@ -116,7 +116,7 @@
 
 TEST(StreamVersion, aStreamOfUnknownOriginIsRefusedWithoutARun)
 {
-    GatewayCluster cluster { 2, 1.0 };
+    GatewayCluster cluster { 2, ClusterRetries::Allowed };
     addEngines(cluster, "v1", 2);
     addEngines(cluster, "v2", 2);
     cluster.waitUntilReady();
@@ -127,7 +127,7 @@
 
 TEST(StreamVersion, aStreamThatBeganAtAnUnknownVersionIsCutInsteadOfGoingOn)
 {
-    GatewayCluster cluster { 2, 1.0 };
+    GatewayCluster cluster { 2, ClusterRetries::Allowed };
     addEngines(cluster, "", 2);
     cluster.waitUntilReady();
     const ClusterResponse response = cluster.call(0, { .path = "/stream/x", .content = "stream" });
@@ -137,7 +137,7 @@
 
 TEST(StreamVersion, aStreamWhoseVersionHasLeftIsRefusedAtOnceWithoutARun)
 {
-    GatewayCluster cluster { 2, 0.0 };
+    GatewayCluster cluster { 2, ClusterRetries::Never };
     addEngines(cluster, "v1", 1);
     cluster.waitUntilReady();
     const ClusterResponse begun = cluster.call(0, { .path = "/stream/x", .content = "stream" });
@@ -152,7 +152,7 @@
 // Guards against refusing every stream of a pool with one version whose host has no record.
 TEST(StreamVersion, aStreamOfAPoolWithASingleVersionGoesOnWithoutARecord)
 {
-    GatewayCluster cluster { 3, 0.0 };
+    GatewayCluster cluster { 3, ClusterRetries::Never };
     addEngines(cluster, "v1", 2);
     cluster.waitUntilReady();
     // Twice the timeout of the route, which is how long a stream may be resumed.
--- a/tests/processes/gatewayfleet.py
+++ b/tests/processes/gatewayfleet.py
@@ -77,14 +77,15 @@
         await reader.readexactly(int(fields.get("content-length", 0)))
         request_id = fields["apricotpier-request-id"]
         self.arrivals.append((time.monotonic(), request_id))
-        if self.behaviour == "silent":
+        behaviour = self.behaviour
+        if behaviour == "silent":
             await asyncio.sleep(30)
             return False
-        if self.behaviour == "reset":
+        if behaviour == "reset":
             return False
         await asyncio.sleep(0.005)
         status, extra = {"ok": ("200 OK", ""), "error": ("500 Error", ""),
-                         "reject": ("503 Full", "Apricotpier-Not-Executed: 1\r\n")}[self.behaviour]
+                         "reject": ("503 Full", "Apricotpier-Not-Executed: 1\r\n")}[behaviour]
         writer.write((f"HTTP/1.1 {status}\r\nApricotpier-Request-Id: {request_id}\r\n{extra}"
                       "Apricotpier-Server-Stamp: s\r\nContent-Length: 2\r\n\r\nok").encode())
         await writer.drain()
--- a/tests/serving/limitstest.cpp
+++ b/tests/serving/limitstest.cpp
@@ -17,6 +17,15 @@
     return hosts;
 }
 
+// Sends a retry that arrives at once, if there is a permit for it.
+bool sendRetry(RetryWindow& window, const PoolId& pool, TimePoint now)
+{
+    std::optional<RetryPermit> permit = window.tryAcquireRetry(pool, now);
+    if (permit)
+        permit->release(now);
+    return permit.has_value();
+}
+
 }
 
 TEST_GROUP(ServingLimits)
@@ -65,10 +74,10 @@
         double retries = 0;
         for (int host = 0; host < count; ++host) {
             RetryWindow window(options);
-            window.setHosts(static_cast<std::size_t>(count));
+            window.setHosts(makeHosts(count), TimePoint());
             for (int index = 0; index < requests; ++index)
                 window.recordRequest(ledger, TimePoint());
-            while (window.tryAcquireRetry(ledger, TimePoint() + Milliseconds(10)))
+            while (sendRetry(window, ledger, TimePoint() + Milliseconds(10)))
                 ++retries;
         }
         RC_ASSERT(retries <= 0.2 * requests * count + 52);
@@ -88,14 +97,14 @@
         double retries = 0;
         for (int host = 0; host < count; ++host) {
             RetryWindow first(options, start - options.window);
-            first.setHosts(static_cast<std::size_t>(count));
-            while (first.tryAcquireRetry(ledger, start))
+            first.setHosts(makeHosts(count), start);
+            while (sendRetry(first, ledger, start))
                 ++retries;
             for (int restart = 1; restart <= restarts; ++restart) {
                 const TimePoint restartedAt = start + Milliseconds(2000 * restart);
                 RetryWindow next(options, restartedAt);
-                next.setHosts(static_cast<std::size_t>(count));
-                while (next.tryAcquireRetry(ledger, restartedAt + Milliseconds(1000)))
+                next.setHosts(makeHosts(count), restartedAt);
+                while (sendRetry(next, ledger, restartedAt + Milliseconds(1000)))
                     ++retries;
             }
         }
@@ -108,16 +117,16 @@
 TEST(ServingLimits, aHostWithoutAHostListUsesNoSlack)
 {
     RetryWindow window({ .ratio = 0, .slack = 52 });
-    CHECK_FALSE(window.tryAcquireRetry(pool, now));
+    CHECK_FALSE(sendRetry(window, pool, now));
 }
 
 TEST(ServingLimits, retriesAreAllowedAgainAfterTheWindow)
 {
     RetryWindow window({ .ratio = 0, .slack = 1.25 });
-    window.setHosts(1);
-    CHECK(window.tryAcquireRetry(pool, now));
-    CHECK(!window.tryAcquireRetry(pool, now + Milliseconds(9'999)));
-    CHECK(window.tryAcquireRetry(pool, now + Milliseconds(10'000)));
+    window.setHosts(makeHosts(1), now);
+    CHECK(sendRetry(window, pool, now));
+    CHECK(!sendRetry(window, pool, now + Milliseconds(9'999)));
+    CHECK(sendRetry(window, pool, now + Milliseconds(10'000)));
 }
 
 TEST(ServingLimits, avoidsAnUnresponsiveServerForLongerEachTime)
