--- a/src/gateway/streamforwarder.cpp
+++ b/src/gateway/streamforwarder.cpp
@@ -148,7 +148,10 @@
         if (sent.outcome != SendOutcome::Responded)
             ++progress.runs;
         m_placement.onMemoryLost(engine.id);
-        if (!request.route.isRetryable() || progress.runs >= request.route.attemptLimit)
+        // Without an ID of the last event, an engine would begin anew.
+        const bool isResumable
+            = progress.events.eventCount() == 0 || !progress.events.lastEventId().empty();
+        if (!request.route.isRetryable() || progress.runs >= request.route.attemptLimit || !isResumable)
             co_return;
         progress.events.discardPartialEvent();
         if (progress.hasBegun && !request.route.stages.empty()) {
--- a/tests/platform/gatewaytest.cpp
+++ b/tests/platform/gatewaytest.cpp
@@ -159,6 +159,25 @@
     LONGS_EQUAL(2, stageCalls);
 }
 
+// Guards against events that come twice: an engine begins anew if it is not told the last event.
+TEST(Gateway, doesNotResumeAStreamWhoseEventsHaveNoIds)
+{
+    addStageServer();
+    int sends = 0;
+    const auto serve = [&](HttpExchange& exchange) -> Asio::awaitable<void> {
+        co_await beginSignedStream(exchange);
+        co_await exchange.writeChunk("data: a\n\n");
+        if (++sends == 1)
+            exchange.abort();
+        else
+            co_await exchange.endStream();
+    };
+    addServer("e1", "engines", serve);
+    addServer("e2", "engines", serve);
+    CHECK_THROWS(boost::system::system_error, callStream());
+    LONGS_EQUAL(1, sends);
+}
+
 TEST(Gateway, aStoppingHostRunsItsOwnStagesWhenItIsTheOnlyHost)
 {
     addStageServer();
