--- a/src/libserving/retrywindow.cpp
+++ b/src/libserving/retrywindow.cpp
@@ -50,6 +50,8 @@
 
 void RetryWindow::setHosts(const std::vector<HostId>& hosts, TimePoint now)
 {
+    if (hosts == m_listedHosts)
+        return;
     for (const HostId& host : m_listedHosts)
         m_leftHosts[host] = now;
     for (const HostId& host : hosts)
