--- a/src/libserving/streamholders.cpp
+++ b/src/libserving/streamholders.cpp
@@ -10,6 +10,7 @@
     const std::string& requestId, const std::map<HostId, PeerHost>& hosts)
 {
     std::vector<HostId> ids;
+    ids.reserve(hosts.size());
     for (const auto& [id, host] : hosts)
         ids.push_back(id);
     std::vector<HostId> ranked = rankHosts(requestId, ids);
--- a/tests/platform/streamversiontest.cpp
+++ b/tests/platform/streamversiontest.cpp
@@ -46,7 +46,8 @@
     int countJoinedStreams() const
     {
         int joined = 0;
-        for (const auto& [stream, versions] : versionsOf) {
+        for (const auto& stream : versionsOf) {
+            const std::vector<std::string>& versions = stream.second;
             if (std::any_of(versions.begin(), versions.end(),
                     [&versions](const std::string& version) { return version != versions.front(); }))
                 ++joined;
