--- a/tests/platform/streamversiontest.cpp
+++ b/tests/platform/streamversiontest.cpp
@@ -100,6 +100,7 @@
     addEngines(cluster, "v2", 6);
     cluster.waitUntilReady();
     std::vector<std::string> begun;
+    begun.reserve(streamCount);
     for (int index = 0; index < streamCount; ++index)
         begun.push_back(cluster.call(0, { .path = "/stream/x", .content = streamName(index) }).id);
     cluster.runFor(Milliseconds(100));
