--- a/tests/platform/gatewaycluster.cpp
+++ b/tests/platform/gatewaycluster.cpp
@@ -25,7 +25,6 @@
 namespace {
 
 constexpr const char* poisonWord = "poison";
-constexpr std::size_t fatalServers = 3;
 // Processes use their share of the slack a window after their start.
 constexpr double shortRetryWindowSeconds = 0.5;
 constexpr std::int64_t firstStart = 1'700'000'000'000;
@@ -34,6 +33,15 @@
 // Time that a run of an ordinary request takes.
 constexpr Milliseconds runTime { 30 };
 
+constexpr const char* firstEvent = "id: 1\ndata: a\n\n";
+constexpr const char* secondEvent = "id: 2\ndata: b\n\n";
+
+bool hasPromptPart(const HttpRequest& request, const std::string& part)
+{
+    const std::string parts = "," + std::string(request.field(Names::promptPartsField));
+    return !part.empty() && parts.find("," + part + ":") != std::string::npos;
+}
+
 }
 
 struct GatewayCluster::BackendServer {
@@ -209,6 +217,10 @@
         co_return co_await exchange.respond(421, "text/plain", "");
     if (server.pool == "stages")
         co_return co_await serveStageCall(server, exchange);
+    if (hasPromptPart(exchange.request(), fatalPart)) {
+        const std::size_t turn = runsOf(poisonWord).size();
+        co_return co_await endWhileResponding(server, exchange, fatalMoments[turn % fatalMoments.size()]);
+    }
     if (!recordRun(server, exchange.request().body))
         co_return;
     if (server.pool == "plain") {
@@ -216,12 +228,27 @@
         co_return co_await exchange.respond(200, "text/plain", "done", signedFields(exchange.request()));
     }
     co_await exchange.beginStream(200, "text/event-stream", signedFields(exchange.request()));
-    co_await exchange.writeChunk("id: 1\ndata: a\n\n");
+    co_await exchange.writeChunk(firstEvent);
     co_await sleepFor(m_context.get_executor(), runTime);
-    co_await exchange.writeChunk("id: 2\ndata: b\n\n");
+    co_await exchange.writeChunk(secondEvent);
     co_await exchange.endStream();
 }
 
+Asio::awaitable<void> GatewayCluster::endWhileResponding(
+    BackendServer& server, HttpExchange& exchange, FatalMoment moment)
+{
+    if (moment != FatalMoment::BeforeHead)
+        co_await exchange.beginStream(200, "text/event-stream", signedFields(exchange.request()));
+    if (moment == FatalMoment::AfterEvent)
+        co_await exchange.writeChunk(firstEvent);
+    if (moment == FatalMoment::InsideEvent)
+        co_await exchange.writeChunk(std::string(firstEvent) + "id: 2\nda");
+    co_await sleepFor(m_context.get_executor(), runTime);
+    runs.push_back({ server.pool, RuntimeClock::now(), exchange.request().body, true });
+    if (server.isUp)
+        endServer(server);
+}
+
 Asio::awaitable<void> GatewayCluster::serveStageCall(BackendServer& server, HttpExchange& exchange)
 {
     if (exchange.request().path == Names::stageFreePath)
@@ -243,7 +270,12 @@
 
 void GatewayCluster::send(std::size_t host, const std::string& path, const std::string& content)
 {
-    startCall(host, { .path = path, .content = content });
+    send(host, { .path = path, .content = content });
+}
+
+void GatewayCluster::send(std::size_t host, const ClusterRequest& request)
+{
+    startCall(host, request);
 }
 
 ClusterResponse GatewayCluster::call(std::size_t host, const ClusterRequest& request)
@@ -388,12 +420,12 @@
     return found;
 }
 
-std::size_t GatewayCluster::runsAfterThirdEnd(const std::string& word, Milliseconds time) const
+std::size_t GatewayCluster::runsAfterEnds(std::size_t ends, const std::string& word, Milliseconds time) const
 {
     const std::vector<ScriptedRun> found = runsOf(word);
-    if (found.size() < fatalServers)
+    if (found.size() < ends)
         return 0;
-    const TimePoint from = found[fatalServers - 1].startedAt + time;
+    const TimePoint from = found[ends - 1].startedAt + time;
     return static_cast<std::size_t>(std::count_if(
         found.begin(), found.end(), [from](const ScriptedRun& run) { return run.startedAt > from; }));
 }
--- a/tests/platform/gatewaycluster.h
+++ b/tests/platform/gatewaycluster.h
@@ -43,6 +43,14 @@
     bool hasEnded = false;
 };
 
+// How far the response of a server has come when a prompt part ends it.
+enum class FatalMoment {
+    BeforeHead,
+    AfterHead,
+    InsideEvent,
+    AfterEvent,
+};
+
 // How often the hosts of a cluster may send a request again.
 enum class ClusterRetries {
     AsConfigured,
@@ -52,8 +60,8 @@
 };
 
 // The gateway daemons of several hosts, the platform emulator as their store, and scripted backend
-// servers: a request or piece whose content contains the word "poison" ends its server, which comes back
-// later as another one at the same address. Each daemon has its own event loop; all run on this thread.
+// servers: a request or piece whose content contains the word "poison", or a request with a fatal prompt part,
+// ends its server, which comes back later as another one at the same address. Each daemon has its own event loop; all run on this thread.
 class GatewayCluster {
 public:
     explicit GatewayCluster(std::size_t hosts, ClusterRetries retries = ClusterRetries::AsConfigured);
@@ -74,6 +82,7 @@
     void runFor(Apricot::Milliseconds time);
     // Sends a caller's request to a host, without waiting for the response.
     void send(std::size_t host, const std::string& path, const std::string& content);
+    void send(std::size_t host, const ClusterRequest& request);
     // Sends a caller's request to a host, and runs until its response has ended.
     ClusterResponse call(std::size_t host, const ClusterRequest& request);
     // Ends the process of a host at once, and starts it again.
@@ -91,13 +100,17 @@
 
     // Time between the end of a server and its return.
     Apricot::Milliseconds serverDownTime { 2000 };
+    // ID of a prompt part that ends each engine as it begins to respond, and how far the responses come by then,
+    // in turn.
+    std::string fatalPart;
+    std::vector<FatalMoment> fatalMoments { FatalMoment::BeforeHead };
     std::vector<ScriptedRun> runs;
     std::vector<ClusterResponse> responses;
 
     // Runs whose content contains a word.
     std::vector<ScriptedRun> runsOf(const std::string& word) const;
-    // Runs of a request after a time since it ended its third server.
-    std::size_t runsAfterThirdEnd(const std::string& word, Apricot::Milliseconds time) const;
+    // Runs of a request after a time since it ended this number of servers.
+    std::size_t runsAfterEnds(std::size_t ends, const std::string& word, Apricot::Milliseconds time) const;
     // Number of responses with a status, to requests whose content contains a word.
     std::size_t countResponses(const std::string& word, int status) const;
 
@@ -113,6 +126,9 @@
         BackendServer& server, Apricot::HttpExchange& exchange);
     // Records a run. Returns false if it ended the server.
     bool recordRun(BackendServer& server, const std::string& content);
+    // Responds up to a moment, and ends the server.
+    boost::asio::awaitable<void> endWhileResponding(
+        BackendServer& server, Apricot::HttpExchange& exchange, FatalMoment moment);
     boost::asio::awaitable<void> returnLater(BackendServer& server);
     boost::asio::awaitable<void> writeEntry(std::string key, boost::json::value value);
     boost::asio::awaitable<void> removeEntry(std::string key, Apricot::Milliseconds delay);
--- a/tests/platform/poisonedrequesttest.cpp
+++ b/tests/platform/poisonedrequesttest.cpp
@@ -9,6 +9,8 @@
 // Bounds of the users' platform: time in which every host has to know, and retries allowed after it.
 constexpr Milliseconds contactTime { 3000 };
 constexpr std::size_t allowedRetries = 3;
+// Ends of servers after which a request is refused.
+constexpr std::size_t refusedEnds = 3;
 
 constexpr std::size_t hostCount = 4;
 constexpr Milliseconds step { 50 };
@@ -44,7 +46,7 @@
         cluster.waitUntilReady();
         playReturningRequest(path, Milliseconds(7000));
         CHECK_TRUE(cluster.runsOf("poison").size() >= 3);
-        CHECK_COMPARE(cluster.runsAfterThirdEnd("poison", contactTime), <=, allowedRetries);
+        CHECK_COMPARE(cluster.runsAfterEnds(refusedEnds, "poison", contactTime), <=, allowedRetries);
         checkRefusedRequests(1);
     }
 
