End the stage work of a probation run with its first broken call

A refused request that is on probation ended up to four stage servers within 2 ms: its home sent the broken piece again, up to three times, because work on probation is not stopped by the refusal.

Work on probation now ends as poisoned with its first broken call.

--- a/src/libserving/stagescheduler.cpp
+++ b/src/libserving/stagescheduler.cpp
@@ -278,7 +278,9 @@
         Task& task = m_tasks.at(id);
         ++task.brokenCalls;
         task.isExclusive = task.isExclusive || task.brokenCalls >= m_options.exclusiveBrokenCalls;
-        if (task.brokenCalls >= m_options.attemptLimit)
+        if (task.work.isProbation)
+            endTask(id, { .outcome = StageWorkOutcome::Poisoned });
+        else if (task.brokenCalls >= m_options.attemptLimit)
             endTask(id, { .outcome = StageWorkOutcome::Failed });
     }
 }
--- a/tests/serving/stagepoisontest.cpp
+++ b/tests/serving/stagepoisontest.cpp
@@ -72,6 +72,20 @@
     LONGS_EQUAL(3, broken);
 }
 
+// Guards against a probation run that ends several servers.
+TEST(StagePoison, aProbationRunEndsWithItsFirstBrokenCall)
+{
+    scheduler.setServers({ makeServer("s1", "a"), makeServer("s2", "a") });
+    StageWork work = makeWork("poison", 4);
+    work.isProbation = true;
+    scheduler.submit(1, work, now);
+    int broken = 0;
+    for (int round = 0; round < 10; ++round)
+        broken += makeCalls();
+    LONGS_EQUAL(1, broken);
+    CHECK(outcomes.at(1) == StageWorkOutcome::Poisoned);
+}
+
 TEST(StagePoison, workOfAPoisonedRequestEndsAtOnce)
 {
     scheduler.setServers({ makeServer("s1", "a") });
