--- a/src/ctl/poisoncommands.cpp
+++ b/src/ctl/poisoncommands.cpp
@@ -27,11 +27,11 @@
         const TimePoint now = RuntimeClock::now();
         for (const PlatformObject& object : store.list(std::string(poisonPrefix))) {
             try {
-                for (const PoisonNotice& notice :
-                    readPoisonNotices(object.value, PoisonTableOptions {}.refusedLifetime)) {
-                    findings.table.apply(notice, now);
+                const std::vector<PoisonNotice> notices
+                    = readPoisonNotices(object.value, PoisonTableOptions {}.refusedLifetime);
+                findings.table.apply(notices, now);
+                for (const PoisonNotice& notice : notices)
                     findings.fingerprints.insert(notice.fingerprint);
-                }
             } catch (const std::exception&) {
                 findings.unreadableKeys.push_back(object.key);
             }
@@ -39,15 +39,6 @@
         return findings;
     }
 
-    boost::json::array crashesJson(const std::vector<ServerCrash>& crashes)
-    {
-        boost::json::array list;
-        for (const ServerCrash& crash : crashes)
-            list.push_back(boost::json::object { { "server", crash.server.value() },
-                { "started_at", crash.startedAt }, { "stage", crash.stage } });
-        return list;
-    }
-
     Fingerprint parseIdentity(const std::string& text)
     {
         const std::optional<Fingerprint> fingerprint = parseFingerprint(text);
@@ -71,10 +62,14 @@
         if (!notice)
             continue;
         const std::string state(poisonStateName(findings.table.stateOf(fingerprint, now)));
-        requests.push_back(boost::json::object { { "identity", toText(fingerprint) },
-            { "state", state }, { "crashes", crashesJson(notice->crashes) },
-            { "cleared", crashesJson(notice->cleared) } });
+        boost::json::object entry { { "identity", toText(fingerprint) }, { "state", state },
+            { "crashes", toJson(notice->crashes) }, { "cleared", toJson(notice->cleared) } };
         result.text += toText(fingerprint) + "  " + state;
+        if (!notice->part.empty()) {
+            entry["part"] = notice->part;
+            result.text += "  part " + notice->part;
+        }
+        requests.push_back(std::move(entry));
         for (const ServerCrash& crash : notice->crashes)
             result.text += "  " + crash.server.value();
         result.text += "\n";
@@ -85,7 +80,7 @@
         result.text += key + ": not readable\n";
     }
     if (result.text.empty())
-        result.text = "no request has crashed a server\n";
+        result.text = "no request and no part of a prompt has crashed a server\n";
     result.json = { { "requests", std::move(requests) }, { "unreadable", std::move(unreadable) } };
     return result;
 }
@@ -105,11 +100,11 @@
     std::vector<PoisonNotice> notices = current
         ? readPoisonNotices(current->value, PoisonTableOptions {}.refusedLifetime)
         : std::vector<PoisonNotice>();
-    notices.push_back({ .fingerprint = fingerprint, .cleared = notice->crashes });
+    notices.push_back({ .fingerprint = fingerprint, .cleared = notice->crashes, .part = notice->part });
     const ObjectVersion version
         = store.put(key, toJson(notices), current ? current->version : 0);
     return { .json = { { "identity", toText(fingerprint) },
-                 { "cleared", crashesJson(notice->crashes) }, { "version", version } },
+                 { "cleared", toJson(notice->crashes) }, { "version", version } },
         .text = toText(fingerprint) + ": " + std::to_string(notice->crashes.size())
             + " crashes cleared, version " + std::to_string(version) + "\n" };
 }
--- a/src/gateway/backendcaller.cpp
+++ b/src/gateway/backendcaller.cpp
@@ -49,6 +49,7 @@
             return;
         writeLog(LogLevel::Info, "backend_send_failed",
             { { "request", request.caller.id }, { "identity", toText(request.fingerprint) },
+                { "parts", partNames(request.subjects) },
                 { "server", server.id.value() }, { "started_at", server.startedAt },
                 { "server_version", server.softwareVersion.value() }, { "reason", reason }, { "end", sendOutcomeName(result.outcome) }, { "status", result.status },
                 { "ms", std::chrono::duration_cast<Milliseconds>(duration).count() },
@@ -150,37 +151,44 @@
         m_runObserver->onRunEnded(run);
 }
 
-void BackendCaller::reportFinished(Fingerprint fingerprint, int stage)
+void BackendCaller::reportFinished(const std::vector<PoisonSubject>& subjects, int stage)
 {
     if (m_runObserver)
-        m_runObserver->onFinished(fingerprint, stage);
+        m_runObserver->onFinished(subjects, stage);
 }
 
-void BackendCaller::reportRun(
-    const ServedRequest& request, const ServerEntry& server, RunEnd end, TimePoint sentAt)
+void BackendCaller::reportRun(const ServedRequest& request, const ServerEntry& server, RunEnd end,
+    TimePoint sentAt, Duration respondedFor)
 {
-    reportRun({ .fingerprint = request.fingerprint,
+    EndedRun run { .fingerprint = request.fingerprint,
         .server = { server.id, server.startedAt },
         .endpoint = server.endpoint,
         .end = end,
-        .sentAt = sentAt });
+        .sentAt = sentAt,
+        .respondedFor = respondedFor };
+    // A call that was given up may have ended long before its server did.
+    if (end == RunEnd::Broken || end == RunEnd::Unproven)
+        run.parts.assign(request.subjects.begin() + 1, request.subjects.end());
+    reportRun(run);
 }
 
-void BackendCaller::reportResponse(
-    const ServedRequest& request, const ServerEntry& server, TimePoint sentAt)
+void BackendCaller::reportResponse(const ServedRequest& request, const ServerEntry& server,
+    TimePoint sentAt, const CompleteResponse& response)
 {
-    reportRun(request, server, RunEnd::Complete, sentAt);
-    reportFinished(request.fingerprint, ServerCrash::requestStage);
+    const bool isProven = response.framing != BodyFraming::ConnectionEnd;
+    reportRun(request, server, isProven ? RunEnd::Complete : RunEnd::Unproven, sentAt);
+    if (isProven && response.hasRun && response.status / statusesPerClass == successClass)
+        reportFinished(request.subjects, ServerCrash::requestStage);
 }
 
 void BackendCaller::reportIncompleteResponse(const ServedRequest& request, const ServerEntry& server,
     TimePoint sentAt, const IncompleteResponse& response)
 {
     const bool isOver = request.scope->isOver();
-    reportRun(request, server, isOver ? RunEnd::Silent : response.end, sentAt);
+    reportRun(request, server, isOver ? RunEnd::Silent : response.end, sentAt, response.respondedFor);
     writeLog(LogLevel::Info, "backend_response_incomplete",
         { { "request", request.caller.id }, { "identity", toText(request.fingerprint) },
-            { "server", server.id.value() }, { "server_version", server.softwareVersion.value() },
+            { "parts", partNames(request.subjects) }, { "server", server.id.value() }, { "server_version", server.softwareVersion.value() },
             { "reason", response.reason },
             { "framing", bodyFramingName(response.framing) },
             { "unfinished_bytes", response.unfinishedBytes } });
@@ -202,7 +210,7 @@
         body.reset();
     }
     if (body)
-        reportResponse(request, server, sentAt);
+        reportResponse(request, server, sentAt, { stream.status(), stream.framing() });
     else
         reportIncompleteResponse(request, server, sentAt, incomplete);
     co_return body;
--- a/src/gateway/backendcaller.h
+++ b/src/gateway/backendcaller.h
@@ -41,6 +41,16 @@
     BodyFraming framing = BodyFraming::ConnectionEnd;
     // Bytes that followed the last complete event of a stream.
     std::size_t unfinishedBytes = 0;
+    // Time between the first and the last event.
+    Duration respondedFor { 0 };
+};
+
+// A response that reached the end that its framing declares.
+struct CompleteResponse {
+    int status = 0;
+    BodyFraming framing = BodyFraming::ConnectionEnd;
+    // Whether the server ran the request; an empty response to a resumed stream does not show it.
+    bool hasRun = true;
 };
 
 // Reason of an incomplete response that ended with its connection as its server ended.
@@ -72,8 +82,10 @@
     // the connections of such a process in order, so the end of the response does not show it.
     boost::asio::awaitable<bool> hasEnded(const ServerEntry& server);
 
-    // Reports that the body of a response was read to its end, or that the response is discarded.
-    void reportResponse(const ServedRequest& request, const ServerEntry& server, TimePoint sentAt);
+    // Reports that the body of a response was read to its end, or that the response is discarded. Only a success
+    // whose framing proves its end shows that the request finished.
+    void reportResponse(const ServedRequest& request, const ServerEntry& server, TimePoint sentAt,
+        const CompleteResponse& response);
     // Reports that the body of a response broke off before its end.
     void reportIncompleteResponse(const ServedRequest& request, const ServerEntry& server,
         TimePoint sentAt, const IncompleteResponse& response);
@@ -82,7 +94,7 @@
     void setRunObserver(RunObserver& observer) { m_runObserver = &observer; }
     void reportRun(const EndedRun& run);
     // See RunObserver::onFinished().
-    void reportFinished(Fingerprint fingerprint, int stage);
+    void reportFinished(const std::vector<PoisonSubject>& subjects, int stage);
 
     ServerTracker& tracker() { return m_tracker; }
     // Removes the state of servers that have left the view, and closes their connections.
@@ -93,8 +105,8 @@
     bool mayReceiveWork(const ServerEntry& server);
     // The same, and the server has not started again or changed its software version under its ID.
     bool mayReceiveRequest(const ServerEntry& server);
-    void reportRun(
-        const ServedRequest& request, const ServerEntry& server, RunEnd end, TimePoint sentAt);
+    void reportRun(const ServedRequest& request, const ServerEntry& server, RunEnd end, TimePoint sentAt,
+        Duration respondedFor = Duration(0));
     SendResult classify(std::unique_ptr<HttpStream> stream) const;
 
     boost::asio::io_context& m_context;
--- a/src/gateway/crashmonitor.cpp
+++ b/src/gateway/crashmonitor.cpp
@@ -52,23 +52,23 @@
 {
     const TimePoint now = RuntimeClock::now();
     for (const DetectedCrash& detected : crashes) {
-        const std::optional<PoisonState> before = m_poison.stateOf(detected.fingerprint, now);
-        const auto notice = m_poison.recordCrash(detected.fingerprint, detected.crash, now);
-        if (!notice)
+        const std::vector<Fingerprint> changed
+            = m_poison.recordCrash(detected.subjects, detected.crash, detected.clearsParts, now);
+        if (changed.empty())
             continue;
+        const Fingerprint request = detected.subjects.front().fingerprint;
         writeLog(LogLevel::Info, "request_crashed_server",
-            { { "identity", toText(detected.fingerprint) },
+            { { "identity", toText(request) }, { "parts", partNames(detected.subjects) },
                 { "server", detected.crash.server.value() },
                 { "started_at", detected.crash.startedAt }, { "stage", detected.crash.stage },
-                { "evidence", crashEvidenceName(evidence) },
-                { "crashes", m_poison.crashCount(detected.fingerprint, now) } });
+                { "evidence", crashEvidenceName(evidence) }, { "clears_parts", detected.clearsParts },
+                { "crashes", m_poison.crashCount(request, now) } });
         m_metrics
             .counter("apricot_server_crashes_total",
                 "Runs of requests during which their backend server ended.",
                 { { "evidence", std::string(crashEvidenceName(evidence)) } })
             .add();
-        m_sync.publish(detected.fingerprint);
-        onStateChanged(*notice, before);
+        m_sync.publish(changed);
     }
 }
 
@@ -76,43 +76,22 @@
 {
     const TimePoint now = RuntimeClock::now();
     for (const DetectedCrash& detected : m_detector.drainWithdrawn()) {
-        const std::optional<PoisonState> before = m_poison.stateOf(detected.fingerprint, now);
-        const auto notice = m_poison.withdrawCrash(detected.fingerprint, detected.crash, now);
-        if (!notice)
+        const std::vector<Fingerprint> changed
+            = m_poison.withdrawCrash(detected.subjects, detected.crash, now);
+        if (changed.empty())
             continue;
         writeLog(LogLevel::Info, "crash_withdrawn",
-            { { "identity", toText(detected.fingerprint) },
+            { { "identity", toText(detected.subjects.front().fingerprint) },
+                { "parts", partNames(detected.subjects) },
                 { "server", detected.crash.server.value() },
                 { "started_at", detected.crash.startedAt } });
-        m_sync.publish(detected.fingerprint);
-        onStateChanged(*notice, before);
+        m_sync.publish(changed);
     }
 }
 
-void CrashMonitor::onFinished(Fingerprint fingerprint, int stage)
+void CrashMonitor::onFinished(const std::vector<PoisonSubject>& subjects, int stage)
 {
-    if (m_poison.size() == 0)
-        return;
-    const TimePoint now = RuntimeClock::now();
-    const std::optional<PoisonState> before = m_poison.stateOf(fingerprint, now);
-    const auto notice = m_poison.recordFinish(fingerprint, stage, now);
-    if (!notice)
-        return;
-    m_sync.publish(fingerprint);
-    onStateChanged(*notice, before);
-}
-
-void CrashMonitor::onStateChanged(const PoisonNotice& notice, std::optional<PoisonState> before)
-{
-    const TimePoint now = RuntimeClock::now();
-    const std::optional<PoisonState> after = m_poison.stateOf(notice.fingerprint, now);
-    if (before == after)
-        return;
-    writeLog(after == PoisonState::Refused ? LogLevel::Warning : LogLevel::Info, "poison_state_changed",
-        { { "identity", toText(notice.fingerprint) }, { "state", poisonStateName(after) },
-            { "crashes", notice.crashes.size() }, { "source", "this host" } });
-    if (m_changeHandler)
-        m_changeHandler();
+    m_sync.publish(m_poison.recordFinish(subjects, stage, RuntimeClock::now()));
 }
 
 }
--- a/src/gateway/crashmonitor.h
+++ b/src/gateway/crashmonitor.h
@@ -16,18 +16,15 @@
         PoisonSync& sync, MetricRegistry& metrics);
 
     void onRunEnded(const EndedRun& run) override;
-    void onFinished(Fingerprint fingerprint, int stage) override;
+    void onFinished(const std::vector<PoisonSubject>& subjects, int stage) override;
     // Checks whether servers of runs that broke have been unregistered or replaced.
     void onServersChanged();
-    // Called when the state of a request has changed.
-    void setChangeHandler(std::function<void()> handler) { m_changeHandler = std::move(handler); }
 
 private:
     // Connects to the address of a server, which is refused if its process has ended.
     boost::asio::awaitable<void> probe(ServerStart server, Endpoint endpoint);
     void recordCrashes(CrashEvidence evidence, const std::vector<DetectedCrash>& crashes);
     void recordWithdrawn();
-    void onStateChanged(const PoisonNotice& notice, std::optional<PoisonState> before);
 
     boost::asio::io_context& m_context;
     ServingView& m_view;
@@ -37,7 +34,6 @@
     CrashDetector m_detector;
     // Servers that are being probed.
     std::set<ServerStart> m_probed;
-    std::function<void()> m_changeHandler;
 };
 
 }
--- a/src/gateway/gatewaydaemon.cpp
+++ b/src/gateway/gatewaydaemon.cpp
@@ -111,8 +111,7 @@
         [this](const PlatformEvent& event) { m_poisonSync.applyEvent(event); });
     m_backendCaller.setRunObserver(m_crashMonitor);
     m_requests.setProbationHandler(
-        [this](Fingerprint fingerprint) { return m_poisonSync.tryStartProbation(fingerprint); });
-    m_crashMonitor.setChangeHandler([this] { m_stageHome.onPoisonChanged(); });
+        [this](const std::vector<PoisonSubject>& refused) { return m_poisonSync.tryStartProbation(refused); });
     m_poisonSync.setChangeHandler([this] { m_stageHome.onPoisonChanged(); });
 }
 
@@ -264,7 +263,8 @@
         { "config_revision", m_view.configRevision() },
         { "servers", m_view.servers().size() }, { "hosts", m_view.hosts().size() },
         { "waiting_pieces", m_stageHome.waitingPieces() }, { "stream_origins", m_streamOrigins.size() },
-        { "poisoned_requests", m_poison.count(PoisonState::Refused, RuntimeClock::now()) },
+        { "poisoned_requests", m_poison.count(PoisonState::Refused, false, RuntimeClock::now()) },
+        { "poisoned_parts", m_poison.count(PoisonState::Refused, true, RuntimeClock::now()) },
         { "stopping", m_isStopping } };
 }
 
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -18,6 +18,10 @@
           "Requests during which servers ended, fewer than it takes to refuse them."))
     , m_poisonedRequests(registry.gauge("apricot_poisoned_requests",
           "Requests that are refused because they crash the servers that run them."))
+    , m_suspectParts(registry.gauge("apricot_suspect_parts",
+          "Parts of prompts during which servers ended, fewer than it takes to refuse them."))
+    , m_poisonedParts(registry.gauge("apricot_poisoned_parts",
+          "Parts of prompts whose requests are refused because they crash the servers that run them."))
 {
 }
 
@@ -58,8 +62,10 @@
     m_hosts.set(static_cast<double>(view.hosts().size()));
     m_waitingPieces.set(static_cast<double>(home.waitingPieces()));
     m_storeLost.set(isStoreLost ? 1 : 0);
-    m_suspectRequests.set(static_cast<double>(poison.count(PoisonState::Suspect, now)));
-    m_poisonedRequests.set(static_cast<double>(poison.count(PoisonState::Refused, now)));
+    m_suspectRequests.set(static_cast<double>(poison.count(PoisonState::Suspect, false, now)));
+    m_poisonedRequests.set(static_cast<double>(poison.count(PoisonState::Refused, false, now)));
+    m_suspectParts.set(static_cast<double>(poison.count(PoisonState::Suspect, true, now)));
+    m_poisonedParts.set(static_cast<double>(poison.count(PoisonState::Refused, true, now)));
 }
 
 }
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -26,6 +26,8 @@
     Gauge& m_storeLost;
     Gauge& m_suspectRequests;
     Gauge& m_poisonedRequests;
+    Gauge& m_suspectParts;
+    Gauge& m_poisonedParts;
 };
 
 }
--- a/src/gateway/plainforwarder.cpp
+++ b/src/gateway/plainforwarder.cpp
@@ -67,7 +67,7 @@
     const KnownServer* known = chooseServer(request, progress);
     if (!known || progress.unreachable >= maxUnreachable || request.scope->isOver()
         || !m_poison.mayRun(
-            request.fingerprint, request.isProbation, progress.runs, RuntimeClock::now()))
+            request.subjects, request.probation, progress.runs, RuntimeClock::now()))
         return nullptr;
     return progress.outcome.sends == 0 || ensureRetryPermit(request, progress) ? known : nullptr;
 }
@@ -105,7 +105,7 @@
     if (sent.outcome != SendOutcome::Responded)
         co_return !mayRetry;
     if (mayRetry && sent.status >= statusServerError && nextServer(request, progress) != nullptr) {
-        m_backendCaller.reportResponse(request, server, sentAt);
+        m_backendCaller.reportResponse(request, server, sentAt, { sent.status, sent.stream->framing() });
         co_return false;
     }
     const ServedOutcome forwarded = co_await forwardResponse(request, server, sentAt, *sent.stream);
@@ -126,9 +126,9 @@
         reason = GatewayRefusal::TimedOut;
     }
     const TimePoint now = RuntimeClock::now();
-    if (progress.runs == 0 && m_poison.isRefused(request.fingerprint, now)) {
+    if (progress.runs == 0 && !m_poison.refusedOf(request.subjects, now).empty()) {
         reason = GatewayRefusal::Poisoned;
-        retryAfter = m_poison.remaining(request.fingerprint, now);
+        retryAfter = m_poison.retryAfter(request.subjects, now);
     }
     if (request.scope->endReason() == ScopeEndReason::Stopping) {
         reason = GatewayRefusal::NotReady;
--- a/src/gateway/poisonsync.cpp
+++ b/src/gateway/poisonsync.cpp
@@ -17,12 +17,16 @@
 
 namespace {
 
-    // Findings are collected for this long and written in one call.
-    constexpr Milliseconds batchDelay { 250 };
+    // Findings of one crash are collected for this long and written in one call.
+    constexpr Milliseconds gatherDelay { 10 };
+    constexpr Milliseconds minWriteInterval { 250 };
     constexpr Milliseconds retryDelay { 400 };
     // Time for which a finding is kept, as in the table.
     constexpr Milliseconds lifetime = PoisonTableOptions {}.refusedLifetime;
-    constexpr std::size_t maxPublished = 128;
+    constexpr std::size_t maxPublished = 512;
+    // Hosts take turns for the probation of a subject, in their order for it, so that each has heard of the runs at
+    // those before it.
+    constexpr Milliseconds probationTurn { 2000 };
     constexpr Milliseconds cleanUpInterval { 60'000 };
 
 }
@@ -43,35 +47,50 @@
     Asio::co_spawn(m_context, cleanUp(), Asio::detached);
 }
 
-void PoisonSync::publish(Fingerprint fingerprint)
+void PoisonSync::publish(const std::vector<Fingerprint>& fingerprints)
 {
+    if (fingerprints.empty())
+        return;
     const TimePoint now = RuntimeClock::now();
     removeExpired(now);
-    if (m_published.size() >= maxPublished && !m_published.contains(fingerprint)) {
-        const auto oldest = std::min_element(m_published.begin(), m_published.end(),
-            [](const auto& left, const auto& right) { return left.second < right.second; });
-        m_published.erase(oldest);
+    for (const Fingerprint fingerprint : fingerprints)
+        m_published[fingerprint] = now + lifetime;
+    while (m_published.size() > maxPublished) {
+        // The fewer crashes count against a subject, the less its evidence matters to the other hosts.
+        const auto rankOf = [&](const auto& entry) {
+            return std::pair(m_poison.crashCount(entry.first, now), entry.second);
+        };
+        m_published.erase(std::min_element(m_published.begin(), m_published.end(),
+            [&](const auto& left, const auto& right) { return rankOf(left) < rankOf(right); }));
     }
-    m_published[fingerprint] = now + lifetime;
     scheduleWrite();
+    reportChanges("this host", 0);
 }
 
-bool PoisonSync::ranksFirstFor(const std::string& key) const
+std::optional<std::size_t> PoisonSync::rankFor(const std::string& key) const
 {
     const std::vector<HostId> ranked = rankHosts(key, m_view.hostIds());
-    return !ranked.empty() && ranked.front() == m_self;
+    const auto self = std::find(ranked.begin(), ranked.end(), m_self);
+    if (self == ranked.end())
+        return std::nullopt;
+    return static_cast<std::size_t>(self - ranked.begin());
 }
 
-bool PoisonSync::tryStartProbation(Fingerprint fingerprint)
+bool PoisonSync::tryStartProbation(const std::vector<PoisonSubject>& refused)
 {
     const TimePoint now = RuntimeClock::now();
-    if (!m_poison.canStartProbation(fingerprint, now) || !ranksFirstFor(toText(fingerprint)))
+    const std::optional<std::size_t> rank = rankFor(toText(refused.front().fingerprint));
+    if (!rank || !m_poison.canStartProbation(refused, now - *rank * probationTurn))
         return false;
-    m_poison.startProbation(fingerprint, now);
-    publish(fingerprint);
-    writeLog(LogLevel::Info, "probation_started",
-        { { "identity", toText(fingerprint) },
-            { "crashes", m_poison.crashCount(fingerprint, now) } });
+    m_poison.startProbation(refused, now);
+    std::vector<Fingerprint> fingerprints;
+    for (const PoisonSubject& subject : refused) {
+        fingerprints.push_back(subject.fingerprint);
+        writeLog(LogLevel::Info, "probation_started",
+            { { "identity", toText(subject.fingerprint) }, { "part", subject.part },
+                { "crashes", m_poison.crashCount(subject.fingerprint, now) } });
+    }
+    publish(fingerprints);
     return true;
 }
 
@@ -108,22 +127,24 @@
             { { "key", object.key }, { "reason", error.what() } });
         return;
     }
-    bool isChanged = false;
-    for (const PoisonNotice& notice : notices) {
-        if (object.key == m_ownKey)
+    if (object.key == m_ownKey) {
+        for (const PoisonNotice& notice : notices)
             m_published.try_emplace(notice.fingerprint, now + lifetime);
-        const std::optional<PoisonState> before = m_poison.stateOf(notice.fingerprint, now);
-        m_poison.apply(notice, now);
-        const std::optional<PoisonState> after = m_poison.stateOf(notice.fingerprint, now);
-        if (before == after)
-            continue;
-        isChanged = true;
-        writeLog(LogLevel::Info, "poison_state_changed",
-            { { "identity", toText(notice.fingerprint) }, { "state", poisonStateName(after) },
-                { "crashes", m_poison.crashCount(notice.fingerprint, now) }, { "source", object.key },
-                { "revision", object.version } });
     }
-    if (isChanged && m_changeHandler)
+    m_poison.apply(notices, now);
+    reportChanges(object.key, object.version);
+}
+
+void PoisonSync::reportChanges(const std::string& source, ObjectVersion revision)
+{
+    const std::vector<PoisonChange> changes = m_poison.drainChanges();
+    for (const PoisonChange& change : changes) {
+        writeLog(change.state == PoisonState::Refused ? LogLevel::Warning : LogLevel::Info, "poison_state_changed",
+            { { "identity", toText(change.subject.fingerprint) }, { "part", change.subject.part },
+                { "state", poisonStateName(change.state) }, { "crashes", change.crashes }, { "source", source },
+                { "revision", revision } });
+    }
+    if (!changes.empty() && m_changeHandler)
         m_changeHandler();
 }
 
@@ -139,15 +160,19 @@
 Asio::awaitable<void> PoisonSync::writeUntilStored()
 {
     const auto executor = m_context.get_executor();
-    Milliseconds delay = batchDelay;
+    const Duration sinceLastWrite = RuntimeClock::now() - m_writtenAt;
+    Duration delay = std::max<Duration>(gatherDelay, minWriteInterval - sinceLastWrite);
     while (m_mustWrite) {
-        co_await sleepFor(executor, delay);
+        co_await sleepFor(executor, std::chrono::ceil<Milliseconds>(delay));
+        delay = minWriteInterval;
         if (!m_isListed)
             continue;
         m_mustWrite = false;
+        m_writtenAt = RuntimeClock::now();
         const bool isStored = co_await writeOnce();
         m_mustWrite = m_mustWrite || !isStored;
-        delay = isStored ? batchDelay : retryDelay;
+        if (!isStored)
+            delay = retryDelay;
     }
     m_isWriting = false;
 }
@@ -183,7 +208,7 @@
         reason = error.what();
     }
     writeLog(LogLevel::Warning, "poison_write_failed",
-        { { "reason", reason }, { "requests", m_published.size() } });
+        { { "reason", reason }, { "subjects", m_published.size() } });
     co_return false;
 }
 
@@ -205,7 +230,7 @@
     const TimePoint changedBefore = RuntimeClock::now() - 2 * lifetime;
     std::vector<std::pair<std::string, ObjectVersion>> abandoned;
     for (const auto& [key, object] : m_objects) {
-        if (key != m_ownKey && object.changedAt < changedBefore && ranksFirstFor(key))
+        if (key != m_ownKey && object.changedAt < changedBefore && rankFor(key) == 0U)
             abandoned.emplace_back(key, object.version);
     }
     for (const auto& [key, version] : abandoned) {
--- a/src/gateway/poisonsync.h
+++ b/src/gateway/poisonsync.h
@@ -18,13 +18,14 @@
         PoisonTable& poison, HostId self);
 
     void start();
-    // Writes what the table holds about a fingerprint to this host's object.
-    void publish(Fingerprint fingerprint);
-    // Whether a refused request has its probation run at this host now; if so, tells the other hosts.
-    bool tryStartProbation(Fingerprint fingerprint);
+    // Writes what the table holds about these fingerprints to this host's object. Logs what has changed by this
+    // host's findings.
+    void publish(const std::vector<Fingerprint>& fingerprints);
+    // Whether refused subjects of a request have a probation run at this host now; if so, tells the other hosts.
+    bool tryStartProbation(const std::vector<PoisonSubject>& refused);
     void applyList(const PlatformList& list);
     void applyEvent(const PlatformEvent& event);
-    // Called when another host's findings have changed the state of a request.
+    // Called when the state of a request or part has changed.
     void setChangeHandler(std::function<void()> handler) { m_changeHandler = std::move(handler); }
 
 private:
@@ -33,8 +34,10 @@
         TimePoint changedAt {};
     };
 
-    // Whether this host ranks first for a key among all hosts.
-    bool ranksFirstFor(const std::string& key) const;
+    // Position of this host among all hosts in their order for a key; not set if this host is not listed.
+    std::optional<std::size_t> rankFor(const std::string& key) const;
+    // Logs changes of states with the source of the finding.
+    void reportChanges(const std::string& source, ObjectVersion revision);
     void applyObject(const PlatformObject& object);
     void removeExpired(TimePoint now);
     void scheduleWrite();
@@ -51,6 +54,7 @@
     HostId m_self;
     std::string m_ownKey;
     std::function<void()> m_changeHandler;
+    TimePoint m_writtenAt {};
     // Fingerprints in this host's object, and when they expire there.
     std::map<Fingerprint, TimePoint> m_published;
     std::map<std::string, KnownObject> m_objects;
--- a/src/gateway/requestscope.h
+++ b/src/gateway/requestscope.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "libapricot/fingerprint.h"
+#include "libapricot/servercrash.h"
 #include "libnet/httpclient.h"
 #include "libnet/httpserver.h"
 #include "libserving/callerrequest.h"
@@ -50,8 +50,10 @@
     OwnerId owner;
     // Identifies the request beyond this attempt of its caller.
     Fingerprint fingerprint = 0;
-    // The request is refused otherwise; see PoisonTable.
-    bool isProbation = false;
+    // What crashes of servers count against: the request itself, then the shared parts of its prompt.
+    std::vector<PoisonSubject> subjects;
+    // The subjects that would be refused if this were not their probation run; see PoisonTable.
+    std::vector<PoisonSubject> probation;
     int rank = 0;
     TimePoint arrivedAt {};
     // When the request misses its objective, and when its caller stops waiting.
@@ -61,6 +63,9 @@
     TimePoint firstEventDeadline {};
     std::shared_ptr<RequestScope> scope = std::make_shared<RequestScope>();
 
+    // Whether the request itself, not only a part of its prompt, has its probation run.
+    bool isProbation() const { return !probation.empty() && !probation.front().isPart(); }
+
     Milliseconds timeLeft(TimePoint now) const
     {
         return std::chrono::floor<Milliseconds>(deadlineAt - now);
--- a/src/gateway/requestservice.cpp
+++ b/src/gateway/requestservice.cpp
@@ -3,6 +3,7 @@
 #include "libapricot/rendezvous.h"
 #include "libnet/log.h"
 #include "libnet/watchdog.h"
+#include "libserving/poisonsubjects.h"
 #include "platform/requesttranslation.h"
 
 #include <boost/json/object.hpp>
@@ -104,8 +105,12 @@
     boost::json::object fields { { "request", id }, { "path", exchange.request().path },
         { "kind", labels.kind }, { "status", outcome.status }, { "ms", duration }, { "sends", outcome.sends },
         { "config", m_view.config() ? m_view.config()->version : 0 } };
-    if (labels.fingerprint)
-        fields["identity"] = toText(*labels.fingerprint);
+    if (!labels.subjects.empty()) {
+        fields["identity"] = toText(labels.subjects.front().fingerprint);
+        fields["parts"] = partNames(labels.subjects);
+    }
+    if (!labels.refusedSubject.empty())
+        fields["poisoned"] = labels.refusedSubject;
     if (!outcome.refusal.empty())
         fields["refusal"] = outcome.refusal;
     if (!outcome.server.empty()) {
@@ -164,13 +169,16 @@
     if (owner)
         request.owner = owner->id;
     request.fingerprint = fingerprintOf(http.target, request.owner, http.body);
-    labels.fingerprint = request.fingerprint;
-    const bool isRefused = m_poison.isRefused(request.fingerprint, now);
-    request.isProbation
-        = isRefused && m_probationHandler && m_probationHandler(request.fingerprint);
-    if (isRefused && !request.isProbation) {
-        co_await refuse(
-            exchange, GatewayRefusal::Poisoned, m_poison.remaining(request.fingerprint, now));
+    request.subjects = poisonSubjectsOf(request.fingerprint, request.caller.promptParts);
+    labels.subjects = request.subjects;
+    const std::vector<PoisonSubject> refused = m_poison.refusedOf(request.subjects, now);
+    // A probation that finds no server would prove nothing.
+    const bool canRun = !m_view.servers().usable(request.pool, now).empty();
+    if (!refused.empty() && canRun && m_probationHandler && m_probationHandler(refused))
+        request.probation = refused;
+    if (!refused.empty() && request.probation.empty()) {
+        labels.refusedSubject = refused.front().name();
+        co_await refuse(exchange, GatewayRefusal::Poisoned, m_poison.retryAfter(request.subjects, now));
         co_return refusalOutcome(GatewayRefusal::Poisoned);
     }
     co_return co_await forward(request);
--- a/src/gateway/requestservice.h
+++ b/src/gateway/requestservice.h
@@ -18,8 +18,8 @@
         StreamForwarder& streamForwarder, const PoisonTable& poison, GatewayMetrics& metrics);
 
     boost::asio::awaitable<void> serve(HttpExchange& exchange);
-    // Sets the handler that decides whether a refused request has its probation run at this host now.
-    void setProbationHandler(std::function<bool(Fingerprint)> handler)
+    // Sets the handler that decides whether refused subjects have a probation run at this host now.
+    void setProbationHandler(std::function<bool(const std::vector<PoisonSubject>&)> handler)
     {
         m_probationHandler = std::move(handler);
     }
@@ -32,8 +32,10 @@
     // What a request was found to be, for logs and metrics.
     struct RequestLabels {
         std::string_view kind = "none";
-        // Set once the request has passed the initial checks.
-        std::optional<Fingerprint> fingerprint;
+        // Set once the request has passed the initial checks; see ServedRequest::subjects.
+        std::vector<PoisonSubject> subjects;
+        // Name of the subject because of which the request was refused on arrival, or empty.
+        std::string refusedSubject;
     };
 
     boost::asio::awaitable<ServedOutcome> checkAndForward(
@@ -45,7 +47,7 @@
     PlainForwarder& m_plainForwarder;
     StreamForwarder& m_streamForwarder;
     const PoisonTable& m_poison;
-    std::function<bool(Fingerprint)> m_probationHandler;
+    std::function<bool(const std::vector<PoisonSubject>&)> m_probationHandler;
     GatewayMetrics& m_metrics;
     CallerWaitEstimator m_waitEstimator;
     // Scopes of the requests in flight.
--- a/src/gateway/stagehome.cpp
+++ b/src/gateway/stagehome.cpp
@@ -178,7 +178,7 @@
     if (waiter->result->outcome != StageWorkOutcome::Done && !cancel->isCancelled())
         logFailedWork(submitted, group->scheduler, waiter->result->outcome);
     if (waiter->result->outcome == StageWorkOutcome::Done)
-        m_backendCaller.reportFinished(submitted.fingerprint, submitted.stage);
+        m_backendCaller.reportFinished({ { submitted.fingerprint } }, submitted.stage);
     co_return *waiter->result;
 }
 
--- a/src/gateway/stagerunner.cpp
+++ b/src/gateway/stagerunner.cpp
@@ -147,7 +147,7 @@
         .crossDomainBytes = location.crossDomainBytes,
         .isFirst = !progress.hasFinishedStage,
         .fingerprint = request.fingerprint,
-        .isProbation = request.isProbation };
+        .isProbation = request.isProbation() };
     return work;
 }
 
--- a/src/gateway/streamforwarder.cpp
+++ b/src/gateway/streamforwarder.cpp
@@ -106,7 +106,7 @@
 {
     while (!request.scope->isOver() && progress.tried.size() < maxEngines
         && m_poison.mayRun(
-            request.fingerprint, request.isProbation, progress.runs, RuntimeClock::now())) {
+            request.subjects, request.probation, progress.runs, RuntimeClock::now())) {
         const KnownServer* known = chooseEngine(request, progress);
         if (!known)
             co_return;
@@ -233,6 +233,8 @@
     HttpExchange& exchange = request.exchange;
     const std::size_t earlierEvents = progress.events.eventCount();
     bool isPromptRead = false;
+    TimePoint firstEventAt {};
+    TimePoint lastEventAt {};
     while (true) {
         std::optional<std::string> data;
         try {
@@ -240,7 +242,7 @@
         } catch (const boost::system::system_error& error) {
             m_backendCaller.reportIncompleteResponse(request, engine, sentAt,
                 { runEndOf(error.code()), error.code().message(), stream.framing(),
-                    progress.events.partialEvent().size() });
+                    progress.events.partialEvent().size(), lastEventAt - firstEventAt });
             co_return false;
         }
         const bool hasEvents = progress.events.eventCount() > earlierEvents;
@@ -255,6 +257,7 @@
         }
         if (!isPromptRead && progress.events.eventCount() > earlierEvents) {
             isPromptRead = true;
+            firstEventAt = RuntimeClock::now();
             if (!progress.version)
                 progress.version = engine.softwareVersion;
             if (request.route.isResumable)
@@ -265,10 +268,13 @@
             // which runs the stages again: engines fail rarely, and result capacity is scarce.
             m_stages.release(std::exchange(progress.stages.results, {}));
         }
+        if (isPromptRead && !events.empty())
+            lastEventAt = RuntimeClock::now();
         co_await exchange.writeChunk(events);
         if (data)
             continue;
-        m_backendCaller.reportResponse(request, engine, sentAt);
+        m_backendCaller.reportResponse(
+            request, engine, sentAt, { stream.status(), stream.framing(), hasEvents });
         co_await exchange.endStream();
         progress.outcome.status = stream.status();
         progress.outcome.framing = stream.framing();
@@ -342,9 +348,9 @@
         retryAfter = fullPoolRetryAfter;
     }
     const TimePoint now = RuntimeClock::now();
-    if (progress.runs == 0 && m_poison.isRefused(request.fingerprint, now)) {
+    if (progress.runs == 0 && !m_poison.refusedOf(request.subjects, now).empty()) {
         reason = GatewayRefusal::Poisoned;
-        retryAfter = m_poison.remaining(request.fingerprint, now);
+        retryAfter = m_poison.retryAfter(request.subjects, now);
     }
     if (isTimeout && progress.runs == 0) {
         reason = GatewayRefusal::OutOfTime;
--- a/src/libapricot/fingerprint.cpp
+++ b/src/libapricot/fingerprint.cpp
@@ -19,6 +19,11 @@
     return stableHash(body, stableHash(owner.value(), stableHash(target)));
 }
 
+Fingerprint fingerprintOfPart(std::string_view id)
+{
+    return stableHash(id, stableHash("prompt part"));
+}
+
 std::string toText(Fingerprint fingerprint)
 {
     std::array<char, 17> text {};
--- a/src/libapricot/fingerprint.h
+++ b/src/libapricot/fingerprint.h
@@ -16,6 +16,8 @@
 Fingerprint fingerprintOf(const PipelineId& pipeline, std::string_view input);
 // Fingerprint of a gateway request: its path with the query, its owner, and its body.
 Fingerprint fingerprintOf(std::string_view target, const OwnerId& owner, std::string_view body);
+// Fingerprint of a part of a prompt, by its ID.
+Fingerprint fingerprintOfPart(std::string_view id);
 // The fingerprint as 16 hexadecimal digits, as in logs.
 std::string toText(Fingerprint fingerprint);
 // The inverse of toText(), or nothing for any other text.
--- a/src/libapricot/poisontable.cpp
+++ b/src/libapricot/poisontable.cpp
@@ -1,12 +1,26 @@
 #include "libapricot/poisontable.h"
 
+#include "libapricot/crashattribution.h"
+
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace Apricot {
 
 namespace {
 
+    // Numbers of the probation runs of a subject, alone and with others.
+    constexpr std::int64_t firstProbation = 0;
+    constexpr std::int64_t secondProbation = 1;
+    constexpr std::int64_t jointProbation = 2;
+
+    // Marks a probation run, by its number, among the crashes of an entry.
+    ServerCrash probationRun(std::int64_t number)
+    {
+        return { .startedAt = number, .stage = ServerCrash::probationStage };
+    }
+
     // Removes the cleared crash of the server that started first. Returns false if none is cleared.
     bool removeOldestCleared(std::map<ServerCrash, bool>& crashes)
     {
@@ -46,7 +60,7 @@
 
 std::optional<PoisonState> PoisonTable::stateOf(const Entry& entry) const
 {
-    const std::size_t crashes = crashCount(entry);
+    const std::size_t crashes = entry.part.empty() ? crashCount(entry) : entry.attributed;
     if (entry.state == PoisonState::Refused || crashes >= m_options.refusedCrashes)
         return PoisonState::Refused;
     if (entry.state == PoisonState::Suspect || crashes >= m_options.suspectCrashes)
@@ -54,6 +68,21 @@
     return std::nullopt;
 }
 
+bool PoisonTable::hasSuspectCrashes(const Entry& entry) const
+{
+    return entry.state || crashCount(entry) >= m_options.suspectCrashes;
+}
+
+std::set<ServerCrash> PoisonTable::countedCrashes(const Entry& entry)
+{
+    std::set<ServerCrash> crashes;
+    for (const auto& [crash, isCleared] : entry.crashes) {
+        if (!isCleared)
+            crashes.insert(crash);
+    }
+    return crashes;
+}
+
 std::optional<PoisonState> PoisonTable::stateOf(Fingerprint fingerprint, TimePoint now) const
 {
     const Entry* entry = find(fingerprint, now);
@@ -65,31 +94,113 @@
     return stateOf(fingerprint, now) == PoisonState::Refused;
 }
 
-bool PoisonTable::mayRun(
-    Fingerprint fingerprint, bool isProbation, int earlierRuns, TimePoint now) const
+bool PoisonTable::mayRun(const std::vector<PoisonSubject>& subjects,
+    const std::vector<PoisonSubject>& probation, int earlierRuns, TimePoint now) const
 {
-    const std::optional<PoisonState> state = stateOf(fingerprint, now);
-    return !state || (earlierRuns == 0 && (state == PoisonState::Suspect || isProbation));
+    return std::all_of(subjects.begin(), subjects.end(), [&](const PoisonSubject& subject) {
+        const std::optional<PoisonState> state = stateOf(subject.fingerprint, now);
+        const bool isOnProbation = std::find(probation.begin(), probation.end(), subject) != probation.end();
+        return !state || (earlierRuns == 0 && (state == PoisonState::Suspect || isOnProbation));
+    });
 }
 
-bool PoisonTable::canStartProbation(Fingerprint fingerprint, TimePoint now) const
+std::vector<PoisonSubject> PoisonTable::refusedOf(
+    const std::vector<PoisonSubject>& subjects, TimePoint now) const
 {
-    const Entry* entry = find(fingerprint, now);
-    return entry && entry->refusedSince && *entry->refusedSince + m_options.probationDelay <= now
-        && !entry->crashes.contains({ .stage = ServerCrash::probationStage });
+    std::vector<PoisonSubject> refused;
+    std::copy_if(subjects.begin(), subjects.end(), std::back_inserter(refused),
+        [&](const PoisonSubject& subject) { return isRefused(subject.fingerprint, now); });
+    return refused;
 }
 
-void PoisonTable::startProbation(Fingerprint fingerprint, TimePoint now)
+TimePoint PoisonTable::nextProbation(const Entry& entry, bool isJoint) const
 {
-    findOrInsert(fingerprint, now).crashes[{ .stage = ServerCrash::probationStage }] = true;
+    if (isJoint)
+        return entry.crashes.contains(probationRun(jointProbation))
+            ? entry.expiresAt
+            : *entry.refusedSince + m_options.jointProbationDelay;
+    if (!entry.crashes.contains(probationRun(firstProbation)))
+        return *entry.refusedSince + m_options.probationDelay;
+    if (!entry.crashes.contains(probationRun(secondProbation)) && entry.crashedAt <= entry.probationAt)
+        return entry.probationAt + m_options.secondProbationDelay;
+    return entry.expiresAt;
 }
 
-void PoisonTable::updateRefusedSince(Entry& entry, TimePoint now) const
+bool PoisonTable::canStartProbation(const std::vector<PoisonSubject>& refused, TimePoint now) const
 {
-    if (stateOf(entry) != PoisonState::Refused)
+    return std::all_of(refused.begin(), refused.end(), [&](const PoisonSubject& subject) {
+        const Entry* entry = find(subject.fingerprint, now);
+        return entry && entry->refusedSince && nextProbation(*entry, refused.size() > 1) <= now;
+    });
+}
+
+Milliseconds PoisonTable::retryAfter(const std::vector<PoisonSubject>& subjects, TimePoint now) const
+{
+    Milliseconds longest = m_options.minRetryAfter;
+    const std::vector<PoisonSubject> refused = refusedOf(subjects, now);
+    for (const PoisonSubject& subject : refused) {
+        const Entry* entry = find(subject.fingerprint, now);
+        if (entry && entry->refusedSince)
+            longest = std::max(longest,
+                std::chrono::ceil<Milliseconds>(nextProbation(*entry, refused.size() > 1) - now));
+    }
+    return longest;
+}
+
+void PoisonTable::startProbation(const std::vector<PoisonSubject>& refused, TimePoint now)
+{
+    for (const PoisonSubject& subject : refused) {
+        const auto found = m_entries.find(subject.fingerprint);
+        if (found == m_entries.end())
+            continue;
+        std::int64_t number = jointProbation;
+        if (refused.size() == 1)
+            number = found->second.crashes.contains(probationRun(firstProbation)) ? secondProbation : firstProbation;
+        addCrash(found->second, probationRun(number), true, now);
+    }
+}
+
+void PoisonTable::updateState(Fingerprint fingerprint, Entry& entry, TimePoint now)
+{
+    const std::optional<PoisonState> state = stateOf(entry);
+    if (state != PoisonState::Refused)
         entry.refusedSince.reset();
     else if (!entry.refusedSince)
         entry.refusedSince = now;
+    if (std::exchange(entry.reported, state) != state)
+        m_changes.push_back({ { fingerprint, entry.part }, state, crashCount(entry) });
+}
+
+void PoisonTable::updateParts(TimePoint now)
+{
+    std::vector<CrashSuspect> suspects;
+    std::vector<std::set<ServerCrash>> refusedRequests;
+    for (auto& [fingerprint, entry] : m_entries) {
+        if (entry.expiresAt <= now)
+            continue;
+        if (entry.part.empty() && stateOf(entry) == PoisonState::Refused)
+            refusedRequests.push_back(countedCrashes(entry));
+        if (entry.part.empty())
+            continue;
+        entry.attributed = 0;
+        if (!hasSuspectCrashes(entry)) {
+            updateState(fingerprint, entry, now);
+            continue;
+        }
+        const auto finished = m_finishedParts.find(fingerprint);
+        CrashSuspect suspect { .fingerprint = fingerprint, .crashes = countedCrashes(entry) };
+        suspect.isRefused = entry.refusedSince && suspect.crashes.size() >= m_options.refusedCrashes;
+        if (finished != m_finishedParts.end())
+            suspect.finishedAt = finished->second;
+        suspects.push_back(std::move(suspect));
+    }
+    const auto attributed = attributeCrashes(
+        std::move(suspects), refusedRequests, { .minCrashes = m_options.suspectCrashes });
+    for (const auto& [fingerprint, crashes] : attributed) {
+        Entry& entry = m_entries.at(fingerprint);
+        entry.attributed = crashes;
+        updateState(fingerprint, entry, now);
+    }
 }
 
 Milliseconds PoisonTable::remaining(Fingerprint fingerprint, TimePoint now) const
@@ -104,11 +215,12 @@
     return entry ? crashCount(*entry) : 0;
 }
 
-std::size_t PoisonTable::count(PoisonState state, TimePoint now) const
+std::size_t PoisonTable::count(PoisonState state, bool isPart, TimePoint now) const
 {
     return static_cast<std::size_t>(
         std::count_if(m_entries.begin(), m_entries.end(), [&](const auto& known) {
-            return known.second.expiresAt > now && stateOf(known.second) == state;
+            return known.second.part.empty() != isPart && known.second.expiresAt > now
+                && stateOf(known.second) == state;
         }));
 }
 
@@ -116,21 +228,27 @@
 {
     const bool isRefused = ranAlone || stateOf(fingerprint, now) == PoisonState::Refused;
     const Milliseconds lifetime = isRefused ? m_options.refusedLifetime : m_options.suspectLifetime;
-    Entry& entry = findOrInsert(fingerprint, now);
+    Entry& entry = findOrInsert({ fingerprint }, now);
     entry.state = isRefused ? PoisonState::Refused : PoisonState::Suspect;
     entry.expiresAt = now + lifetime;
     return { .fingerprint = fingerprint, .state = *entry.state, .remaining = lifetime };
 }
 
-std::optional<PoisonNotice> PoisonTable::recordCrash(
-    Fingerprint fingerprint, const ServerCrash& crash, TimePoint now)
+std::vector<Fingerprint> PoisonTable::recordCrash(const std::vector<PoisonSubject>& subjects,
+    const ServerCrash& crash, bool clearsParts, TimePoint now)
 {
-    Entry& entry = findOrInsert(fingerprint, now);
-    if (!addCrash(entry, crash, false))
-        return std::nullopt;
-    entry.expiresAt = now + m_options.refusedLifetime;
-    updateRefusedSince(entry, now);
-    return noticeOf(fingerprint, entry, now);
+    std::vector<Fingerprint> changed;
+    for (const PoisonSubject& subject : subjects) {
+        Entry& entry = findOrInsert(subject, now);
+        if (!addCrash(entry, crash, clearsParts && subject.isPart(), now))
+            continue;
+        entry.expiresAt = now + m_options.refusedLifetime;
+        updateState(subject.fingerprint, entry, now);
+        changed.push_back(subject.fingerprint);
+    }
+    if (!changed.empty())
+        updateParts(now);
+    return changed;
 }
 
 bool PoisonTable::recordFinish(Fingerprint fingerprint, TimePoint now)
@@ -141,57 +259,101 @@
     return true;
 }
 
-std::optional<PoisonNotice> PoisonTable::recordFinish(Fingerprint fingerprint, int stage, TimePoint now)
+std::vector<Fingerprint> PoisonTable::recordFinish(
+    const std::vector<PoisonSubject>& subjects, int stage, TimePoint now)
 {
-    const auto found = m_entries.find(fingerprint);
-    if (found == m_entries.end() || found->second.expiresAt <= now)
-        return std::nullopt;
-    Entry& entry = found->second;
-    const bool wasSuspect = stateOf(entry).has_value();
-    for (auto& [crash, isCleared] : entry.crashes) {
-        // The stages of a request that has finished have finished before it.
-        if (crash.stage == stage || stage == ServerCrash::requestStage)
-            isCleared = true;
+    std::vector<Fingerprint> changed;
+    for (const PoisonSubject& subject : subjects) {
+        if (subject.isPart())
+            recordPartFinish(subject.fingerprint, now);
+        const auto found = m_entries.find(subject.fingerprint);
+        if (found == m_entries.end() || found->second.expiresAt <= now)
+            continue;
+        Entry& entry = found->second;
+        const bool isNews = hasSuspectCrashes(entry);
+        for (auto& [crash, isCleared] : entry.crashes) {
+            // The stages of a request that has finished have finished before it.
+            if (crash.stage == stage || stage == ServerCrash::requestStage)
+                isCleared = true;
+        }
+        if (!isNews)
+            continue;
+        updateState(subject.fingerprint, entry, now);
+        changed.push_back(subject.fingerprint);
     }
-    updateRefusedSince(entry, now);
-    if (!wasSuspect)
-        return std::nullopt;
-    return noticeOf(fingerprint, entry, now);
+    if (!changed.empty())
+        updateParts(now);
+    return changed;
 }
 
-std::optional<PoisonNotice> PoisonTable::withdrawCrash(
-    Fingerprint fingerprint, const ServerCrash& crash, TimePoint now)
+void PoisonTable::recordPartFinish(Fingerprint part, TimePoint now)
 {
-    const auto found = m_entries.find(fingerprint);
-    if (found == m_entries.end() || found->second.expiresAt <= now)
-        return std::nullopt;
-    const auto known = found->second.crashes.find(crash);
-    if (known == found->second.crashes.end() || std::exchange(known->second, true))
-        return std::nullopt;
-    updateRefusedSince(found->second, now);
-    return noticeOf(fingerprint, found->second, now);
+    m_finishedParts[part] = now;
+    if (m_finishedParts.size() <= m_options.maxFinishedParts)
+        return;
+    std::vector<TimePoint> times;
+    for (const auto& [known, finishedAt] : m_finishedParts)
+        times.push_back(finishedAt);
+    const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+    std::nth_element(times.begin(), middle, times.end());
+    std::erase_if(m_finishedParts, [&](const auto& known) { return known.second < *middle; });
+}
+
+std::vector<Fingerprint> PoisonTable::withdrawCrash(
+    const std::vector<PoisonSubject>& subjects, const ServerCrash& crash, TimePoint now)
+{
+    std::vector<Fingerprint> changed;
+    for (const PoisonSubject& subject : subjects) {
+        const auto found = m_entries.find(subject.fingerprint);
+        if (found == m_entries.end() || found->second.expiresAt <= now)
+            continue;
+        const auto known = found->second.crashes.find(crash);
+        if (known == found->second.crashes.end() || std::exchange(known->second, true))
+            continue;
+        updateState(subject.fingerprint, found->second, now);
+        changed.push_back(subject.fingerprint);
+    }
+    if (!changed.empty())
+        updateParts(now);
+    return changed;
 }
 
 void PoisonTable::apply(const PoisonNotice& notice, TimePoint now)
 {
-    Entry& entry = findOrInsert(notice.fingerprint, now);
+    apply(std::vector { notice }, now);
+}
+
+void PoisonTable::apply(const std::vector<PoisonNotice>& notices, TimePoint now)
+{
+    bool hasChanged = false;
+    for (const PoisonNotice& notice : notices)
+        hasChanged = applyOne(notice, now) || hasChanged;
+    if (hasChanged)
+        updateParts(now);
+}
+
+bool PoisonTable::applyOne(const PoisonNotice& notice, TimePoint now)
+{
+    Entry& entry = findOrInsert(notice.subject(), now);
     bool isNew = false;
     for (const ServerCrash& crash : notice.crashes)
-        isNew = addCrash(entry, crash, false) || isNew;
+        isNew = addCrash(entry, crash, false, now) || isNew;
     for (const ServerCrash& crash : notice.cleared)
-        isNew = addCrash(entry, crash, true) || isNew;
+        isNew = addCrash(entry, crash, true, now) || isNew;
     const bool isCounted = !notice.crashes.empty() || !notice.cleared.empty();
     if (isCounted && !isNew)
-        return;
-    updateRefusedSince(entry, now);
+        return false;
     if (!isCounted && entry.state == PoisonState::Refused && notice.state == PoisonState::Suspect)
-        return;
+        return false;
     if (!isCounted)
         entry.state = notice.state;
     entry.expiresAt = now + std::min(notice.remaining, m_options.refusedLifetime);
+    if (isCounted)
+        updateState(notice.fingerprint, entry, now);
+    return isCounted;
 }
 
-bool PoisonTable::addCrash(Entry& entry, const ServerCrash& crash, bool isCleared) const
+bool PoisonTable::addCrash(Entry& entry, const ServerCrash& crash, bool isCleared, TimePoint now) const
 {
     const auto known = entry.crashes.find(crash);
     if (known != entry.crashes.end())
@@ -199,6 +361,7 @@
     if (entry.crashes.size() >= m_options.maxCrashes && !removeOldestCleared(entry.crashes))
         return false;
     entry.crashes.emplace(crash, isCleared);
+    (crash.stage == ServerCrash::probationStage ? entry.probationAt : entry.crashedAt) = now;
     return true;
 }
 
@@ -212,22 +375,24 @@
 {
     PoisonNotice notice { .fingerprint = fingerprint,
         .state = stateOf(entry).value_or(PoisonState::Suspect),
-        .remaining = std::chrono::ceil<Milliseconds>(entry.expiresAt - now) };
+        .remaining = std::chrono::ceil<Milliseconds>(entry.expiresAt - now),
+        .part = entry.part };
     for (const auto& [crash, isCleared] : entry.crashes)
         (isCleared ? notice.cleared : notice.crashes).push_back(crash);
     return notice;
 }
 
-PoisonTable::Entry& PoisonTable::findOrInsert(Fingerprint fingerprint, TimePoint now)
+PoisonTable::Entry& PoisonTable::findOrInsert(const PoisonSubject& subject, TimePoint now)
 {
-    const auto found = m_entries.find(fingerprint);
-    if (found != m_entries.end()) {
-        if (found->second.expiresAt <= now)
-            found->second = {};
-        return found->second;
+    auto found = m_entries.find(subject.fingerprint);
+    if (found == m_entries.end()) {
+        makeRoom(now);
+        found = m_entries.emplace(subject.fingerprint, Entry()).first;
+    } else if (found->second.expiresAt <= now) {
+        found->second = {};
     }
-    makeRoom(now);
-    return m_entries[fingerprint];
+    found->second.part = subject.part;
+    return found->second;
 }
 
 void PoisonTable::makeRoom(TimePoint now)
--- a/src/libserving/crashdetector.cpp
+++ b/src/libserving/crashdetector.cpp
@@ -29,6 +29,13 @@
 
 }
 
+std::vector<PoisonSubject> EndedRun::subjects() const
+{
+    std::vector<PoisonSubject> all { { fingerprint } };
+    all.insert(all.end(), parts.begin(), parts.end());
+    return all;
+}
+
 std::string_view crashEvidenceName(CrashEvidence evidence)
 {
     switch (evidence) {
@@ -49,10 +56,10 @@
 
 bool CrashDetector::recordRun(const EndedRun& run, const ServerDirectory& servers, TimePoint now)
 {
-    if (run.end == RunEnd::Complete) {
+    if (run.end == RunEnd::Complete || run.end == RunEnd::Unproven)
         onServerResponded(run.server, run.sentAt);
+    if (run.end == RunEnd::Complete)
         return false;
-    }
     const KnownServer* known = findRegistered(run.server, servers);
     // A server that leaves as planned may cut its last runs.
     if (!known || known->server.isDraining)
@@ -72,8 +79,9 @@
 
 DetectedCrash CrashDetector::report(const EndedRun& run, CrashEvidence evidence, TimePoint now)
 {
-    DetectedCrash crash { .fingerprint = run.fingerprint,
-        .crash = { run.server.server, run.server.startedAt, run.stage } };
+    DetectedCrash crash { .subjects = run.subjects(),
+        .crash = { run.server.server, run.server.startedAt, run.stage },
+        .clearsParts = run.respondedFor >= m_options.provenResponseTime };
     if (m_reported.size() >= m_options.maxRuns)
         m_reported.erase(m_reported.begin());
     m_reported.push_back({ .crash = crash,
@@ -86,7 +94,7 @@
 {
     std::vector<DetectedCrash> crashes;
     std::erase_if(m_runs, [&](const PendingRun& pending) {
-        if (pending.run.server != server || pending.run.end != RunEnd::Broken)
+        if (pending.run.server != server || pending.run.end == RunEnd::Silent)
             return false;
         crashes.push_back(report(pending.run, CrashEvidence::ConnectionRefused, now));
         return true;
--- a/src/libserving/crashdetector.h
+++ b/src/libserving/crashdetector.h
@@ -19,6 +19,8 @@
     Broken,
     // No response arrived before the call was given up.
     Silent,
+    // The response ended with its connection, which does not show that the server finished it.
+    Unproven,
 };
 
 // One start of a backend server.
@@ -38,6 +40,12 @@
     Endpoint endpoint;
     RunEnd end = RunEnd::Complete;
     TimePoint sentAt {};
+    // Shared parts of the prompt, if the end can tell something about them.
+    std::vector<PoisonSubject> parts {};
+    // How long the server had been responding.
+    Duration respondedFor { 0 };
+
+    std::vector<PoisonSubject> subjects() const;
 };
 
 // Why a server counts as ended.
@@ -53,8 +61,11 @@
 std::string_view crashEvidenceName(CrashEvidence evidence);
 
 struct DetectedCrash {
-    Fingerprint fingerprint = 0;
+    // The request, and the shared parts of its prompt.
+    std::vector<PoisonSubject> subjects;
     ServerCrash crash;
+    // The server had been responding for so long that the parts did not end it.
+    bool clearsParts = false;
 
     auto operator<=>(const DetectedCrash&) const = default;
 };
@@ -63,6 +74,8 @@
     // How long after the end of a run the end of its server is attributed to it. Registrations expire
     // after some seconds, and a server returns after some seconds.
     Milliseconds attributionTime { 15'000 };
+    // A part that ends servers does so as they begin to respond. After this time of responding it did not.
+    Milliseconds provenResponseTime { 1000 };
     // Time after which a crash is no longer withdrawn.
     Milliseconds withdrawalTime { 60'000 };
     std::size_t maxRuns = 4096;
@@ -72,7 +85,7 @@
 // are lost, connections reset, and hosts partitioned or paused while the server continues. A run counts
 // as crashed only with evidence that its server's process ended, and no longer if that server is registered
 // again with the same start. A response alone withdraws nothing: a server may start again under its ID before
-// its new entry is known.
+// its new entry is known. A response that ends with its connection may be one that its server broke off.
 class CrashDetector {
 public:
     explicit CrashDetector(CrashDetectorOptions options = {});
--- a/src/libserving/poisonobject.cpp
+++ b/src/libserving/poisonobject.cpp
@@ -9,15 +9,6 @@
 
 namespace {
 
-    json::array crashesJson(const std::vector<ServerCrash>& crashes)
-    {
-        json::array list;
-        for (const ServerCrash& crash : crashes)
-            list.push_back(json::object { { "server", crash.server.value() },
-                { "started_at", crash.startedAt }, { "stage", crash.stage } });
-        return list;
-    }
-
     std::vector<ServerCrash> readCrashes(const json::value& value)
     {
         std::vector<ServerCrash> crashes;
@@ -30,12 +21,25 @@
 
 }
 
+json::array toJson(const std::vector<ServerCrash>& crashes)
+{
+    json::array list;
+    for (const ServerCrash& crash : crashes)
+        list.push_back(json::object { { "server", crash.server.value() },
+            { "started_at", crash.startedAt }, { "stage", crash.stage } });
+    return list;
+}
+
 json::value toJson(const std::vector<PoisonNotice>& notices)
 {
     json::array entries;
-    for (const PoisonNotice& notice : notices)
-        entries.push_back(json::object { { "identity", toText(notice.fingerprint) },
-            { "crashes", crashesJson(notice.crashes) }, { "cleared", crashesJson(notice.cleared) } });
+    for (const PoisonNotice& notice : notices) {
+        json::object entry { { "identity", toText(notice.fingerprint) },
+            { "crashes", toJson(notice.crashes) }, { "cleared", toJson(notice.cleared) } };
+        if (!notice.part.empty())
+            entry["part"] = notice.part;
+        entries.push_back(std::move(entry));
+    }
     return json::object { { "requests", std::move(entries) } };
 }
 
@@ -46,10 +50,14 @@
         const auto fingerprint = parseFingerprint(entry.at("identity").as_string());
         if (!fingerprint)
             throw std::invalid_argument("expected 16 hexadecimal digits in \"identity\"");
-        notices.push_back({ .fingerprint = *fingerprint,
+        PoisonNotice notice { .fingerprint = *fingerprint,
             .remaining = lifetime,
             .crashes = readCrashes(entry.at("crashes")),
-            .cleared = readCrashes(entry.at("cleared")) });
+            .cleared = readCrashes(entry.at("cleared")) };
+        if (const json::value* part = entry.as_object().if_contains("part"))
+            notice.part = part->as_string();
+        if (!notice.crashes.empty() || !notice.cleared.empty())
+            notices.push_back(std::move(notice));
     }
     return notices;
 }
--- a/src/libserving/runobserver.h
+++ b/src/libserving/runobserver.h
@@ -10,8 +10,8 @@
     virtual ~RunObserver() = default;
 
     virtual void onRunEnded(const EndedRun& run) = 0;
-    // A request, or one of its stages, has finished; see ServerCrash::stage.
-    virtual void onFinished(Fingerprint fingerprint, int stage) = 0;
+    // A request and the shared parts of its prompt, or one of its stages, have finished; see ServerCrash::stage.
+    virtual void onFinished(const std::vector<PoisonSubject>& subjects, int stage) = 0;
 };
 
 }
--- a/tests/platform/gatewaycluster.cpp
+++ b/tests/platform/gatewaycluster.cpp
@@ -315,6 +315,14 @@
     responses[index].hasEnded = true;
 }
 
+void GatewayCluster::endServer(const std::string& pool, std::size_t position)
+{
+    for (const auto& server : m_servers) {
+        if (server->pool == pool && position-- == 0 && server->isUp)
+            endServer(*server);
+    }
+}
+
 void GatewayCluster::endServers(const std::string& pool)
 {
     for (const auto& server : m_servers) {
--- a/tests/platform/gatewaycluster.h
+++ b/tests/platform/gatewaycluster.h
@@ -89,6 +89,8 @@
     void restartHost(std::size_t host);
     // Ends the process of a host at once. The store still lists the host.
     void killHost(std::size_t host);
+    // Ends one backend server of a pool, by its position, if it is up.
+    void endServer(const std::string& pool, std::size_t position);
     // Ends all backend servers of a pool at the same time.
     void endServers(const std::string& pool);
     // Breaks the caller connections of all backend servers of a pool; the servers continue.
--- a/tests/serving/crashdetectortest.cpp
+++ b/tests/serving/crashdetectortest.cpp
@@ -67,6 +67,31 @@
     LONGS_EQUAL(0, detector.onConnectionRefused(start, now).size());
 }
 
+// Guards against a server that ends in order, so that the end of its response does not look broken.
+TEST(CrashDetector, aResponseThatEndedWithItsConnectionMayHaveCrashed)
+{
+    CHECK_FALSE(detector.recordRun(makeRun(server, RunEnd::Unproven, now), servers, now));
+    LONGS_EQUAL(1, detector.onConnectionRefused(start, now).size());
+    detector.recordRun(makeRun(server, RunEnd::Unproven, now), servers, now);
+    servers.put(makeServer("s1", 200), now);
+    LONGS_EQUAL(1, crashesOnChange(now + Milliseconds(1)));
+}
+
+TEST(CrashDetector, partsAreClearedByALongResponseBeforeTheCrash)
+{
+    EndedRun run = makeRun(server, RunEnd::Broken, now);
+    run.parts = { { 11, "a" } };
+    run.respondedFor = CrashDetectorOptions {}.provenResponseTime - Milliseconds(1);
+    detector.recordRun(run, servers, now);
+    run.respondedFor += Milliseconds(1);
+    detector.recordRun(run, servers, now);
+    const std::vector<DetectedCrash> crashes = detector.onConnectionRefused(start, now);
+    LONGS_EQUAL(2, crashes.size());
+    CHECK_FALSE(crashes.front().clearsParts);
+    CHECK_TRUE(crashes.back().clearsParts);
+    CHECK_TRUE(crashes.front().subjects == (std::vector<PoisonSubject> { { request }, { 11, "a" } }));
+}
+
 TEST(CrashDetector, theNextStartOfTheServerConfirmsTheCrash)
 {
     detector.recordRun(makeRun(server, RunEnd::Silent, now), servers, now);
--- a/tests/unit/poisontest.cpp
+++ b/tests/unit/poisontest.cpp
@@ -13,6 +13,25 @@
     return { BackendServerId("s" + std::to_string(server)), server, stage };
 }
 
+// Returns whether the crash is news for the other hosts.
+bool recordCrash(PoisonTable& table, Fingerprint request, const ServerCrash& crash, TimePoint now)
+{
+    return !table.recordCrash({ { request } }, crash, false, now).empty();
+}
+
+// Returns whether the finish matters to the other hosts.
+bool recordFinish(PoisonTable& table, Fingerprint request, int stage, TimePoint now)
+{
+    return !table.recordFinish({ { request } }, stage, now).empty();
+}
+
+bool mayRun(const PoisonTable& table, Fingerprint request, bool isProbation, int earlierRuns, TimePoint now)
+{
+    const std::vector<PoisonSubject> subjects { { request } };
+    return table.mayRun(
+        subjects, isProbation ? subjects : std::vector<PoisonSubject>(), earlierRuns, now);
+}
+
 }
 
 TEST_GROUP(Poison) {};
@@ -73,13 +92,13 @@
 {
     const TimePoint now { std::chrono::hours(1) };
     PoisonTable table;
-    CHECK_TRUE(table.recordCrash(1, crashOf(1), now).has_value());
+    CHECK_TRUE(recordCrash(table, 1, crashOf(1), now));
     CHECK_FALSE(table.stateOf(1, now).has_value());
     // The same crash may be detected more than once.
-    CHECK_FALSE(table.recordCrash(1, crashOf(1), now).has_value());
-    table.recordCrash(1, crashOf(2), now);
+    CHECK_FALSE(recordCrash(table, 1, crashOf(1), now));
+    recordCrash(table, 1, crashOf(2), now);
     CHECK_TRUE(table.stateOf(1, now) == PoisonState::Suspect);
-    table.recordCrash(1, crashOf(3), now);
+    recordCrash(table, 1, crashOf(3), now);
     CHECK_TRUE(table.isRefused(1, now));
     CHECK_FALSE(table.isRefused(2, now));
 }
@@ -88,15 +107,15 @@
 {
     const TimePoint now { std::chrono::hours(1) };
     PoisonTable table;
-    table.recordCrash(1, crashOf(1), now);
-    CHECK_TRUE(table.mayRun(1, false, 1, now));
-    table.recordCrash(1, crashOf(2), now);
-    CHECK_TRUE(table.mayRun(1, false, 0, now));
-    CHECK_FALSE(table.mayRun(1, false, 1, now));
-    table.recordCrash(1, crashOf(3), now);
-    CHECK_FALSE(table.mayRun(1, false, 0, now));
-    CHECK_TRUE(table.mayRun(1, true, 0, now));
-    CHECK_FALSE(table.mayRun(1, true, 1, now));
+    recordCrash(table, 1, crashOf(1), now);
+    CHECK_TRUE(mayRun(table, 1, false, 1, now));
+    recordCrash(table, 1, crashOf(2), now);
+    CHECK_TRUE(mayRun(table, 1, false, 0, now));
+    CHECK_FALSE(mayRun(table, 1, false, 1, now));
+    recordCrash(table, 1, crashOf(3), now);
+    CHECK_FALSE(mayRun(table, 1, false, 0, now));
+    CHECK_TRUE(mayRun(table, 1, true, 0, now));
+    CHECK_FALSE(mayRun(table, 1, true, 1, now));
 }
 
 TEST(Poison, aRefusedRequestHasOneProbationRunOnAllHosts)
@@ -104,21 +123,52 @@
     TimePoint now { std::chrono::hours(1) };
     PoisonTable table;
     for (int server = 0; server < 3; ++server)
-        table.recordCrash(1, crashOf(server), now);
-    CHECK_FALSE(table.canStartProbation(1, now));
+        recordCrash(table, 1, crashOf(server), now);
+    CHECK_FALSE(table.canStartProbation({ { 1 } }, now));
     now += PoisonTableOptions {}.probationDelay;
-    CHECK_TRUE(table.canStartProbation(1, now));
-    table.startProbation(1, now);
-    CHECK_FALSE(table.canStartProbation(1, now));
+    CHECK_TRUE(table.canStartProbation({ { 1 } }, now));
+    table.startProbation({ { 1 } }, now);
+    CHECK_FALSE(table.canStartProbation({ { 1 } }, now));
     LONGS_EQUAL(3, table.crashCount(1, now));
     PoisonTable other;
     other.apply(*table.noticeOf(1, now), now);
-    CHECK_FALSE(other.canStartProbation(1, now + PoisonTableOptions {}.probationDelay));
+    CHECK_FALSE(other.canStartProbation({ { 1 } }, now + PoisonTableOptions {}.probationDelay));
     CHECK_TRUE(other.isRefused(1, now));
-    CHECK_TRUE(table.recordFinish(1, ServerCrash::requestStage, now).has_value());
+    CHECK_TRUE(recordFinish(table, 1, ServerCrash::requestStage, now));
     CHECK_FALSE(table.isRefused(1, now));
 }
 
+// Guards against a request that stays refused because its probation ended without a result, such as with its caller.
+TEST(Poison, aProbationThatProvedNothingIsRepeatedOnce)
+{
+    const PoisonTableOptions options;
+    TimePoint now { std::chrono::hours(1) };
+    PoisonTable table;
+    for (int server = 0; server < 3; ++server)
+        recordCrash(table, 1, crashOf(server), now);
+    for (const Milliseconds delay : { options.probationDelay, options.secondProbationDelay }) {
+        now += delay - Milliseconds(1);
+        CHECK_FALSE(table.canStartProbation({ { 1 } }, now));
+        now += Milliseconds(1);
+        CHECK_TRUE(table.canStartProbation({ { 1 } }, now));
+        table.startProbation({ { 1 } }, now);
+    }
+    CHECK_FALSE(table.canStartProbation({ { 1 } }, now + 2 * options.secondProbationDelay));
+}
+
+TEST(Poison, aProbationThatEndedAServerIsNotRepeated)
+{
+    const PoisonTableOptions options;
+    TimePoint now { std::chrono::hours(1) };
+    PoisonTable table;
+    for (int server = 0; server < 3; ++server)
+        recordCrash(table, 1, crashOf(server), now);
+    now += options.probationDelay;
+    table.startProbation({ { 1 } }, now);
+    recordCrash(table, 1, crashOf(3), now + Milliseconds(100));
+    CHECK_FALSE(table.canStartProbation({ { 1 } }, now + 2 * options.secondProbationDelay));
+}
+
 // Guards against refusing ordinary requests that are in flight whenever servers crash: a request that has
 // finished since does not crash its servers.
 TEST(Poison, aRequestThatFinishesBetweenCrashesIsNeverRefused)
@@ -127,10 +177,10 @@
     PoisonTable table;
     for (int server = 0; server < 20; ++server) {
         now += Milliseconds(100);
-        table.recordCrash(1, crashOf(server), now);
+        recordCrash(table, 1, crashOf(server), now);
         CHECK_FALSE(table.isRefused(1, now));
         if (server % 2 == 1)
-            CHECK_TRUE(table.recordFinish(1, ServerCrash::requestStage, now).has_value());
+            CHECK_TRUE(recordFinish(table, 1, ServerCrash::requestStage, now));
     }
 }
 
@@ -138,11 +188,11 @@
 {
     const TimePoint now { std::chrono::hours(1) };
     PoisonTable table;
-    table.recordCrash(1, crashOf(1), now);
-    table.recordCrash(1, crashOf(2), now);
-    table.recordCrash(1, crashOf(3, 0), now);
+    recordCrash(table, 1, crashOf(1), now);
+    recordCrash(table, 1, crashOf(2), now);
+    recordCrash(table, 1, crashOf(3, 0), now);
     CHECK_TRUE(table.isRefused(1, now));
-    table.recordFinish(1, 0, now);
+    recordFinish(table, 1, 0, now);
     LONGS_EQUAL(2, table.crashCount(1, now));
 }
 
@@ -165,7 +215,7 @@
     PoisonTable table({ .maxEntries = 8 });
     for (int index = 0; index < 100; ++index) {
         now += Milliseconds(1);
-        table.recordCrash(static_cast<Fingerprint>(index), crashOf(index), now);
+        recordCrash(table, static_cast<Fingerprint>(index), crashOf(index), now);
         CHECK_TRUE(table.size() <= 8);
     }
     LONGS_EQUAL(1, table.crashCount(99, now));
