Follow a store that comes back from an older copy

Hosts stayed on what they knew: the store gives out revisions again after such a return, and followers, the configuration and peers took everything up to the last known revision for old. A watch from a revision that is there again missed the changes before it. What this host had written, its registration and its findings about crashes, was gone.

PlatformClient now puts the era of the store (Store-Era) above the revision, so versions never go back wherever they are compared, and takes a watch of another era for expired history. The configuration does not go back to an older version within a process.

The platform emulator learned to lose its last changes.

--- a/src/emulator/platform/objectstore.cpp
+++ b/src/emulator/platform/objectstore.cpp
@@ -91,6 +91,16 @@
     return StoreConflict { .current = std::move(current) };
 }
 
+void ObjectStore::restore(ObjectVersion revision)
+{
+    ++m_era;
+    m_revision = revision;
+    m_trimmedUpTo = revision;
+    m_changeLog.clear();
+    for (auto& [key, history] : m_objects)
+        std::erase_if(history, [revision](const VersionedValue& value) { return value.version > revision; });
+}
+
 StoreAccepted ObjectStore::record(const std::string& key, std::optional<boost::json::value> value)
 {
     ++m_revision;
--- a/src/emulator/platform/objectstore.h
+++ b/src/emulator/platform/objectstore.h
@@ -72,6 +72,10 @@
         const std::string& key, std::optional<ObjectVersion> ifVersion = std::nullopt);
 
     ObjectVersion revision() const { return m_revision; }
+    // Number of times that the store came back from an older copy.
+    std::uint64_t era() const { return m_era; }
+    // Comes back from a copy of an earlier revision, as far as the versions are stored.
+    void restore(ObjectVersion revision);
     std::optional<StoreObject> get(const std::string& key, ObjectVersion asOf) const;
     StoreList list(std::string_view prefix, ObjectVersion asOf) const;
     // Changes with since < version <= asOf, oldest first.
@@ -90,6 +94,7 @@
         const std::string& key, std::optional<ObjectVersion> ifVersion) const;
     StoreAccepted record(const std::string& key, std::optional<boost::json::value> value);
 
+    std::uint64_t m_era = 0;
     ObjectVersion m_revision = 0;
     ObjectVersion m_trimmedUpTo = 0;
     std::map<std::string, History> m_objects;
--- a/src/emulator/platform/platformfaults.h
+++ b/src/emulator/platform/platformfaults.h
@@ -26,6 +26,8 @@
     bool reorderWatch = false;
     // Hosts whose calls are dropped, identified by the X-Host header field.
     std::set<std::string> cutHosts;
+    // Number of the last changes that the store loses once, by coming back from an older copy.
+    std::uint64_t lostChanges = 0;
     std::uint64_t seed = 1;
 
     bool operator==(const PlatformFaults&) const = default;
--- a/src/emulator/platform/platformserver.cpp
+++ b/src/emulator/platform/platformserver.cpp
@@ -131,10 +131,15 @@
         return {};
     }
 
-    asio::awaitable<void> respondJson(HttpExchange& exchange, int status, const json::value& value)
+    // The era is sent only by a store that has come back from an older copy.
+    asio::awaitable<void> respondJson(
+        HttpExchange& exchange, int status, const json::value& value, std::uint64_t era = 0)
     {
+        std::vector<HttpField> fields = statusFields(status);
+        if (era > 0)
+            fields.push_back({ std::string(PlatformNames::storeEraField), std::to_string(era) });
         co_await exchange.respond(
-            status, std::string(jsonType), json::serialize(value), statusFields(status));
+            status, std::string(jsonType), json::serialize(value), std::move(fields));
     }
 
     asio::awaitable<void> respondError(HttpExchange& exchange, int status, std::string_view text)
@@ -181,6 +186,8 @@
         throw BadRequest(error.what());
     }
     m_random.seed(m_faults.seed);
+    if (m_faults.lostChanges > 0)
+        m_store.restore(m_store.revision() - std::min(m_store.revision(), m_faults.lostChanges));
     notifyWatches();
     co_await respondJson(exchange, 200, json::object());
 }
@@ -231,13 +238,13 @@
     const std::optional<StoreObject> object = m_store.get(key, readRevision());
     if (!object)
         co_return co_await respondError(exchange, 404, "no such object");
-    co_await respondJson(exchange, 200, objectJson(*object));
+    co_await respondJson(exchange, 200, objectJson(*object), m_store.era());
 }
 
 asio::awaitable<void> PlatformServer::handleList(HttpExchange& exchange, std::string prefix)
 {
     const StoreList list = m_store.list(prefix, readRevision());
-    co_await respondJson(exchange, 200, listJson(list, exchange.request().parameter("after")));
+    co_await respondJson(exchange, 200, listJson(list, exchange.request().parameter("after")), m_store.era());
 }
 
 asio::awaitable<void> PlatformServer::handleWatch(HttpExchange& exchange, std::string prefix)
@@ -257,13 +264,13 @@
         if (m_faults.outage)
             co_return co_await respondError(exchange, 503, "platform unavailable");
         StoreEvents events = m_store.eventsSince(prefix, since, readRevision(since));
-        if (!events.complete)
+        if (!events.complete || since > m_store.revision())
             co_return co_await respondError(exchange, 410,
                 "revision is older than the change log; list again");
         if (!events.events.empty() || RuntimeClock::now() >= deadline) {
             if (m_faults.reorderWatch)
                 reorderEvents(prefix, since, events);
-            co_return co_await respondJson(exchange, 200, eventsJson(events));
+            co_return co_await respondJson(exchange, 200, eventsJson(events), m_store.era());
         }
         Timer timer(m_context, deadline);
         boost::system::error_code ignored;
@@ -307,13 +314,13 @@
     if (std::holds_alternative<StoreAccepted>(result)) {
         const std::optional<StoreObject> object = m_store.get(writtenKey, m_store.revision());
         const json::value response = object ? objectJson(*object) : json::value(json::object());
-        co_return co_await respondJson(exchange, 200, response);
+        co_return co_await respondJson(exchange, 200, response, m_store.era());
     }
     const auto& conflict = std::get<StoreConflict>(result);
     if (!conflict.current)
         co_return co_await respondError(exchange, 404, "no such object");
     ++m_counts["conflicts"];
-    co_await respondJson(exchange, 409, conflictJson(conflict));
+    co_await respondJson(exchange, 409, conflictJson(conflict), m_store.era());
 }
 
 asio::awaitable<void> PlatformServer::holdUntilDisconnected(HttpExchange& exchange)
--- a/src/gateway/poisonsync.cpp
+++ b/src/gateway/poisonsync.cpp
@@ -105,6 +105,9 @@
     for (const PlatformObject& object : list.objects)
         applyObject(object);
     m_isListed = true;
+    // A store that came back from an older copy may have lost what this host wrote.
+    if (!m_published.empty())
+        scheduleWrite();
 }
 
 void PoisonSync::applyEvent(const PlatformEvent& event)
--- a/src/gateway/servingviewupdater.cpp
+++ b/src/gateway/servingviewupdater.cpp
@@ -206,7 +206,14 @@
         else
             writeLog(LogLevel::Warning, "server_entry_ignored", { { "key", object.key } });
     }
-    m_view.servers().replaceAll(servers, RuntimeClock::now());
+    const TimePoint now = RuntimeClock::now();
+    // Servers that registered after an older copy was made register again, as after an outage.
+    if (m_serversRevision > 0 && !areOfSameHistory(m_serversRevision, list.revision)) {
+        m_view.servers().onStoreLost(now);
+        m_view.servers().onStoreRegained(now);
+    }
+    m_serversRevision = list.revision;
+    m_view.servers().replaceAll(servers, now);
     writeLog(LogLevel::Info, "servers_listed",
         { { "servers", servers.size() }, { "revision", list.revision } });
     notifyChanged();
@@ -250,8 +257,13 @@
         if (const auto host = readHost(object.value))
             hosts[HostId(objectName(object.key))] = *host;
     }
+    const bool isMissing = m_isRegistered && !m_isLeaving && !hosts.contains(m_self);
     m_view.replaceHosts(std::move(hosts));
     notifyChanged();
+    if (isMissing) {
+        m_isRegistered = false;
+        Asio::co_spawn(m_context, registerHost(), Asio::detached);
+    }
 }
 
 void ServingViewUpdater::applyHostEvent(const PlatformEvent& event)
--- a/src/gateway/servingviewupdater.h
+++ b/src/gateway/servingviewupdater.h
@@ -53,6 +53,8 @@
     std::function<void()> m_changeHandler;
     std::set<FailureDomainId> m_outOfServiceDomains;
     std::size_t m_configSize = 0;
+    // Revision of the last list of servers.
+    ObjectVersion m_serversRevision = 0;
     bool m_isRegistered = false;
     bool m_isLeaving = false;
     StoreProbeState m_probeState;
--- a/src/libserving/servingview.cpp
+++ b/src/libserving/servingview.cpp
@@ -19,7 +19,8 @@
 
 bool ServingView::applyConfig(ServingConfig config, std::uint64_t revision)
 {
-    if (m_config && revision <= m_configRevision)
+    // A store that comes back from an older copy may hold an older version until its operator writes again.
+    if (m_config && (revision <= m_configRevision || config.version < m_config->version))
         return false;
     if (!m_config || !haveSameRouting(*m_config, config))
         m_routingChangedAt = RuntimeClock::now();
--- a/tests/platform/poisonedparttest.cpp
+++ b/tests/platform/poisonedparttest.cpp
@@ -174,6 +174,21 @@
     checkRefusedByAll();
 }
 
+// Guards against findings that are lost with a store that comes back from an older copy.
+TEST(PoisonedPart, findingsAreWrittenAgainAfterTheStoreCameBackFromAnOlderCopy)
+{
+    cluster.fatalPart = "bad";
+    cluster.addServers("engines", 8);
+    cluster.waitUntilReady();
+    endThreeEngines();
+    cluster.runFor(Milliseconds(300));
+    cluster.setStoreFaults(R"({"lose_changes":9})");
+    cluster.runFor(Milliseconds(1000));
+    cluster.restartHost(3);
+    cluster.waitUntilReady();
+    checkRefusedByAll();
+}
+
 // Guards against work for requests that will be refused at their engine.
 TEST(PoisonedPart, requestsWithAKnownPartAreRefusedBeforeTheirStagesRun)
 {
--- a/tests/platform/storefollowertest.cpp
+++ b/tests/platform/storefollowertest.cpp
@@ -58,6 +58,29 @@
     });
 }
 
+// Guards against changes that are taken for old ones, because a store that came back from an older copy gives out
+// their revisions again.
+TEST(StoreFollower, changesAfterTheStoreCameBackFromAnOlderCopyAreSeen)
+{
+    runToEnd([this]() -> asio::awaitable<void> {
+        for (const char* key : { "servers/s1", "servers/s2", "servers/s3" })
+            co_await client.put(key, 1, 0);
+        follower.start();
+        co_await waitFor("list 3");
+        co_await setFaults(R"({"lose_changes":2})");
+        co_await waitFor("list 1");
+        co_await client.put("servers/s4", 1, 0);
+        co_await waitFor("put servers/s4");
+        // As many changes as were lost may come before the next watch.
+        co_await setFaults(R"({"lose_changes":1})");
+        co_await client.put("servers/s5", 1, 0);
+        co_await waitFor("list 2");
+        seen.clear();
+        co_await client.put("servers/s6", 1, 0);
+        co_await waitFor("put servers/s6");
+    });
+}
+
 // A store that was unresponsive never responds to a watch sent before, even once it responds to other
 // calls again. A change must not be delayed by more than the timeout of that watch.
 TEST(StoreFollower, anUnansweredWatchDelaysAChangeByAtMostItsTimeout)
--- a/tests/serving/servingconfigtest.cpp
+++ b/tests/serving/servingconfigtest.cpp
@@ -54,6 +54,8 @@
     CHECK(view.applyConfig({ .version = 7 }, 70));
     CHECK(!view.applyConfig({ .version = 5 }, 60));
     CHECK(!view.applyConfig({ .version = 7 }, 70));
+    // A store that comes back from an older copy.
+    CHECK(!view.applyConfig({ .version = 6 }, 80));
     LONGS_EQUAL(7, view.config()->version);
 }
 
