Reject a response of a stage server that arrives a second time

A server may send a second copy of a response late, on a connection that is in use for the next call. For callers' requests the ID that responses echo tells them apart; calls of stage servers have no ID, so the next call took the copy for its own, and one request was given the results of another.

A server gives out each handle of a result once, so a response with a handle that the same start of the server had given before is a copy. The call counts as broken, and its pieces run again; the connection, on which the response to the call is still to come, is closed.

--- a/src/gateway/backendcaller.cpp
+++ b/src/gateway/backendcaller.cpp
@@ -256,6 +256,11 @@
     co_return co_await client->send(std::move(call));
 }
 
+void BackendCaller::closeIdleConnections(const Endpoint& endpoint)
+{
+    clientFor(endpoint)->closeIdleConnections();
+}
+
 bool BackendCaller::mayReceiveWork(const ServerEntry& server)
 {
     const KnownServer* known = m_view.servers().findUsable(server.id, RuntimeClock::now());
--- a/src/gateway/backendcaller.h
+++ b/src/gateway/backendcaller.h
@@ -75,6 +75,9 @@
     // Makes a call that assigns no new work, such as the release of results, to any server.
     boost::asio::awaitable<HttpResponse> callWithoutCheck(Endpoint endpoint, HttpCall call);
 
+    // Closes the idle connections to a server, on which responses to earlier calls may still arrive.
+    void closeIdleConnections(const Endpoint& endpoint);
+
     // Reads the body of a response and reports how it ended. Returns nothing if it is incomplete.
     boost::asio::awaitable<std::optional<ResponseBody>> readResponse(
         const ServedRequest& request, ServerEntry server, HttpStream& stream, TimePoint sentAt);
--- a/src/gateway/stagehome.cpp
+++ b/src/gateway/stagehome.cpp
@@ -129,6 +129,7 @@
     if (group.serversGeneration == directory.generation())
         return;
     group.serversGeneration = directory.generation();
+    m_receivedHandles.retain(directory);
     const StageGroups groups(directory.notDraining(key.first));
     std::vector<StageServer> members;
     for (const KnownServer* known : servers) {
@@ -269,6 +270,11 @@
             results = Platform::readPieceResults(response.body);
         else
             failure = StageCallFailure::Refused;
+        if (results && !m_receivedHandles.record({ planned.server.id, planned.server.startedAt }, *results)) {
+            reason = "a response to an earlier call arrived again";
+            results.reset();
+            m_backendCaller.closeIdleConnections(planned.server.endpoint);
+        }
     } catch (const boost::system::system_error& error) {
         reason = error.code().message();
         end = runEndOf(error.code());
--- a/src/gateway/stagehome.h
+++ b/src/gateway/stagehome.h
@@ -2,6 +2,7 @@
 
 #include "gateway/backendcaller.h"
 #include "libnet/asyncevent.h"
+#include "libserving/receivedhandles.h"
 #include "libserving/stagescheduler.h"
 
 #include <map>
@@ -73,6 +74,7 @@
     ServingView& m_view;
     BackendCaller& m_backendCaller;
     const PoisonTable& m_poison;
+    ReceivedHandles m_receivedHandles;
     std::map<GroupKey, std::unique_ptr<Group>> m_groups;
     std::uint64_t m_nextTaskId = 1;
     bool m_isStopping = false;
--- a/tests/platform/scriptedserver.cpp
+++ b/tests/platform/scriptedserver.cpp
@@ -110,9 +110,14 @@
     static Asio::awaitable<void> write(
         Tcp::socket& socket, const ScriptedResponse& response, const HttpRequest& request)
     {
+        boost::system::error_code ignored;
+        if (!response.rawBytes.empty()) {
+            co_await Asio::async_write(
+                socket, Asio::buffer(response.rawBytes), Asio::redirect_error(Asio::use_awaitable, ignored));
+            co_return;
+        }
         std::string bytes = headerOf(response, request);
         const bool isChunked = response.framing == BodyFraming::Chunks;
-        boost::system::error_code ignored;
         for (const std::string& part : response.parts) {
             bytes += isChunked ? chunkOf(part) : part;
             co_await Asio::async_write(
--- a/tests/platform/scriptedserver.h
+++ b/tests/platform/scriptedserver.h
@@ -26,6 +26,8 @@
     ConnectionEnd end = ConnectionEnd::KeepOpen;
     // Stops listening before the connection ends, as a process does that ends.
     bool endsServer = false;
+    // If not empty, this text is written instead of the response.
+    std::string rawBytes {};
     // If not empty, the response is this text instead, followed by the last part without end.
     std::string endlessHead {};
 };
