Take an error without text for an error of the store

StoreFollower::follow() told success from failure by the text of the error. After an exception with an empty one it read the store again at once, without an end and without counting the store as lost. The new test failed before: "lost" was never reported.

--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -55,15 +55,15 @@
             co_await pause(probePollInterval);
             continue;
         }
-        std::string reason;
+        std::optional<std::string> reason;
         try {
             co_await readOnce();
         } catch (const std::exception& error) {
             reason = error.what();
         }
-        if (reason.empty())
+        if (!reason)
             continue;
-        onStoreLost(reason);
+        onStoreLost(*reason);
         co_await pause(m_retryDelay);
         m_retryDelay = std::min(m_retryDelay * 2, m_options.maxRetryDelay);
     }
--- a/tests/platform/storefollowertest.cpp
+++ b/tests/platform/storefollowertest.cpp
@@ -58,6 +58,25 @@
     });
 }
 
+// Guards against reading the store without a pause after an error that has no text.
+TEST(StoreFollower, anErrorWithoutTextIsAnError)
+{
+    int lists = 0;
+    StoreFollower failing { context, client, probeState,
+        { .prefix = "servers/", .retryDelay = Milliseconds(50), .maxRetryDelay = Milliseconds(50) },
+        { .onListed = [&lists](const PlatformList&) {
+             ++lists;
+             throw std::runtime_error(""); },
+            .onLost = [this](const std::string&) { seen.emplace_back("lost"); },
+            .onRegained = [] {} } };
+    runToEnd([&]() -> asio::awaitable<void> {
+        failing.start();
+        co_await waitFor("lost");
+        co_await sleepFor(context.get_executor(), Milliseconds(200));
+    });
+    CHECK_COMPARE(lists, <=, 5);
+}
+
 // Guards against changes that are taken for old ones, because a store that came back from an older copy gives out
 // their revisions again.
 TEST(StoreFollower, changesAfterTheStoreCameBackFromAnOlderCopyAreSeen)
