Keep the ID of a part when a notice lacks it

A notice with the identity of a part and without its ID, as from a host that knows no parts, turned the entry into one of a request, whose crashes are not attributed. The ID that is known stays.

--- a/src/libapricot/poisontable.cpp
+++ b/src/libapricot/poisontable.cpp
@@ -313,7 +313,8 @@
     } else if (found->second.expiresAt <= now) {
         found->second = {};
     }
-    found->second.part = subject.part;
+    if (subject.isPart())
+        found->second.part = subject.part;
     return found->second;
 }
 
--- a/tests/unit/poisonedpartstest.cpp
+++ b/tests/unit/poisonedpartstest.cpp
@@ -146,6 +146,18 @@
     LONGS_EQUAL(0, other.count(PoisonState::Refused, false, now));
 }
 
+// Guards against hosts or operators that know no parts and write only the identity of one.
+TEST(PoisonedParts, aNoticeWithoutTheIdOfAPartKeepsIt)
+{
+    for (int index = 0; index < 3; ++index)
+        crash({ "bad" });
+    table.apply(PoisonNotice { .fingerprint = part("bad").fingerprint,
+                    .remaining = Milliseconds(1000),
+                    .cleared = { crashOf(99) } },
+        now);
+    LONGS_EQUAL(1, table.count(PoisonState::Refused, true, now));
+}
+
 TEST(PoisonedParts, aRefusalStatesWhenItsProbationBegins)
 {
     for (int index = 0; index < 3; ++index)
