Count a response that ended with its connection as a finish once its server went on

On servers that never send a length or chunks nothing ever finished since, so a popular part or request that was on three servers as they ended stayed refused, probations included. A call that is sent to the same start within a second after such a response and gets a response shows that the server had not ended with it: a server takes seconds to start again. Later calls prove nothing.

Also ranks the hosts for a probation only when one may start, instead of for each refused request.

CrashDetector.aLaterResponseProvesOneThatEndedWithItsConnection fails without it: nothing is proven.

--- a/src/gateway/backendcaller.cpp
+++ b/src/gateway/backendcaller.cpp
@@ -175,9 +175,10 @@
 void BackendCaller::reportResponse(const ServedRequest& request, const ServerEntry& server,
     TimePoint sentAt, const CompleteResponse& response)
 {
+    const bool isFinish = response.hasRun && response.status / statusesPerClass == successClass;
     const bool isProven = response.framing != BodyFraming::ConnectionEnd;
-    reportRun(request, server, isProven ? RunEnd::Complete : RunEnd::Unproven, sentAt);
-    if (isProven && response.hasRun && response.status / statusesPerClass == successClass)
+    reportRun(request, server, isFinish && !isProven ? RunEnd::Unproven : RunEnd::Complete, sentAt);
+    if (isFinish && isProven)
         reportFinished(request.subjects, ServerCrash::requestStage);
 }
 
--- a/src/gateway/crashmonitor.cpp
+++ b/src/gateway/crashmonitor.cpp
@@ -24,6 +24,8 @@
 void CrashMonitor::onRunEnded(const EndedRun& run)
 {
     const bool canProbe = m_detector.recordRun(run, m_view.servers(), RuntimeClock::now());
+    for (const std::vector<PoisonSubject>& subjects : m_detector.drainProven())
+        onFinished(subjects, ServerCrash::requestStage);
     recordWithdrawn();
     if (canProbe && m_probed.insert(run.server).second)
         Asio::co_spawn(m_context, probe(run.server, run.endpoint), Asio::detached);
--- a/src/gateway/poisonsync.cpp
+++ b/src/gateway/poisonsync.cpp
@@ -79,6 +79,9 @@
 bool PoisonSync::tryStartProbation(const std::vector<PoisonSubject>& refused)
 {
     const TimePoint now = RuntimeClock::now();
+    // Most requests end here, so that the hosts are not ranked for each of them.
+    if (!m_poison.canStartProbation(refused, now))
+        return false;
     const std::optional<std::size_t> rank = rankFor(toText(refused.front().fingerprint));
     if (!rank || !m_poison.canStartProbation(refused, now - *rank * probationTurn))
         return false;
--- a/src/libserving/crashdetector.cpp
+++ b/src/libserving/crashdetector.cpp
@@ -73,7 +73,11 @@
 void CrashDetector::onServerResponded(const ServerStart& server, TimePoint sentAt)
 {
     std::erase_if(m_runs, [&](const PendingRun& pending) {
-        return pending.run.server == server && pending.endedAt <= sentAt;
+        if (pending.run.server != server || pending.endedAt > sentAt)
+            return false;
+        if (pending.run.end == RunEnd::Unproven && sentAt <= pending.endedAt + m_options.sameStartTime)
+            m_proven.push_back(pending.run.subjects());
+        return true;
     });
 }
 
--- a/src/libserving/crashdetector.h
+++ b/src/libserving/crashdetector.h
@@ -76,6 +76,9 @@
     Milliseconds attributionTime { 15'000 };
     // A part that ends servers does so as they begin to respond. After this time of responding it did not.
     Milliseconds provenResponseTime { 1000 };
+    // A call that was sent within this time after the end of a run and got a response was not run by the server's next
+    // start, which takes some seconds.
+    Milliseconds sameStartTime { 1000 };
     // Time after which a crash is no longer withdrawn.
     Milliseconds withdrawalTime { 60'000 };
     std::size_t maxRuns = 4096;
@@ -90,7 +93,7 @@
 public:
     explicit CrashDetector(CrashDetectorOptions options = {});
 
-    // Records the end of a run. Returns whether connecting to the server's address can tell at once
+    // Records the end of a run; an unproven one is a success as far as its response tells. Returns whether connecting to the server's address can tell at once
     // whether the server has ended. A complete run shows that its server had not ended when the run was
     // sent.
     bool recordRun(const EndedRun& run, const ServerDirectory& servers, TimePoint now);
@@ -100,6 +103,9 @@
     // evidence. Runs whose attribution time is over are removed.
     std::map<CrashEvidence, std::vector<DetectedCrash>> onServersChanged(
         const ServerDirectory& servers, TimePoint now);
+    // Returns, once, the subjects of runs whose responses ended with their connections and whose servers went on, so
+    // that they did finish.
+    std::vector<std::vector<PoisonSubject>> drainProven() { return std::exchange(m_proven, {}); }
     // Returns, once, the detected crashes whose servers turned out not to have ended.
     std::vector<DetectedCrash> drainWithdrawn() { return std::exchange(m_withdrawn, {}); }
     std::size_t pendingRuns() const { return m_runs.size(); }
@@ -124,6 +130,7 @@
     std::vector<PendingRun> m_runs;
     std::vector<ReportedCrash> m_reported;
     std::vector<DetectedCrash> m_withdrawn;
+    std::vector<std::vector<PoisonSubject>> m_proven;
 };
 
 }
--- a/tests/serving/crashdetectortest.cpp
+++ b/tests/serving/crashdetectortest.cpp
@@ -77,6 +77,21 @@
     LONGS_EQUAL(1, crashesOnChange(now + Milliseconds(1)));
 }
 
+// Guards against subjects that never finish on servers whose responses always end with their connections.
+TEST(CrashDetector, aLaterResponseProvesOneThatEndedWithItsConnection)
+{
+    const TimePoint nextCall = now + CrashDetectorOptions {}.sameStartTime;
+    detector.recordRun(makeRun(server, RunEnd::Unproven, now), servers, now);
+    LONGS_EQUAL(0, detector.drainProven().size());
+    detector.recordRun(makeRun(server, RunEnd::Unproven, nextCall), servers, nextCall);
+    LONGS_EQUAL(1, detector.drainProven().size());
+    LONGS_EQUAL(1, detector.pendingRuns());
+    // The server may have started again before this call.
+    const TimePoint muchLater = nextCall + CrashDetectorOptions {}.sameStartTime + Milliseconds(1);
+    detector.recordRun(makeRun(server, RunEnd::Complete, muchLater), servers, muchLater);
+    LONGS_EQUAL(0, detector.drainProven().size());
+}
+
 TEST(CrashDetector, partsAreClearedByALongResponseBeforeTheCrash)
 {
     EndedRun run = makeRun(server, RunEnd::Broken, now);
