Make the budget of bytes for bodies safe for several threads

The older daemons call the platform and their peers from two threads, which shared the budget without synchronisation (found by reading; no test shows the race).

--- a/src/libapricot/bytebudget.cpp
+++ b/src/libapricot/bytebudget.cpp
@@ -24,9 +24,11 @@
 
 bool ByteLease::tryAcquire(std::size_t bytes)
 {
-    if (bytes > m_budget->m_free)
-        return false;
-    m_budget->m_free -= bytes;
+    std::size_t free = m_budget->m_free;
+    do {
+        if (bytes > free)
+            return false;
+    } while (!m_budget->m_free.compare_exchange_weak(free, free - bytes));
     m_bytes += bytes;
     return true;
 }
--- a/src/libapricot/bytebudget.h
+++ b/src/libapricot/bytebudget.h
@@ -1,10 +1,11 @@
 #pragma once
 
+#include <atomic>
 #include <cstddef>
 
 namespace Apricot {
 
-// Bounds the bytes that several holders collect together.
+// Bounds the bytes that several holders collect together, on any thread.
 class ByteBudget {
 public:
     explicit ByteBudget(std::size_t bytes)
@@ -17,7 +18,7 @@
 private:
     friend class ByteLease;
 
-    std::size_t m_free;
+    std::atomic<std::size_t> m_free;
 };
 
 // The part of a budget that one holder uses, returned when the lease is destroyed. The budget must outlive it.
