--- a/src/emulator/platform/platformserver.cpp
+++ b/src/emulator/platform/platformserver.cpp
@@ -131,6 +131,24 @@
         return {};
     }
 
+    // Decodes the values whose only member is "raw_hex", which stand for bytes that are not valid JSON.
+    std::string withRawValues(std::string text)
+    {
+        constexpr std::string_view opening = R"({"raw_hex":")";
+        constexpr std::string_view closing = R"("})";
+        constexpr int hexadecimal = 16;
+        std::size_t begin = 0;
+        while ((begin = text.find(opening, begin)) != std::string::npos) {
+            const std::size_t end = text.find(closing, begin);
+            std::string bytes;
+            for (std::size_t digit = begin + opening.size(); digit + 1 < end; digit += 2)
+                bytes += static_cast<char>(std::stoi(text.substr(digit, 2), nullptr, hexadecimal));
+            text.replace(begin, end + closing.size() - begin, bytes);
+            begin += bytes.size();
+        }
+        return text;
+    }
+
     // The era is sent only by a store that has come back from an older copy.
     asio::awaitable<void> respondJson(
         HttpExchange& exchange, int status, const json::value& value, std::uint64_t era = 0)
@@ -139,7 +157,7 @@
         if (era > 0)
             fields.push_back({ std::string(PlatformNames::storeEraField), std::to_string(era) });
         co_await exchange.respond(
-            status, std::string(jsonType), json::serialize(value), std::move(fields));
+            status, std::string(jsonType), withRawValues(json::serialize(value)), std::move(fields));
     }
 
     asio::awaitable<void> respondError(HttpExchange& exchange, int status, std::string_view text)
--- a/src/emulator/platform/platformserver.h
+++ b/src/emulator/platform/platformserver.h
@@ -20,7 +20,8 @@
 };
 
 // Serves the platform's object API over HTTP. POST /faults sets the faults to inject, and GET /counts
-// returns the number of calls by kind.
+// returns the number of calls by kind. A value {"raw_hex":"..."} is returned as the bytes that it encodes, which need
+// not be JSON.
 class PlatformServer {
 public:
     PlatformServer(boost::asio::io_context& context, PlatformServerOptions options);
--- a/tests/platform/gatewaycluster.h
+++ b/tests/platform/gatewaycluster.h
@@ -16,6 +16,7 @@
 // One run of a request or of a call of stages at a scripted backend server.
 struct ScriptedRun {
     std::string pool;
+    std::string server;
     Apricot::TimePoint startedAt {};
     // Body of the request, or the piece keys of the call.
     std::string content;
@@ -95,6 +96,15 @@
     void endServers(const std::string& pool);
     // Breaks the caller connections of all backend servers of a pool; the servers continue.
     void resetConnections(const std::string& pool);
+    std::string serverId(const std::string& pool, std::size_t position);
+    // Writes a server's entry in the state "ready" or "draining", with the number of its report. Returns its ID.
+    std::string reportServer(
+        const std::string& pool, std::size_t position, const std::string& state, int sequence);
+    // Removes a server's entry; the server continues. Returns its ID.
+    std::string removeServer(const std::string& pool, std::size_t position);
+    // Writes or removes an object of the store.
+    void writeObject(const std::string& key, boost::json::value value);
+    void removeObject(const std::string& key);
     // Sets the faults of the store; takes the JSON body of POST /faults.
     void setStoreFaults(const std::string& faults);
     // Text of a host's metrics.
@@ -113,6 +123,8 @@
     std::vector<ScriptedRun> runsOf(const std::string& word) const;
     // Runs of a request after a time since it ended this number of servers.
     std::size_t runsAfterEnds(std::size_t ends, const std::string& word, Apricot::Milliseconds time) const;
+    // Number of runs that began at a server after a time.
+    std::size_t runsAt(const std::string& server, Apricot::TimePoint from) const;
     // Number of responses with a status, to requests whose content contains a word.
     std::size_t countResponses(const std::string& word, int status) const;
 
@@ -138,6 +150,9 @@
     std::size_t startCall(std::size_t host, const ClusterRequest& request);
     boost::asio::awaitable<void> callHost(std::uint16_t port, Apricot::HttpCall call, std::size_t index);
     void registerServer(const BackendServer& server, const std::string& version);
+    boost::json::value entryOf(
+        const BackendServer& server, const std::string& version, const std::string& state) const;
+    BackendServer& serverAt(const std::string& pool, std::size_t position);
     Apricot::GatewaySettings settingsFor(std::size_t host) const;
 
     boost::asio::io_context m_context;
