Keep what is known of leaving servers when the store comes back from an older copy

Callers' requests reached servers that had said they leave, servers that were removed, and failure domains out of service (DRAIN, EVAC): the store came back from a copy of some seconds before, and hosts took its words for news.

Cause: ServerDirectory replaced what it knew without looking at the number of a server's report or its start, and forgot removed servers; the failure domains were taken as listed; hosts that the copy lacks were dropped, which enlarges this host's part of limits. Class: a state that moves backwards is followed as if it moved forwards.

Change: a report older than one that said draining never counts. For three heartbeats and 1.4 s after the return, entries from before a known start or removal are withheld, failure domains stay out of service, and hosts stay listed, unless the store says something new; after that the store's word holds. The heartbeat is a setting, from the platform's. Log: store_restored, server_entry_outdated, config_outdated, and the number of each report.

--- a/src/gateway/gatewaydaemon.cpp
+++ b/src/gateway/gatewaydaemon.cpp
@@ -29,6 +29,10 @@
     // milliseconds to respond.
     constexpr Milliseconds storeTimeout { 900 };
 
+    // The store removes a server after this number of heartbeats without a report.
+    constexpr int missedHeartbeats = 3;
+    constexpr Milliseconds storeDelayMargin { 1400 };
+
     Endpoint requireEndpoint(const std::string& text)
     {
         const std::optional<Endpoint> endpoint = parseEndpoint(text);
@@ -228,6 +232,8 @@
         .slack = m_settings.retrySlack,
         .window = toMilliseconds(m_settings.retryWindowSeconds),
         .leavingTime = toMilliseconds(m_settings.graceSeconds) });
+    m_viewUpdater.setSettleTime(
+        missedHeartbeats * toMilliseconds(m_settings.serverHeartbeatSeconds) + storeDelayMargin);
     m_coldLimiter.setOptions(
         { .overshoot = m_settings.coldOvershoot, .tolerance = m_settings.coldTolerance });
 }
--- a/src/gateway/servingviewupdater.cpp
+++ b/src/gateway/servingviewupdater.cpp
@@ -98,17 +98,18 @@
     , m_evacuationsFollower(makeFollower(
           evacuationsOptions(),
           [this](const PlatformList& list) {
-              m_outOfServiceDomains.clear();
+              std::set<FailureDomainId> domains;
               for (const PlatformObject& object : list.objects)
-                  m_outOfServiceDomains.insert(FailureDomainId(objectName(object.key)));
+                  domains.insert(FailureDomainId(objectName(object.key)));
+              m_outOfServiceDomains.replaceAll(std::move(domains), RuntimeClock::now());
               applyEvacuations();
           },
           [this](const PlatformEvent& event) {
               const FailureDomainId domain(objectName(event.key));
               if (event.value)
-                  m_outOfServiceDomains.insert(domain);
+                  m_outOfServiceDomains.put(domain);
               else
-                  m_outOfServiceDomains.erase(domain);
+                  m_outOfServiceDomains.remove(domain);
               applyEvacuations();
           }))
     , m_hostsFollower(makeFollower(
@@ -150,6 +151,7 @@
             m_view.servers().onStoreRegained(RuntimeClock::now());
         writeLog(LogLevel::Info, "store_regained", { { "kind", prefix } });
     };
+    handlers.onRestored = [this, prefix](ObjectVersion lastRevision) { onStoreRestored(prefix, lastRevision); };
     if (prefix == PlatformNames::serversPrefix)
         handlers.onConfirmed = [this](TimePoint confirmedAt) { m_view.servers().confirm(confirmedAt); };
     return { m_context, m_store, m_probeState, std::move(options), std::move(handlers) };
@@ -177,6 +179,40 @@
         || m_evacuationsFollower.isLost() || m_hostsFollower.isLost() || m_poisonFollower.isLost();
 }
 
+void ServingViewUpdater::setSettleTime(Milliseconds time)
+{
+    m_settleTime = time;
+    m_view.servers().setSettleTime(time);
+    m_outOfServiceDomains.setSettleTime(time);
+}
+
+void ServingViewUpdater::onStoreRestored(const std::string& prefix, ObjectVersion lastRevision)
+{
+    const TimePoint now = RuntimeClock::now();
+    writeLog(LogLevel::Warning, "store_restored",
+        { { "kind", prefix }, { "last_revision", lastRevision }, { "settle_ms", m_settleTime.count() } });
+    if (prefix == PlatformNames::serversPrefix)
+        m_view.servers().onStoreRestored(now);
+    else if (prefix == PlatformNames::evacuationsPrefix)
+        m_outOfServiceDomains.onStoreRestored(now);
+    else if (prefix == hostsPrefix)
+        m_areHostsRestored = true;
+    else
+        return;
+    m_settledAt = now + m_settleTime;
+    Asio::co_spawn(m_context, endSettling(), Asio::detached);
+}
+
+Asio::awaitable<void> ServingViewUpdater::endSettling()
+{
+    co_await sleepFor(m_context.get_executor(), m_settleTime);
+    if (RuntimeClock::now() < m_settledAt)
+        co_return;
+    for (const HostId& id : std::exchange(m_unconfirmedHosts, {}))
+        m_view.removeHost(id);
+    applyEvacuations();
+}
+
 void ServingViewUpdater::applyConfig(
     const std::string& key, ObjectVersion revision, const json::value& value)
 {
@@ -186,8 +222,12 @@
         ServingConfig config = Platform::readServingConfig(value);
         const auto version = config.version;
         m_configSize = json::serialize(value).size();
-        if (!m_view.applyConfig(std::move(config), revision))
+        if (!m_view.applyConfig(std::move(config), revision)) {
+            writeLog(LogLevel::Info, "config_outdated",
+                { { "version", version }, { "revision", revision },
+                    { "version_in_force", m_view.config()->version } });
             return;
+        }
         writeLog(LogLevel::Info, "config_in_force",
             { { "version", version }, { "revision", revision } });
         notifyChanged();
@@ -207,13 +247,9 @@
             writeLog(LogLevel::Warning, "server_entry_ignored", { { "key", object.key } });
     }
     const TimePoint now = RuntimeClock::now();
-    // Servers that registered after an older copy was made register again, as after an outage.
-    if (m_serversRevision > 0 && !areOfSameHistory(m_serversRevision, list.revision)) {
-        m_view.servers().onStoreLost(now);
-        m_view.servers().onStoreRegained(now);
-    }
-    m_serversRevision = list.revision;
-    m_view.servers().replaceAll(servers, now);
+    for (const BackendServerId& id : m_view.servers().replaceAll(servers, now))
+        writeLog(LogLevel::Info, "server_entry_outdated",
+            { { "server", id.value() }, { "revision", list.revision } });
     writeLog(LogLevel::Info, "servers_listed",
         { { "servers", servers.size() }, { "revision", list.revision } });
     notifyChanged();
@@ -226,11 +262,11 @@
     const auto server
         = event.value ? Platform::readServerEntry(name, *event.value) : std::nullopt;
     if (server) {
-        m_view.servers().put(*server, now);
-        writeLog(LogLevel::Info, "server_changed",
+        const bool isApplied = m_view.servers().put(*server, now);
+        writeLog(LogLevel::Info, isApplied ? "server_changed" : "server_entry_outdated",
             { { "server", name }, { "revision", event.version },
                 { "draining", server->isDraining }, { "cold_ms", server->coldTimeLeft.count() },
-                { "started_at", server->startedAt },
+                { "started_at", server->startedAt }, { "sequence", server->sequence },
                 { "server_version", server->softwareVersion.value() }, { "endpoint", toText(server->endpoint) } });
     } else {
         m_view.servers().remove(BackendServerId(name), now);
@@ -243,10 +279,12 @@
 void ServingViewUpdater::applyEvacuations()
 {
     json::array domains;
-    for (const FailureDomainId& domain : m_outOfServiceDomains)
+    const TimePoint now = RuntimeClock::now();
+    std::set<FailureDomainId> current = m_outOfServiceDomains.current(now);
+    for (const FailureDomainId& domain : current)
         domains.emplace_back(domain.value());
     writeLog(LogLevel::Info, "failure_domains_out_of_service", { { "domains", std::move(domains) } });
-    m_view.setOutOfServiceDomains(m_outOfServiceDomains, RuntimeClock::now());
+    m_view.setOutOfServiceDomains(std::move(current), now);
     notifyChanged();
 }
 
@@ -258,6 +296,15 @@
             hosts[HostId(objectName(object.key))] = *host;
     }
     const bool isMissing = m_isRegistered && !m_isLeaving && !hosts.contains(m_self);
+    m_unconfirmedHosts.clear();
+    // The hosts that an older copy lacks register again. Without them, the parts of this host in limits over all
+    // hosts would be too large.
+    if (std::exchange(m_areHostsRestored, false)) {
+        for (const auto& [id, host] : m_view.hosts()) {
+            if (hosts.emplace(id, host).second)
+                m_unconfirmedHosts.insert(id);
+        }
+    }
     m_view.replaceHosts(std::move(hosts));
     notifyChanged();
     if (isMissing) {
@@ -269,6 +316,7 @@
 void ServingViewUpdater::applyHostEvent(const PlatformEvent& event)
 {
     const HostId id(objectName(event.key));
+    m_unconfirmedHosts.erase(id);
     const auto host = event.value ? readHost(*event.value) : std::nullopt;
     if (host)
         m_view.putHost(id, *host);
--- a/src/gateway/servingviewupdater.h
+++ b/src/gateway/servingviewupdater.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/storefollower.h"
+#include "libserving/outofservicedomains.h"
 #include "libserving/servingview.h"
 
 namespace Apricot {
@@ -14,6 +15,8 @@
     void start();
     // Removes this host's entry from the store, so that other hosts stop relying on it.
     boost::asio::awaitable<void> deregister();
+    // Sets how long what is known takes precedence over an older copy of the store.
+    void setSettleTime(Milliseconds time);
     std::vector<StoreFollower*> followers();
     // Whether the objects of a follower are too large to be relayed between hosts, except at startup and
     // in an outage.
@@ -36,6 +39,10 @@
     StoreFollower makeFollower(StoreFollowerOptions options,
         std::function<void(const PlatformList&)> onListed,
         std::function<void(const PlatformEvent&)> onChanged);
+    // Handles the return of the store from an older copy.
+    void onStoreRestored(const std::string& prefix, ObjectVersion lastRevision);
+    // Follows the store again, whatever was known before, once the settle time has passed.
+    boost::asio::awaitable<void> endSettling();
     void applyConfig(const std::string& key, ObjectVersion revision, const boost::json::value& value);
     void applyServerList(const PlatformList& list);
     void applyServerEvent(const PlatformEvent& event);
@@ -51,10 +58,13 @@
     HostId m_self;
     PeerHost m_selfEntry;
     std::function<void()> m_changeHandler;
-    std::set<FailureDomainId> m_outOfServiceDomains;
+    Milliseconds m_settleTime = ServerDirectoryOptions {}.settleTime;
+    TimePoint m_settledAt {};
+    OutOfServiceDomains m_outOfServiceDomains { m_settleTime };
     std::size_t m_configSize = 0;
-    // Revision of the last list of servers.
-    ObjectVersion m_serversRevision = 0;
+    // Hosts that an older copy of the store lacks and that have not registered again.
+    std::set<HostId> m_unconfirmedHosts;
+    bool m_areHostsRestored = false;
     bool m_isRegistered = false;
     bool m_isLeaving = false;
     StoreProbeState m_probeState;
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -185,6 +185,8 @@
 
 void StoreFollower::applyList(const PlatformList& list)
 {
+    if (m_revision > 0 && !areOfSameHistory(m_revision, list.revision) && m_handlers.onRestored)
+        m_handlers.onRestored(m_revision);
     m_objects.clear();
     for (const PlatformObject& object : list.objects)
         m_objects[object.key] = object;
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -55,6 +55,8 @@
         // The store stopped responding, with the reason, or responds again.
         std::function<void(const std::string&)> onLost;
         std::function<void()> onRegained;
+        // The store came back from an older copy; called before onListed with the last known revision.
+        std::function<void(ObjectVersion)> onRestored;
         // All objects are known to have been current at a time.
         std::function<void(TimePoint)> onConfirmed;
     };
--- a/src/libserving/gatewaysettings.cpp
+++ b/src/libserving/gatewaysettings.cpp
@@ -43,6 +43,11 @@
                   .required = true,
                   .effect = "Where the platform's object API listens." },
         &settings.store);
+    table.add({ .section = "store",
+                  .key = "server_heartbeat_seconds",
+                  .range = secondsRange,
+                  .effect = "Interval of the reports of backend servers to the store, in seconds." },
+        &settings.serverHeartbeatSeconds);
     describeNumber(settings.graceSeconds, table, "grace_seconds", secondsRange,
         "Time that the platform allows a process to stop, in seconds.");
     describeNumber(settings.retryRatio, table, "retry_ratio", ratioRange,
--- a/src/libserving/gatewaysettings.h
+++ b/src/libserving/gatewaysettings.h
@@ -20,6 +20,8 @@
     // Peers to query before the host list is known; any of them may be unavailable.
     std::string seeds;
     std::string store;
+    // Interval of the reports of backend servers to the store, which removes a server after three without one.
+    double serverHeartbeatSeconds = 1.2;
 
     // Longest time from the stop signal to the end of the process.
     double graceSeconds = 8;
--- a/src/libserving/serverdirectory.cpp
+++ b/src/libserving/serverdirectory.cpp
@@ -1,20 +1,31 @@
 #include "libserving/serverdirectory.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Apricot {
 
+namespace {
+
+    // Longer than the age of a copy from which the store may come back.
+    constexpr Milliseconds removalMemory { 60'000 };
+
+}
+
 ServerDirectory::ServerDirectory(ServerDirectoryOptions options)
     : m_options(options)
 {
 }
 
-void ServerDirectory::replaceAll(const std::vector<ServerEntry>& servers, TimePoint now)
+std::vector<BackendServerId> ServerDirectory::replaceAll(const std::vector<ServerEntry>& servers, TimePoint now)
 {
     std::set<BackendServerId> listed;
+    std::vector<BackendServerId> outdated;
+    m_withheld.clear();
     for (const ServerEntry& server : servers) {
         listed.insert(server.id);
-        put(server, now);
+        if (!put(server, now))
+            outdated.push_back(server.id);
     }
     std::vector<BackendServerId> unlisted;
     for (const auto& [id, known] : m_servers) {
@@ -23,10 +34,44 @@
     }
     for (const BackendServerId& id : unlisted)
         remove(id, now);
+    return outdated;
 }
 
-void ServerDirectory::put(const ServerEntry& server, TimePoint now)
+bool ServerDirectory::put(const ServerEntry& server, TimePoint now)
 {
+    m_withheld.erase(server.id);
+    if (!isOutdated(server, now)) {
+        apply(server, now);
+        return true;
+    }
+    const auto known = m_servers.find(server.id);
+    if (known != m_servers.end())
+        known->second.isMissing = false;
+    if (isSettling(now))
+        m_withheld.emplace(server.id, server);
+    return false;
+}
+
+bool ServerDirectory::isOutdated(const ServerEntry& server, TimePoint now) const
+{
+    if (server.isDraining)
+        return false;
+    const auto known = m_servers.find(server.id);
+    if (known != m_servers.end()) {
+        const ServerEntry& newest = known->second.server;
+        if (newest.startedAt == server.startedAt)
+            return server.sequence < newest.sequence && (newest.isDraining || isSettling(now));
+        return server.startedAt < newest.startedAt && isSettling(now);
+    }
+    const auto removed = m_removed.find(server.id);
+    return removed != m_removed.end() && isSettling(now)
+        && std::pair(server.startedAt, server.sequence)
+        <= std::pair(removed->second.startedAt, removed->second.sequence);
+}
+
+void ServerDirectory::apply(const ServerEntry& server, TimePoint now)
+{
+    m_removed.erase(server.id);
     ++m_generation;
     m_versions.onServerAdded(server.pool, server.softwareVersion);
     KnownServer& known = m_servers[server.id];
@@ -45,6 +90,7 @@
 
 void ServerDirectory::remove(const BackendServerId& id, TimePoint now)
 {
+    m_withheld.erase(id);
     const auto found = m_servers.find(id);
     if (found == m_servers.end())
         return;
@@ -68,6 +114,25 @@
     m_isStoreLost = false;
 }
 
+void ServerDirectory::onStoreRestored(TimePoint now)
+{
+    m_restoredAt = now;
+    m_storeRegainedAt = now;
+}
+
+bool ServerDirectory::isSettling(TimePoint now) const
+{
+    return m_restoredAt && now < *m_restoredAt + m_options.settleTime;
+}
+
+void ServerDirectory::settle(TimePoint now)
+{
+    if (m_withheld.empty() || isSettling(now))
+        return;
+    for (const auto& [id, server] : std::exchange(m_withheld, {}))
+        put(server, now);
+}
+
 void ServerDirectory::recordPeerEvidence(TimePoint respondedAt, TimePoint now)
 {
     const bool wasAway = isStoreAway(now);
@@ -136,6 +201,7 @@
 
 void ServerDirectory::expireMissing(TimePoint now)
 {
+    settle(now);
     if (isRetainingMissing(now))
         return;
     for (auto entry = m_servers.begin(); entry != m_servers.end();) {
@@ -151,7 +217,11 @@
 std::map<BackendServerId, KnownServer>::iterator ServerDirectory::erase(
     std::map<BackendServerId, KnownServer>::iterator entry, TimePoint now)
 {
-    m_versions.onServerRemoved(entry->second.server.pool, entry->second.server.softwareVersion, now);
+    const ServerEntry& server = entry->second.server;
+    m_versions.onServerRemoved(server.pool, server.softwareVersion, now);
+    std::erase_if(m_removed,
+        [now](const auto& removed) { return removed.second.removedAt + removalMemory < now; });
+    m_removed[server.id] = { server.startedAt, server.sequence, now };
     return m_servers.erase(entry);
 }
 
--- a/src/libserving/serverdirectory.h
+++ b/src/libserving/serverdirectory.h
@@ -14,6 +14,9 @@
 struct ServerDirectoryOptions {
     // How long after an outage of the store an entry that expired during it may still be renewed.
     Milliseconds missingGraceTime { 2000 };
+    // How long after its return from an older copy the store may list servers as ready that were draining or
+    // removed. Silent servers are removed within this time.
+    Milliseconds settleTime { 5000 };
     // A server whose failure domain returns to service counts as cold for its pool's cold time plus this
     // margin, which is how old the store's entry may be.
     Milliseconds coldMargin { 1500 };
@@ -39,16 +42,22 @@
 public:
     explicit ServerDirectory(ServerDirectoryOptions options = {});
 
-    // Replaces all entries by those of a snapshot.
-    void replaceAll(const std::vector<ServerEntry>& servers, TimePoint now);
-    // Adds or updates an entry.
-    void put(const ServerEntry& server, TimePoint now);
+    void setSettleTime(Milliseconds time) { m_options.settleTime = time; }
+
+    // Replaces all entries by those of a snapshot. Returns the servers whose entries were ignored because they are
+    // older than what is known.
+    std::vector<BackendServerId> replaceAll(const std::vector<ServerEntry>& servers, TimePoint now);
+    // Adds or updates an entry. Returns false if it was ignored because it is older than what is known.
+    bool put(const ServerEntry& server, TimePoint now);
     // Removes an entry. During an outage of the store, and for the grace time after it, the entry of a
     // server that is not draining is retained and marked as missing instead.
     void remove(const BackendServerId& id, TimePoint now);
     // Reports that the store stopped responding to this host, or that it responds again.
     void onStoreLost(TimePoint now);
     void onStoreRegained(TimePoint now);
+    // Reports that the store came back from an older copy. Until the settle time has passed, entries from before
+    // a server's removal or start are withheld, and servers that the copy lacks are kept for the grace time.
+    void onStoreRestored(TimePoint now);
     // Reports when the store has responded to a peer. While it responds to peers, entries do not expire because
     // of an outage, even if this host does not reach it.
     void recordPeerEvidence(TimePoint respondedAt, TimePoint now);
@@ -76,6 +85,19 @@
     std::uint64_t generation() const { return m_generation; }
 
 private:
+    // The last report of a server before its removal.
+    struct RemovedServer {
+        std::int64_t startedAt = 0;
+        std::int64_t sequence = 0;
+        TimePoint removedAt {};
+    };
+
+    // Whether an entry is older than what is known of its server.
+    bool isOutdated(const ServerEntry& server, TimePoint now) const;
+    void apply(const ServerEntry& server, TimePoint now);
+    bool isSettling(TimePoint now) const;
+    // Applies the withheld entries once the settle time has passed.
+    void settle(TimePoint now);
     bool isUsable(const KnownServer& known) const;
     // Whether the store responds neither to this host nor to its peers.
     bool isStoreAway(TimePoint now) const;
@@ -87,6 +109,10 @@
 
     ServerDirectoryOptions m_options;
     std::map<BackendServerId, KnownServer> m_servers;
+    std::map<BackendServerId, RemovedServer> m_removed;
+    // Entries that are in the store but contradict what is known.
+    std::map<BackendServerId, ServerEntry> m_withheld;
+    std::optional<TimePoint> m_restoredAt;
     PoolVersions m_versions;
     std::set<FailureDomainId> m_outOfServiceDomains;
     bool m_isStoreLost = false;
--- a/src/libserving/serverentry.h
+++ b/src/libserving/serverentry.h
@@ -20,6 +20,8 @@
     bool isDraining = false;
     // Remaining time for which the server is cold, as of when the entry was written.
     Milliseconds coldTimeLeft { 0 };
+    // Number of the report; rises with each report of one start.
+    std::int64_t sequence = 0;
     // Unix time of the server's start in milliseconds; distinguishes restarts under the same ID.
     std::int64_t startedAt = 0;
 
--- a/tests/serving/serverdirectorytest.cpp
+++ b/tests/serving/serverdirectorytest.cpp
@@ -127,3 +127,76 @@
     directory.put(server, TimePoint(Milliseconds(5000)));
     CHECK(directory.all().at(server.id).firstSeenAt == TimePoint(Milliseconds(5000)));
 }
+
+TEST(ServerDirectory, anOlderCopyOfTheStoreDoesNotBringBackServersThatLeft)
+{
+    ServerEntry ready = makeEntry("s1");
+    ready.startedAt = 100;
+    ready.sequence = 5;
+    ServerEntry gone = ready;
+    gone.id = BackendServerId("s2");
+    directory.replaceAll({ ready, gone }, now);
+    ServerEntry draining = ready;
+    draining.isDraining = true;
+    draining.sequence = 6;
+    directory.put(draining, now);
+    directory.remove(gone.id, now);
+    directory.onStoreRestored(now);
+    LONGS_EQUAL(2, directory.replaceAll({ ready, gone }, now).size());
+    LONGS_EQUAL(0, usableCount());
+    now += Milliseconds(4999);
+    LONGS_EQUAL(0, usableCount());
+    // A silent server would have been removed by now; one that drains has no way back without a new report.
+    now += Milliseconds(2);
+    LONGS_EQUAL(1, usableCount());
+    CHECK(directory.findUsable(gone.id, now) != nullptr);
+}
+
+TEST(ServerDirectory, newReportsAndStartsAfterAnOlderCopyAreApplied)
+{
+    ServerEntry removed = makeEntry("s1");
+    removed.startedAt = 100;
+    removed.sequence = 5;
+    ServerEntry draining = removed;
+    draining.id = BackendServerId("s2");
+    draining.isDraining = true;
+    directory.replaceAll({ removed, draining }, now);
+    directory.remove(removed.id, now);
+    directory.onStoreRestored(now);
+    directory.replaceAll({ draining }, now);
+    removed.sequence = 6;
+    CHECK(directory.put(removed, now));
+    draining.isDraining = false;
+    draining.startedAt = 101;
+    draining.sequence = 1;
+    CHECK(directory.put(draining, now));
+    LONGS_EQUAL(2, usableCount());
+}
+
+// Guards against a withheld entry that is applied although the store has removed it meanwhile.
+TEST(ServerDirectory, anEntryThatIsRemovedWhileItIsWithheldStaysRemoved)
+{
+    ServerEntry server = makeEntry("s1");
+    server.sequence = 5;
+    directory.put(server, now);
+    directory.remove(server.id, now);
+    directory.onStoreRestored(now);
+    directory.replaceAll({ server }, now);
+    directory.remove(server.id, now);
+    now += Milliseconds(5001);
+    LONGS_EQUAL(0, usableCount());
+}
+
+TEST(ServerDirectory, anOlderReportOfADrainingServerIsIgnored)
+{
+    ServerEntry server = makeEntry("s1");
+    server.isDraining = true;
+    server.sequence = 7;
+    directory.put(server, now);
+    server.isDraining = false;
+    server.sequence = 6;
+    CHECK(!directory.put(server, now));
+    server.sequence = 8;
+    CHECK(directory.put(server, now));
+    LONGS_EQUAL(1, usableCount());
+}
