--- a/src/gateway/servingviewupdater.cpp
+++ b/src/gateway/servingviewupdater.cpp
@@ -11,6 +11,8 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <algorithm>
+
 namespace Apricot {
 
 namespace Asio = boost::asio;
@@ -143,14 +145,18 @@
     const std::string prefix = options.prefix;
     StoreFollower::Handlers handlers { .onListed = std::move(onListed), .onChanged = std::move(onChanged) };
     handlers.onLost = [this, prefix](const std::string& reason) {
-        m_view.servers().onStoreLost(RuntimeClock::now());
+        if (isStoreAway())
+            m_view.servers().onStoreLost(RuntimeClock::now());
         writeLog(LogLevel::Warning, "store_lost", { { "kind", prefix }, { "reason", reason } });
     };
     handlers.onRegained = [this, prefix] {
-        if (!isStoreLost())
+        if (!isStoreAway())
             m_view.servers().onStoreRegained(RuntimeClock::now());
         writeLog(LogLevel::Info, "store_regained", { { "kind", prefix } });
     };
+    handlers.onRejected = [prefix](std::size_t count) {
+        writeLog(LogLevel::Warning, "store_objects_rejected", { { "kind", prefix }, { "objects", count } });
+    };
     handlers.onRestored = [this, prefix](ObjectVersion lastRevision) { onStoreRestored(prefix, lastRevision); };
     if (prefix == PlatformNames::serversPrefix)
         handlers.onConfirmed = [this](TimePoint confirmedAt) { m_view.servers().confirm(confirmedAt); };
@@ -173,10 +179,21 @@
         &m_poisonFollower };
 }
 
+std::array<const StoreFollower*, ServingViewUpdater::followerCount> ServingViewUpdater::allFollowers() const
+{
+    return { &m_configFollower, &m_serversFollower, &m_evacuationsFollower, &m_hostsFollower, &m_poisonFollower };
+}
+
 bool ServingViewUpdater::isStoreLost() const
 {
-    return m_configFollower.isLost() || m_serversFollower.isLost()
-        || m_evacuationsFollower.isLost() || m_hostsFollower.isLost() || m_poisonFollower.isLost();
+    const auto all = allFollowers();
+    return std::any_of(all.begin(), all.end(), [](const StoreFollower* follower) { return follower->isLost(); });
+}
+
+bool ServingViewUpdater::isStoreAway() const
+{
+    const auto all = allFollowers();
+    return std::any_of(all.begin(), all.end(), [](const StoreFollower* follower) { return follower->isStoreAway(); });
 }
 
 void ServingViewUpdater::setSettleTime(Milliseconds time)
@@ -294,6 +311,8 @@
     for (const PlatformObject& object : list.objects) {
         if (const auto host = readHost(object.value))
             hosts[HostId(objectName(object.key))] = *host;
+        else
+            writeLog(LogLevel::Warning, "host_entry_ignored", { { "key", object.key } });
     }
     const bool isMissing = m_isRegistered && !m_isLeaving && !hosts.contains(m_self);
     m_unconfirmedHosts.clear();
@@ -322,7 +341,8 @@
         m_view.putHost(id, *host);
     else
         m_view.removeHost(id);
-    writeLog(LogLevel::Info, host ? "peer_registered" : "peer_gone", { { "peer", id.value() } });
+    const char* const gone = event.value ? "host_entry_ignored" : "peer_gone";
+    writeLog(LogLevel::Info, host ? "peer_registered" : gone, { { "peer", id.value() } });
     notifyChanged();
 }
 
--- a/src/gateway/servingviewupdater.h
+++ b/src/gateway/servingviewupdater.h
@@ -4,6 +4,8 @@
 #include "libserving/outofservicedomains.h"
 #include "libserving/servingview.h"
 
+#include <array>
+
 namespace Apricot {
 
 // Updates the serving view from the store, and registers this host there.
@@ -24,7 +26,7 @@
     {
         return &follower == &m_configFollower && m_configSize > maxRelayedConfigBytes;
     }
-    // Whether the store is not responding to this host, for at least one kind of objects.
+    // Whether at least one kind of objects cannot be read from the store.
     bool isStoreLost() const;
     // Called with what the store contains about requests that crash servers.
     void setPoisonHandlers(std::function<void(const PlatformList&)> onListed,
@@ -36,6 +38,11 @@
     // Each host reads larger configurations from the store, whose link has more bandwidth than a host's.
     static constexpr std::size_t maxRelayedConfigBytes = 32'768;
 
+    static constexpr std::size_t followerCount = 5;
+
+    std::array<const StoreFollower*, followerCount> allFollowers() const;
+    // Whether the store is not responding to this host.
+    bool isStoreAway() const;
     StoreFollower makeFollower(StoreFollowerOptions options,
         std::function<void(const PlatformList&)> onListed,
         std::function<void(const PlatformEvent&)> onChanged);
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -56,14 +56,22 @@
             continue;
         }
         std::optional<std::string> reason;
+        bool isStoreAway = false;
         try {
             co_await readOnce();
+        } catch (const PlatformResponseMalformed& error) {
+            reason = error.what();
+            // A list shows the objects without the history that cannot be read.
+            m_mustList = true;
+        } catch (const PlatformUnavailable& error) {
+            reason = error.what();
+            isStoreAway = true;
         } catch (const std::exception& error) {
             reason = error.what();
         }
         if (!reason)
             continue;
-        onStoreLost(*reason);
+        onReadFailed(*reason, isStoreAway);
         co_await pause(m_retryDelay);
         m_retryDelay = std::min(m_retryDelay * 2, m_options.maxRetryDelay);
     }
@@ -89,6 +97,7 @@
         // Ends an outage before the list is applied, so that entries missing from the list are handled as
         // expired during the outage.
         onStoreResponse();
+        reportRejected(list.rejected);
         // The list may be older than a delta that a peer sent while it was read.
         if (list.revision >= m_revision)
             applyList(list);
@@ -105,6 +114,7 @@
         co_return;
     }
     const auto& events = std::get<PlatformEvents>(watched);
+    reportRejected(events.rejected);
     for (const PlatformEvent& event : events.events) {
         applyEvent(event);
         if (!event.value)
@@ -218,14 +228,24 @@
     m_removals.pop_front();
 }
 
-void StoreFollower::onStoreLost(const std::string& reason)
+void StoreFollower::onReadFailed(const std::string& reason, bool isStoreAway)
 {
-    if (!m_probeState.prober)
+    // The other kinds of objects may still be read if the store responds.
+    m_isStoreAway = isStoreAway;
+    if (isStoreAway && !m_probeState.prober)
         m_probeState.prober = this;
+    if (!isStoreAway && m_probeState.prober == this)
+        m_probeState.prober = nullptr;
     if (!std::exchange(m_isLost, true))
         m_handlers.onLost(reason);
 }
 
+void StoreFollower::reportRejected(std::size_t count)
+{
+    if (count > 0 && m_handlers.onRejected)
+        m_handlers.onRejected(count);
+}
+
 void StoreFollower::onStoreResponse()
 {
     m_evidenceAt = RuntimeClock::now();
@@ -237,6 +257,7 @@
 {
     if (m_probeState.prober == this)
         m_probeState.prober = nullptr;
+    m_isStoreAway = false;
     if (std::exchange(m_isLost, false))
         m_handlers.onRegained();
 }
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -52,9 +52,11 @@
     struct Handlers {
         std::function<void(const PlatformList&)> onListed;
         std::function<void(const PlatformEvent&)> onChanged;
-        // The store stopped responding, with the reason, or responds again.
+        // The objects cannot be read, with the reason, or can be read again.
         std::function<void(const std::string&)> onLost;
         std::function<void()> onRegained;
+        // A number of objects have no readable name or version.
+        std::function<void(std::size_t)> onRejected;
         // The store came back from an older copy; called before onListed with the last known revision.
         std::function<void(ObjectVersion)> onRestored;
         // All objects are known to have been current at a time.
@@ -66,7 +68,10 @@
 
     // Follows for as long as the io_context runs.
     void start();
+    // Whether the objects cannot be read.
     bool isLost() const { return m_isLost; }
+    // Whether the store does not respond; otherwise it may have responded with something malformed.
+    bool isStoreAway() const { return m_isStoreAway; }
     const std::string& prefix() const { return m_options.prefix; }
     // Revision of the store up to which the objects are current.
     ObjectVersion revision() const { return m_revision; }
@@ -101,7 +106,8 @@
     void recordRemoval(const std::string& key, ObjectVersion revision);
     void recordPeerEvidence(Milliseconds age, TimePoint now);
     void notifyConfirmed();
-    void onStoreLost(const std::string& reason);
+    void onReadFailed(const std::string& reason, bool isStoreAway);
+    void reportRejected(std::size_t count);
     void onStoreResponse();
     void endOutage();
 
@@ -122,6 +128,7 @@
     bool m_mustList = true;
     bool m_mustReadStore = false;
     bool m_isLost = false;
+    bool m_isStoreAway = false;
     bool m_isRelayed = false;
     Milliseconds m_watchTimeout;
     Milliseconds m_batchDelay;
