Reject a peer's malformed changes of one kind of objects alone

Cause: hosts that rely on peers read the changes of all kinds of objects from one message, and the first kind that could not be read ended the reading, so a configuration in the same message was not applied (CONFIG, DRAIN); nothing was logged. Change: readPeerDeltas() reads each kind for itself, and peer_view_rejected names the peer, the kind and the reason; a kind without fresh news is read from the store as before.

--- a/src/gateway/peerviewsync.cpp
+++ b/src/gateway/peerviewsync.cpp
@@ -1,5 +1,6 @@
 #include "gateway/peerviewsync.h"
 
+#include "gateway/storedeltajson.h"
 #include "libnet/asyncevent.h"
 #include "libnet/log.h"
 
@@ -25,40 +26,6 @@
     constexpr double watcherTimeoutFraction = 0.33;
     constexpr Milliseconds watcherBatchDelay { 150 };
 
-    json::value toJson(const StoreDelta& delta, bool withObjects)
-    {
-        json::object body { { "revision", delta.revision }, { "age_ms", delta.age.count() } };
-        if (!withObjects)
-            return body;
-        json::array objects;
-        for (const PlatformObject& object : delta.objects)
-            objects.push_back({ { "key", object.key }, { "version", object.version },
-                { "value", object.value } });
-        json::array removed;
-        for (const std::string& key : delta.removed)
-            removed.emplace_back(key);
-        body["whole"] = delta.isSnapshot;
-        body["objects"] = std::move(objects);
-        body["removed"] = std::move(removed);
-        return body;
-    }
-
-    StoreDelta readDelta(const json::value& value)
-    {
-        StoreDelta delta { .revision = value.at("revision").to_number<ObjectVersion>(),
-            .age = Milliseconds(value.at("age_ms").to_number<std::int64_t>()) };
-        if (!value.as_object().contains("objects"))
-            return delta;
-        delta.isSnapshot = value.at("whole").as_bool();
-        for (const json::value& entry : value.at("objects").as_array())
-            delta.objects.push_back({ .key = std::string(entry.at("key").as_string()),
-                .version = entry.at("version").to_number<ObjectVersion>(),
-                .value = entry.at("value") });
-        for (const json::value& key : value.at("removed").as_array())
-            delta.removed.emplace_back(key.as_string());
-        return delta;
-    }
-
 }
 
 PeerViewSync::PeerViewSync(Asio::io_context& context, ServingViewUpdater& viewUpdater, ServingView& view,
@@ -127,14 +94,17 @@
 void PeerViewSync::applyResponse(const std::string& response, const std::string& peer)
 {
     const TimePoint now = RuntimeClock::now();
-    const json::value prefixes = json::parse(response);
+    const PeerDeltas deltas = readPeerDeltas(response);
+    for (const auto& [prefix, reason] : deltas.rejected)
+        writeLog(LogLevel::Warning, "peer_view_rejected",
+            { { "kind", prefix }, { "reason", reason }, { "peer", peer } });
     for (StoreFollower* follower : m_viewUpdater.followers()) {
-        const json::value* entry = prefixes.as_object().if_contains(follower->prefix());
-        if (!entry)
+        const auto entry = deltas.entries.find(follower->prefix());
+        if (entry == deltas.entries.end())
             continue;
-        const StoreDelta delta = readDelta(*entry);
+        const StoreDelta& delta = entry->second.delta;
         m_view.servers().recordPeerEvidence(now - delta.age, now);
-        if (!entry->as_object().contains("objects"))
+        if (!entry->second.hasObjects)
             follower->recordEvidence(delta.revision, delta.age, now);
         else if (follower->applyDelta(delta, now))
             writeLog(LogLevel::Info, "view_updated_from_peer",
--- /dev/null
+++ b/src/gateway/storedeltajson.cpp
@@ -0,0 +1,63 @@
+#include "gateway/storedeltajson.h"
+
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+
+namespace Apricot {
+
+namespace json = boost::json;
+
+namespace {
+
+    StoreDelta readDelta(const json::value& value)
+    {
+        StoreDelta delta { .revision = value.at("revision").to_number<ObjectVersion>(),
+            .age = Milliseconds(value.at("age_ms").to_number<std::int64_t>()) };
+        if (!value.as_object().contains("objects"))
+            return delta;
+        delta.isSnapshot = value.at("whole").as_bool();
+        for (const json::value& entry : value.at("objects").as_array())
+            delta.objects.push_back({ .key = std::string(entry.at("key").as_string()),
+                .version = entry.at("version").to_number<ObjectVersion>(),
+                .value = entry.at("value") });
+        for (const json::value& key : value.at("removed").as_array())
+            delta.removed.emplace_back(key.as_string());
+        return delta;
+    }
+
+}
+
+json::value toJson(const StoreDelta& delta, bool withObjects)
+{
+    json::object body { { "revision", delta.revision }, { "age_ms", delta.age.count() } };
+    if (!withObjects)
+        return body;
+    json::array objects;
+    for (const PlatformObject& object : delta.objects)
+        objects.push_back({ { "key", object.key }, { "version", object.version },
+            { "value", object.value } });
+    json::array removed;
+    for (const std::string& key : delta.removed)
+        removed.emplace_back(key);
+    body["whole"] = delta.isSnapshot;
+    body["objects"] = std::move(objects);
+    body["removed"] = std::move(removed);
+    return body;
+}
+
+PeerDeltas readPeerDeltas(const std::string& text)
+{
+    PeerDeltas deltas;
+    const json::value prefixes = json::parse(text);
+    for (const auto& [prefix, value] : prefixes.as_object()) {
+        try {
+            deltas.entries[prefix] = { readDelta(value), value.as_object().contains("objects") };
+        } catch (const std::exception& error) {
+            deltas.entries.erase(prefix);
+            deltas.rejected[prefix] = error.what();
+        }
+    }
+    return deltas;
+}
+
+}
