--- a/src/emulator/platform/platformfaults.cpp
+++ b/src/emulator/platform/platformfaults.cpp
@@ -27,6 +27,7 @@
     faults.reorderWatch = memberOr(object, "reorder_watch", false);
     faults.cutHosts = memberOr(object, "cut_hosts", std::set<std::string>());
     faults.lostChanges = memberOr<std::uint64_t>(object, "lose_changes", 0);
+    faults.hidesEra = memberOr(object, "hide_era", false);
     faults.seed = memberOr<std::uint64_t>(object, "seed", 1);
     return faults;
 }
--- a/src/emulator/platform/platformfaults.h
+++ b/src/emulator/platform/platformfaults.h
@@ -28,6 +28,8 @@
     std::set<std::string> cutHosts;
     // Number of the last changes that the store loses once, by coming back from an older copy.
     std::uint64_t lostChanges = 0;
+    // Whether responses lack the field with the store's era.
+    bool hidesEra = false;
     std::uint64_t seed = 1;
 
     bool operator==(const PlatformFaults&) const = default;
--- a/src/emulator/platform/platformserver.cpp
+++ b/src/emulator/platform/platformserver.cpp
@@ -256,13 +256,13 @@
     const std::optional<StoreObject> object = m_store.get(key, readRevision());
     if (!object)
         co_return co_await respondError(exchange, 404, "no such object");
-    co_await respondJson(exchange, 200, objectJson(*object), m_store.era());
+    co_await respondJson(exchange, 200, objectJson(*object), shownEra());
 }
 
 asio::awaitable<void> PlatformServer::handleList(HttpExchange& exchange, std::string prefix)
 {
     const StoreList list = m_store.list(prefix, readRevision());
-    co_await respondJson(exchange, 200, listJson(list, exchange.request().parameter("after")), m_store.era());
+    co_await respondJson(exchange, 200, listJson(list, exchange.request().parameter("after")), shownEra());
 }
 
 asio::awaitable<void> PlatformServer::handleWatch(HttpExchange& exchange, std::string prefix)
@@ -288,7 +288,7 @@
         if (!events.events.empty() || RuntimeClock::now() >= deadline) {
             if (m_faults.reorderWatch)
                 reorderEvents(prefix, since, events);
-            co_return co_await respondJson(exchange, 200, eventsJson(events), m_store.era());
+            co_return co_await respondJson(exchange, 200, eventsJson(events), shownEra());
         }
         Timer timer(m_context, deadline);
         boost::system::error_code ignored;
@@ -332,13 +332,13 @@
     if (std::holds_alternative<StoreAccepted>(result)) {
         const std::optional<StoreObject> object = m_store.get(writtenKey, m_store.revision());
         const json::value response = object ? objectJson(*object) : json::value(json::object());
-        co_return co_await respondJson(exchange, 200, response, m_store.era());
+        co_return co_await respondJson(exchange, 200, response, shownEra());
     }
     const auto& conflict = std::get<StoreConflict>(result);
     if (!conflict.current)
         co_return co_await respondError(exchange, 404, "no such object");
     ++m_counts["conflicts"];
-    co_await respondJson(exchange, 409, conflictJson(conflict), m_store.era());
+    co_await respondJson(exchange, 409, conflictJson(conflict), shownEra());
 }
 
 asio::awaitable<void> PlatformServer::holdUntilDisconnected(HttpExchange& exchange)
@@ -363,6 +363,11 @@
     return std::bernoulli_distribution(std::clamp(m_faults.responseLossRate, 0.0, 1.0))(m_random);
 }
 
+std::uint64_t PlatformServer::shownEra() const
+{
+    return m_faults.hidesEra ? 0 : m_store.era();
+}
+
 ObjectVersion PlatformServer::readRevision(ObjectVersion atLeast)
 {
     const ObjectVersion newest = m_store.revision();
--- a/src/emulator/platform/platformserver.h
+++ b/src/emulator/platform/platformserver.h
@@ -44,6 +44,8 @@
     boost::asio::awaitable<void> pause(Duration duration);
 
     bool isCutOff(const HttpRequest& request) const;
+    // Zero in responses that do not name the era.
+    std::uint64_t shownEra() const;
     bool shouldLoseResponse();
     // Revision that reads are served from: the newest, or an older one while stale reads are on.
     ObjectVersion readRevision(ObjectVersion atLeast = 0);
--- a/tests/platform/storefollowertest.cpp
+++ b/tests/platform/storefollowertest.cpp
@@ -100,6 +100,24 @@
     });
 }
 
+// Guards against changes that are missed for as long as the store does not name its era.
+TEST(StoreFollower, changesAreSeenInResponsesThatDoNotNameTheEra)
+{
+    runToEnd([this]() -> asio::awaitable<void> {
+        co_await client.put("servers/s1", 1, 0);
+        co_await client.put("servers/s2", 1, 0);
+        follower.start();
+        co_await waitFor("list 2");
+        co_await setFaults(R"({"lose_changes":1})");
+        co_await waitFor("list 1");
+        seen.clear();
+        co_await setFaults(R"({"hide_era":true})");
+        co_await client.put("servers/s3", 1, 0);
+        co_await waitFor("put servers/s3");
+        CHECK(!hasSeen("list 2"));
+    });
+}
+
 // A store that was unresponsive never responds to a watch sent before, even once it responds to other
 // calls again. A change must not be delayed by more than the timeout of that watch.
 TEST(StoreFollower, anUnansweredWatchDelaysAChangeByAtMostItsTimeout)
