--- a/tests/platform/clusterservers.cpp
+++ b/tests/platform/clusterservers.cpp
@@ -60,6 +60,16 @@
     registerServer(server, "v1");
 }
 
+std::vector<HttpField> GatewayCluster::fieldsOf(
+    const BackendServer& server, const HttpRequest& request) const
+{
+    std::vector<HttpField> fields = signedFields(request);
+    const auto limit = limits.find(server.id);
+    if (limit != limits.end())
+        fields.push_back({ std::string(Names::serverLimitField), limit->second });
+    return fields;
+}
+
 json::value GatewayCluster::entryOf(
     const BackendServer& server, const std::string& version, const std::string& state) const
 {
@@ -178,9 +188,9 @@
         co_return;
     if (server.pool == "plain") {
         co_await sleepFor(m_context.get_executor(), runTime);
-        co_return co_await exchange.respond(200, "text/plain", "done", signedFields(exchange.request()));
+        co_return co_await exchange.respond(200, "text/plain", "done", fieldsOf(server, exchange.request()));
     }
-    co_await exchange.beginStream(200, "text/event-stream", signedFields(exchange.request()));
+    co_await exchange.beginStream(200, "text/event-stream", fieldsOf(server, exchange.request()));
     co_await exchange.writeChunk(firstEvent);
     co_await sleepFor(m_context.get_executor(), runTime);
     co_await exchange.writeChunk(secondEvent);
@@ -191,7 +201,7 @@
     BackendServer& server, HttpExchange& exchange, FatalMoment moment)
 {
     if (moment != FatalMoment::BeforeHead)
-        co_await exchange.beginStream(200, "text/event-stream", signedFields(exchange.request()));
+        co_await exchange.beginStream(200, "text/event-stream", fieldsOf(server, exchange.request()));
     if (moment == FatalMoment::AfterEvent)
         co_await exchange.writeChunk(firstEvent);
     if (moment == FatalMoment::InsideEvent)
@@ -218,7 +228,7 @@
         co_return;
     co_await sleepFor(m_context.get_executor(), runTime);
     const std::string body = json::serialize(json::object { { "entries", std::move(results) } });
-    co_await exchange.respond(200, "application/json", body);
+    co_await exchange.respond(200, "application/json", body, fieldsOf(server, exchange.request()));
 }
 
 void GatewayCluster::endServer(const std::string& pool, std::size_t position)
--- a/tests/platform/gatewaycluster.cpp
+++ b/tests/platform/gatewaycluster.cpp
@@ -256,6 +256,22 @@
         [&](const ScriptedRun& run) { return run.server == server && run.startedAt >= from; }));
 }
 
+std::size_t GatewayCluster::mostRunsWithin(
+    Milliseconds window, const std::string& server, TimePoint from) const
+{
+    std::vector<TimePoint> times;
+    for (const ScriptedRun& run : runs) {
+        if (run.server == server && run.startedAt >= from)
+            times.push_back(run.startedAt);
+    }
+    std::size_t most = 0;
+    for (auto first = times.begin(); first != times.end(); ++first) {
+        const auto end = std::lower_bound(first, times.end(), *first + window);
+        most = std::max(most, static_cast<std::size_t>(end - first));
+    }
+    return most;
+}
+
 std::size_t GatewayCluster::countResponses(const std::string& word, int status) const
 {
     return static_cast<std::size_t>(
--- a/tests/platform/gatewaycluster.h
+++ b/tests/platform/gatewaycluster.h
@@ -116,6 +116,8 @@
     // in turn.
     std::string fatalPart;
     std::vector<FatalMoment> fatalMoments { FatalMoment::BeforeHead };
+    // Limits that servers name in their responses, by server.
+    std::map<std::string, std::string> limits;
     std::vector<ScriptedRun> runs;
     std::vector<ClusterResponse> responses;
 
@@ -125,6 +127,9 @@
     std::size_t runsAfterEnds(std::size_t ends, const std::string& word, Apricot::Milliseconds time) const;
     // Number of runs that began at a server after a time.
     std::size_t runsAt(const std::string& server, Apricot::TimePoint from) const;
+    // Largest number of runs at a server within a time, counted after another time.
+    std::size_t mostRunsWithin(
+        Apricot::Milliseconds window, const std::string& server, Apricot::TimePoint from) const;
     // Number of responses with a status, to requests whose content contains a word.
     std::size_t countResponses(const std::string& word, int status) const;
 
@@ -149,6 +154,9 @@
     // Returns the index of the response.
     std::size_t startCall(std::size_t host, const ClusterRequest& request);
     boost::asio::awaitable<void> callHost(std::uint16_t port, Apricot::HttpCall call, std::size_t index);
+    // Fields of a server's response, with the limit that it names.
+    std::vector<Apricot::HttpField> fieldsOf(
+        const BackendServer& server, const Apricot::HttpRequest& request) const;
     void registerServer(const BackendServer& server, const std::string& version);
     boost::json::value entryOf(
         const BackendServer& server, const std::string& version, const std::string& state) const;
