Hold the limits that servers name over all hosts

Cause: nothing read Server-Limit. Class: a limit on the sum over all hosts that no host knows or applies. Each host for itself would not have been enough: eight hosts with one request each, and 4 that the limit allows in 4 s, are 12.

Change: one host, chosen by rendezvous hashing, grants the permits for a server with a limit, at its rate; the next one grants half while the first does not respond. Requests, repeats, resumed streams, calls of stages and releases need one. Changes are passed on along a tree over the hosts; requests for permits and their responses carry what both know, with its age. Placing passes over servers without a permit; where all engines have limits, a permit is acquired before the stages run, or the request is refused at once as limited, with a Retry-After. Logs: server_limit_changed, server_limit_ignored, limit_grantor_silent, limit_notice_failed, limited_servers in request_ended; metrics apricot_limited_servers and apricot_limit_permits_total. ServerStart has a file of its own, and StreamOriginSync and LimitPermits share PeerClient::notify().

--- a/src/gateway/backendcaller.cpp
+++ b/src/gateway/backendcaller.cpp
@@ -84,10 +84,11 @@
 }
 
 BackendCaller::BackendCaller(
-    Asio::io_context& context, ServingView& view, ServerTracker& tracker)
+    Asio::io_context& context, ServingView& view, ServerTracker& tracker, LimitPermits& limits)
     : m_context(context)
     , m_view(view)
     , m_tracker(tracker)
+    , m_limits(limits)
 {
 }
 
@@ -124,6 +125,8 @@
     std::string reason;
     try {
         auto stream = co_await client->open(std::move(call), std::move(gate));
+        if (stream)
+            m_limits.recordResponse(server, startedAt, stream->head());
         result = classify(std::move(stream));
     } catch (const boost::system::system_error& error) {
         reason = error.code().message();
@@ -242,12 +245,14 @@
 Asio::awaitable<HttpResponse> BackendCaller::call(ServerEntry server, HttpCall call, bool& isSent)
 {
     const Milliseconds timeout = call.timeout;
+    const TimePoint startedAt = RuntimeClock::now();
     const std::shared_ptr<HttpClient> client = clientFor(server.endpoint);
     HttpSendGate gate = [this, &isSent, server] { return isSent = mayReceiveWork(server); };
     const std::unique_ptr<HttpStream> stream
         = co_await client->open(std::move(call), std::move(gate));
     if (!stream)
         throw boost::system::system_error(Asio::error::operation_aborted);
+    m_limits.recordResponse(server, startedAt, stream->head());
     co_return co_await Apricot::readResponse(*stream, timeout);
 }
 
--- a/src/gateway/backendcaller.h
+++ b/src/gateway/backendcaller.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/limitpermits.h"
 #include "gateway/requestscope.h"
 #include "libserving/runobserver.h"
 #include "libserving/servertracker.h"
@@ -63,7 +64,8 @@
 // new work, such as draining ones, are sent none.
 class BackendCaller {
 public:
-    BackendCaller(boost::asio::io_context& context, ServingView& view, ServerTracker& tracker);
+    BackendCaller(boost::asio::io_context& context, ServingView& view, ServerTracker& tracker,
+        LimitPermits& limits);
 
     // Sends a caller's request. The timeout bounds the wait for the response header; the server is sent
     // the time left until the caller's deadline.
@@ -100,6 +102,8 @@
     void reportFinished(const std::vector<PoisonSubject>& subjects, int stage);
 
     ServerTracker& tracker() { return m_tracker; }
+    // Permits for servers with a limit; acquire one before each call, except those without a check.
+    LimitPermits& limits() { return m_limits; }
     // Removes the state of servers that have left the view, and closes their connections.
     void removeUnknownServers();
 
@@ -115,6 +119,7 @@
     boost::asio::io_context& m_context;
     ServingView& m_view;
     ServerTracker& m_tracker;
+    LimitPermits& m_limits;
     std::map<Endpoint, std::shared_ptr<HttpClient>> m_clients;
     RunObserver* m_runObserver = nullptr;
 };
--- a/src/gateway/gatewaydaemon.cpp
+++ b/src/gateway/gatewaydaemon.cpp
@@ -68,10 +68,11 @@
     , m_store(m_context, storeOptionsFor(settings.store))
     , m_viewUpdater(m_context, m_store, m_view, settings.process.host,
           { requireEndpoint(settings.peers), settings.process.failureDomain })
-    , m_backendCaller(m_context, m_view, m_tracker)
+    , m_peers(m_context)
+    , m_limits(m_context, m_view, m_peers, settings.process.host, m_metrics)
+    , m_backendCaller(m_context, m_view, m_tracker, m_limits)
     , m_poisonSync(m_context, m_store, m_view, m_poison, settings.process.host)
     , m_crashMonitor(m_context, m_view, m_poison, m_poisonSync, m_metrics)
-    , m_peers(m_context)
     , m_peerViewSync(m_context, m_viewUpdater, m_view, m_peers, settings.process.host,
           parseEndpoints(settings.seeds).value_or(std::vector<Endpoint>()))
     , m_stageHome(m_context, m_view, m_backendCaller, m_poison)
@@ -105,6 +106,7 @@
                   [this] {
                       m_gatewayMetrics.setGauges(
                           m_view, m_stageHome, m_retries, m_poison, m_viewUpdater.isStoreLost());
+                      m_gatewayMetrics.setLimitedServers(m_limits.limitedServers());
                   } })
     , m_stopSignals(m_context, SIGTERM, SIGINT)
     , m_reloadSignals(m_context, SIGHUP)
@@ -141,6 +143,7 @@
 {
     m_retries.setHosts(m_view.hostIds(), RuntimeClock::now());
     m_coldLimiter.setHosts(m_settings.process.host, m_view.hostIds());
+    m_limits.onViewChanged();
     m_peerViewSync.onHostsChanged();
     m_backendCaller.removeUnknownServers();
     m_crashMonitor.onServersChanged();
@@ -184,11 +187,15 @@
 {
     if (request.topic == StreamOriginSync::noticeTopic)
         co_return m_streamOrigins.applyNotice(request.json);
+    if (request.topic == LimitPermits::noticeTopic)
+        co_return m_limits.applyNotice(request.json);
     std::string text;
     if (request.topic == PeerViewSync::topic)
         text = m_peerViewSync.respondTo(request.json);
     else if (request.topic == StreamOriginSync::questionTopic)
         text = m_streamOrigins.respondTo(request.json);
+    else if (request.topic == LimitPermits::permitTopic)
+        text = m_limits.respondTo(request.json);
     else
         co_return;
     Message response = TextMessage { request.topic, std::move(text) };
@@ -271,7 +278,7 @@
         { "waiting_pieces", m_stageHome.waitingPieces() }, { "stream_origins", m_streamOrigins.size() },
         { "poisoned_requests", m_poison.count(PoisonState::Refused, false, RuntimeClock::now()) },
         { "poisoned_parts", m_poison.count(PoisonState::Refused, true, RuntimeClock::now()) },
-        { "stopping", m_isStopping } };
+        { "limited_servers", m_limits.limitedServers() }, { "stopping", m_isStopping } };
 }
 
 }
--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -51,10 +51,11 @@
     PoisonTable m_poison;
     PlatformClient m_store;
     ServingViewUpdater m_viewUpdater;
+    PeerClient m_peers;
+    LimitPermits m_limits;
     BackendCaller m_backendCaller;
     PoisonSync m_poisonSync;
     CrashMonitor m_crashMonitor;
-    PeerClient m_peers;
     PeerViewSync m_peerViewSync;
     StageHome m_stageHome;
     StageRouter m_stageRouter;
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -22,6 +22,7 @@
           "Parts of prompts during which servers ended, fewer than it takes to refuse them."))
     , m_poisonedParts(registry.gauge("apricot_poisoned_parts",
           "Parts of prompts whose requests are refused because they crash the servers that run them."))
+    , m_limitedServers(registry.gauge("apricot_limited_servers", "Backend servers that named a limit."))
 {
 }
 
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -16,6 +16,8 @@
     void setGauges(const ServingView& view, const StageHome& home, RetryWindow& retries,
         const PoisonTable& poison, bool isStoreLost);
 
+    void setLimitedServers(std::size_t count) { m_limitedServers.set(static_cast<double>(count)); }
+
 private:
     MetricRegistry& m_registry;
     Counter& m_sends;
@@ -28,6 +30,7 @@
     Gauge& m_poisonedRequests;
     Gauge& m_suspectParts;
     Gauge& m_poisonedParts;
+    Gauge& m_limitedServers;
 };
 
 }
--- a/src/gateway/plainforwarder.cpp
+++ b/src/gateway/plainforwarder.cpp
@@ -85,6 +85,12 @@
     ServedRequest& request, Progress& progress, ServerEntry server)
 {
     progress.tried.insert(server.id);
+    if (!co_await m_backendCaller.limits().acquire(server)) {
+        progress.outcome.limited.insert(server.id);
+        co_return false;
+    }
+    if (request.scope->isOver())
+        co_return false;
     const Milliseconds timeout = attemptTimeoutFor(request, progress.runs);
     const TimePoint sentAt = RuntimeClock::now();
     const SendResult sent = co_await m_backendCaller.send(
@@ -127,6 +133,10 @@
     if (progress.runs == 0) {
         reason = progress.outcome.sends > 0 ? GatewayRefusal::Overloaded : GatewayRefusal::NoServer;
         retryAfter = fullPoolRetryAfter;
+        if (progress.outcome.sends == 0 && !progress.outcome.limited.empty()) {
+            reason = GatewayRefusal::Limited;
+            retryAfter = m_backendCaller.limits().retryAfter(m_view.servers().usable(request.pool, RuntimeClock::now()));
+        }
     } else if (request.scope->endReason() == ScopeEndReason::TimedOut) {
         reason = GatewayRefusal::TimedOut;
     }
@@ -144,8 +154,7 @@
     co_await refuse(request.exchange, reason, retryAfter);
 }
 
-const KnownServer* PlainForwarder::chooseServer(
-    const ServedRequest& request, const Progress& progress)
+const KnownServer* PlainForwarder::chooseServer(const ServedRequest& request, Progress& progress)
 {
     const TimePoint now = RuntimeClock::now();
     const ServerTracker& tracker = m_backendCaller.tracker();
@@ -155,6 +164,10 @@
         const BackendServerId& id = known->server.id;
         if (progress.tried.contains(id))
             continue;
+        if (!m_backendCaller.limits().mayAcquire(known->server)) {
+            progress.outcome.limited.insert(id);
+            continue;
+        }
         const std::tuple sortKey(tracker.isAvoided(id, now), tracker.cost(id));
         if (!best || sortKey < bestSortKey) {
             best = known;
--- a/src/gateway/plainforwarder.h
+++ b/src/gateway/plainforwarder.h
@@ -20,6 +20,8 @@
     SoftwareVersion serverVersion;
     // Number of sends that may have reached a server.
     int sends = 0;
+    // Servers that were passed over because of their limits.
+    std::set<BackendServerId> limited {};
     // Framing of the server's response that was forwarded, if one was.
     std::optional<BodyFraming> framing;
     // Bytes that followed the last complete event of a forwarded stream.
@@ -51,7 +53,7 @@
     };
 
     // The server with the lowest expected cost among those not tried yet; avoided servers come last.
-    const KnownServer* chooseServer(const ServedRequest& request, const Progress& progress);
+    const KnownServer* chooseServer(const ServedRequest& request, Progress& progress);
     // The server for the next attempt, or nothing if the request must not be sent again.
     const KnownServer* nextServer(const ServedRequest& request, Progress& progress);
     bool ensureRetryPermit(const ServedRequest& request, Progress& progress);
--- a/src/gateway/refusals.cpp
+++ b/src/gateway/refusals.cpp
@@ -16,6 +16,8 @@
         return "no_server";
     case GatewayRefusal::OutOfTime:
         return "out_of_time";
+    case GatewayRefusal::Limited:
+        return "limited";
     case GatewayRefusal::Poisoned:
         return "poisoned";
     case GatewayRefusal::UnknownOrigin:
@@ -41,6 +43,7 @@
     case GatewayRefusal::Overloaded:
     case GatewayRefusal::NoServer:
     case GatewayRefusal::OutOfTime:
+    case GatewayRefusal::Limited:
     case GatewayRefusal::Poisoned:
     case GatewayRefusal::UnknownOrigin:
     case GatewayRefusal::VersionUnavailable:
--- a/src/gateway/refusals.h
+++ b/src/gateway/refusals.h
@@ -15,6 +15,8 @@
     Overloaded,
     NoServer,
     OutOfTime,
+    // All servers that could run the request named limits, which are used up.
+    Limited,
     // Earlier attempts of the same request crashed servers.
     Poisoned,
     // Which software version began the stream that is to be resumed is not known.
--- a/src/gateway/requestservice.cpp
+++ b/src/gateway/requestservice.cpp
@@ -117,6 +117,8 @@
         fields["server"] = outcome.server.value();
         fields["server_version"] = outcome.serverVersion.value();
     }
+    if (!outcome.limited.empty())
+        fields["limited_servers"] = outcome.limited.size();
     if (!resumedRequestId.empty())
         fields["resumes"] = resumedRequestId;
     if (outcome.framing) {
--- a/src/gateway/stagehome.cpp
+++ b/src/gateway/stagehome.cpp
@@ -21,6 +21,8 @@
 
     // Releases are collected for this long and sent in one call to each server.
     constexpr Milliseconds releaseBatchDelay { 20 };
+    // Time after which releases that a limit did not permit are tried again.
+    constexpr Milliseconds limitedReleaseDelay { 400 };
     constexpr int statusOk = 200;
 
     std::string_view outcomeName(StageWorkOutcome outcome)
@@ -217,6 +219,11 @@
     if (m_poison.size() > 0)
         group.scheduler.applyPermits(
             [this, now](Fingerprint fingerprint) { return permitFor(fingerprint, now); });
+    LimitPermits& limits = m_backendCaller.limits();
+    if (limits.limitedServers() > 0)
+        group.scheduler.pauseServers([&limits](const StageServer& server) {
+            return limits.availableAt({ server.id, server.startedAt });
+        });
     for (PlannedCall& planned : group.scheduler.planCalls(now))
         Asio::co_spawn(m_context, callServer(key, std::move(planned)), Asio::detached);
     for (StageScheduler::EndedTask& ended : group.scheduler.drainEnded(now)) {
@@ -261,8 +268,14 @@
     std::optional<std::vector<PieceResult>> results;
     StageCallFailure failure = StageCallFailure::Broken;
     std::string reason;
+    const ServerEntry server { .id = planned.server.id,
+        .endpoint = planned.server.endpoint,
+        .startedAt = planned.server.startedAt };
+    if (!co_await m_backendCaller.limits().acquire(server)) {
+        m_groups.at(key)->scheduler.onCallFailed(planned.id, StageCallFailure::Limited, RuntimeClock::now());
+        co_return advance(key);
+    }
     try {
-        const ServerEntry server { .id = planned.server.id, .endpoint = planned.server.endpoint };
         HttpCall call
             = Platform::makeStageCall(planned.server.id, planned.pieces, planned.timeout);
         const HttpResponse response = co_await m_backendCaller.call(server, std::move(call), isSent);
@@ -306,35 +319,69 @@
     Group* group = findGroup(pool, groupIndex);
     if (!group)
         return;
+    const TimePoint now = RuntimeClock::now();
+    const TimePoint expiresAt = now + m_view.config()->findPool(pool)->stage->resultLifetime;
     for (const std::string& handle : handles) {
-        group->scheduler.onResultReleased(handle, RuntimeClock::now());
-        group->releases.push_back(handle);
+        group->scheduler.onResultReleased(handle, now);
+        group->releases.push_back({ handle, expiresAt });
     }
-    if (group->isReleasing)
+    scheduleReleases(key, releaseBatchDelay);
+}
+
+void StageHome::scheduleReleases(const GroupKey& key, Milliseconds delay)
+{
+    Group& group = *m_groups.at(key);
+    if (std::exchange(group.isReleasing, true))
         return;
-    group->isReleasing = true;
-    Asio::co_spawn(m_context, sendReleases(key), Asio::detached);
+    Asio::co_spawn(m_context, sendReleases(key, delay), Asio::detached);
+}
+
+const ServerEntry* StageHome::findLimited(const Endpoint& endpoint) const
+{
+    const LimitPermits& limits = m_backendCaller.limits();
+    if (limits.limitedServers() == 0)
+        return nullptr;
+    for (const auto& [id, known] : m_view.servers().all()) {
+        if (known.server.endpoint == endpoint && limits.isLimited(known.server))
+            return &known.server;
+    }
+    return nullptr;
 }
 
-Asio::awaitable<void> StageHome::sendReleases(GroupKey key)
+Asio::awaitable<void> StageHome::sendReleases(GroupKey key, Milliseconds delay)
 {
     Group& group = *m_groups.at(key);
-    group.releaseTimer.expires_after(releaseBatchDelay);
+    group.releaseTimer.expires_after(delay);
     boost::system::error_code ignored;
     co_await group.releaseTimer.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
     group.isReleasing = false;
-    std::map<Endpoint, std::vector<std::string>> byServer;
-    for (std::string& handle : std::exchange(group.releases, {})) {
-        if (const std::optional<Endpoint> endpoint = endpointOfHandle(handle))
-            byServer[*endpoint].push_back(std::move(handle));
+    std::map<Endpoint, std::vector<PendingRelease>> byServer;
+    for (PendingRelease& release : std::exchange(group.releases, {})) {
+        const std::optional<Endpoint> endpoint = endpointOfHandle(release.handle);
+        if (endpoint && RuntimeClock::now() < release.expiresAt)
+            byServer[*endpoint].push_back(std::move(release));
     }
-    for (const auto& [endpoint, handles] : byServer) {
+    std::vector<PendingRelease> delayed;
+    for (auto& [endpoint, releases] : byServer) {
+        const ServerEntry* limited = findLimited(endpoint);
+        std::optional<ServerEntry> server = limited ? std::optional(*limited) : std::nullopt;
+        if (server && !co_await m_backendCaller.limits().acquire(std::move(*server))) {
+            std::move(releases.begin(), releases.end(), std::back_inserter(delayed));
+            continue;
+        }
+        std::vector<std::string> handles;
+        for (PendingRelease& release : releases)
+            handles.push_back(std::move(release.handle));
         try {
             co_await m_backendCaller.callWithoutCheck(endpoint, Platform::makeReleaseCall(handles));
         } catch (const std::exception&) {
             // The server drops the results when their lifetime expires, or has already stopped.
         }
     }
+    if (!delayed.empty()) {
+        std::move(delayed.begin(), delayed.end(), std::back_inserter(group.releases));
+        scheduleReleases(key, limitedReleaseDelay);
+    }
     advance(key);
 }
 
--- a/src/gateway/stagehome.h
+++ b/src/gateway/stagehome.h
@@ -42,6 +42,11 @@
         AsyncEvent ended;
         std::optional<StageWorkResult> result;
     };
+    struct PendingRelease {
+        std::string handle;
+        // When the result expires anyway.
+        TimePoint expiresAt {};
+    };
     struct Group {
         explicit Group(boost::asio::io_context& context, const StageTraits& traits)
             : scheduler(traits)
@@ -54,7 +59,7 @@
         RuntimeTimer timer;
         std::uint64_t serversGeneration = 0;
         std::map<std::uint64_t, std::shared_ptr<Waiter>> waiters;
-        std::vector<std::string> releases;
+        std::vector<PendingRelease> releases;
         RuntimeTimer releaseTimer;
         bool isReleasing = false;
     };
@@ -68,7 +73,10 @@
     StageWorkPermit permitFor(Fingerprint fingerprint, TimePoint now) const;
     void reportRuns(const PlannedCall& planned, RunEnd end, TimePoint sentAt);
     boost::asio::awaitable<void> callServer(GroupKey key, PlannedCall planned);
-    boost::asio::awaitable<void> sendReleases(GroupKey key);
+    void scheduleReleases(const GroupKey& key, Milliseconds delay);
+    boost::asio::awaitable<void> sendReleases(GroupKey key, Milliseconds delay);
+    // The server at an endpoint if it has a limit.
+    const ServerEntry* findLimited(const Endpoint& endpoint) const;
 
     boost::asio::io_context& m_context;
     ServingView& m_view;
--- a/src/gateway/streamforwarder.cpp
+++ b/src/gateway/streamforwarder.cpp
@@ -19,6 +19,8 @@
     constexpr int successClass = 2;
     // Number of engines that are tried for one request.
     constexpr std::size_t maxEngines = 5;
+    // Number of engines whose permits are requested before the stages run.
+    constexpr std::size_t maxPermitRequests = 3;
     // An event of which more bytes have arrived does not end.
     constexpr std::size_t maxEventBytes = 262'144;
     // A full engine has a free slot again within the processing time of a few requests.
@@ -62,6 +64,8 @@
     if (!request.caller.lastEventId.empty())
         co_await findOrigin(request, progress);
     m_retries.recordRequest(request.pool, RuntimeClock::now());
+    if (!progress.refusal && m_backendCaller.limits().limitedServers() > 0)
+        co_await reservePermit(request, progress);
     for (int round = 0; round < maxStageRounds && !progress.refusal; ++round) {
         progress.needsStageRerun = false;
         co_await runStages(request, progress);
@@ -112,6 +116,10 @@
         const KnownServer* known = chooseEngine(request, progress);
         if (!known)
             co_return;
+        const ServerEntry engine = known->server;
+        progress.tried.insert(engine.id);
+        if (!co_await acquirePermit(progress, engine))
+            continue;
         const bool isRetry = progress.outcome.sends > 0;
         const TimePoint sentAt = RuntimeClock::now();
         std::optional<RetryPermit> permit;
@@ -121,8 +129,6 @@
             else
                 co_return;
         }
-        const ServerEntry engine = known->server;
-        progress.tried.insert(engine.id);
         onPromptSent(request, progress, engine.id);
         SendResult sent = co_await m_backendCaller.send(request, engine, progress.stages.inputs,
             progress.events.lastEventId(), std::max(request.timeLeft(sentAt), Milliseconds(1)));
@@ -191,15 +197,62 @@
     return engines.empty() ? FailureDomainId() : engines.front()->server.domain;
 }
 
-const KnownServer* StreamForwarder::chooseEngine(const ServedRequest& request, const StreamProgress& progress)
+Asio::awaitable<void> StreamForwarder::reservePermit(const ServedRequest& request, StreamProgress& progress)
+{
+    LimitPermits& limits = m_backendCaller.limits();
+    const auto engines = m_placement.rank(request.caller, usableEngines(request, progress), {},
+        m_backendCaller.tracker(), RuntimeClock::now());
+    std::vector<ServerEntry> candidates;
+    for (const KnownServer* engine : engines) {
+        if (!limits.isLimited(engine->server))
+            co_return;
+        if (limits.mayAcquire(engine->server))
+            candidates.push_back(engine->server);
+        else
+            progress.outcome.limited.insert(engine->server.id);
+    }
+    if (engines.empty())
+        co_return;
+    candidates.resize(std::min(candidates.size(), maxPermitRequests));
+    for (const ServerEntry& engine : candidates) {
+        if (co_await limits.acquire(engine)) {
+            progress.permit = engine.id;
+            co_return;
+        }
+        progress.outcome.limited.insert(engine.id);
+    }
+    progress.refusal = GatewayRefusal::Limited;
+}
+
+Asio::awaitable<bool> StreamForwarder::acquirePermit(StreamProgress& progress, ServerEntry engine)
+{
+    if (progress.permit == engine.id) {
+        progress.permit.reset();
+        co_return true;
+    }
+    const BackendServerId id = engine.id;
+    const bool isAcquired = co_await m_backendCaller.limits().acquire(std::move(engine));
+    if (!isAcquired)
+        progress.outcome.limited.insert(id);
+    co_return isAcquired;
+}
+
+const KnownServer* StreamForwarder::chooseEngine(const ServedRequest& request, StreamProgress& progress)
 {
     const TimePoint now = RuntimeClock::now();
     const Pool* pool = request.config->findPool(request.pool);
     const auto engines = m_placement.rank(request.caller, usableEngines(request, progress),
         progress.stages.inputBytes, m_backendCaller.tracker(), now);
+    const bool isPermitUsable = std::any_of(engines.begin(), engines.end(),
+        [&progress](const KnownServer* engine) { return engine->server.id == progress.permit; });
     for (const KnownServer* engine : engines) {
-        if (progress.tried.contains(engine->server.id))
+        const BackendServerId& id = engine->server.id;
+        if (progress.tried.contains(id) || (progress.permit && progress.permit != id && isPermitUsable))
             continue;
+        if (progress.permit != id && !m_backendCaller.limits().mayAcquire(engine->server)) {
+            progress.outcome.limited.insert(id);
+            continue;
+        }
         if (engine->isCold(now)
             && !m_coldLimiter.tryAcquire(engine->server.id, pool ? pool->coldRate : 0, now))
             continue;
@@ -340,7 +393,9 @@
     std::optional<Milliseconds> retryAfter;
     const bool isTimeout = request.scope->endReason() == ScopeEndReason::TimedOut;
     if (progress.refusal) {
-        if (progress.version)
+        if (progress.refusal == GatewayRefusal::Limited)
+            retryAfter = m_backendCaller.limits().retryAfter(usableEngines(request, progress));
+        else if (progress.version)
             retryAfter = versionRetryAfter(request, *progress.version);
     } else if (progress.runs > 0) {
         reason = isTimeout ? GatewayRefusal::TimedOut : GatewayRefusal::ServerFailed;
@@ -350,6 +405,10 @@
     } else {
         reason = progress.outcome.sends > 0 ? GatewayRefusal::Overloaded : GatewayRefusal::NoServer;
         retryAfter = fullPoolRetryAfter;
+        if (progress.outcome.sends == 0 && !progress.outcome.limited.empty()) {
+            reason = GatewayRefusal::Limited;
+            retryAfter = m_backendCaller.limits().retryAfter(usableEngines(request, progress));
+        }
     }
     const TimePoint now = RuntimeClock::now();
     if (progress.runs == 0 && !m_poison.refusedOf(request.subjects, now).empty()) {
--- a/src/gateway/streamforwarder.h
+++ b/src/gateway/streamforwarder.h
@@ -36,7 +36,9 @@
         bool needsStageRerun = false;
         // Software version of the engine that began the stream; only engines of this version may go on with it.
         std::optional<SoftwareVersion> version;
-        // Why a stream that its caller resumes can't go on.
+        // Engine for which a permit was acquired before the stages ran.
+        std::optional<BackendServerId> permit;
+        // Why the request is refused before its stages run.
         std::optional<GatewayRefusal> refusal;
     };
 
@@ -47,7 +49,11 @@
     std::vector<const KnownServer*> usableEngines(
         const ServedRequest& request, const StreamProgress& progress) const;
     bool hasUntriedEngine(const ServedRequest& request, const StreamProgress& progress) const;
-    const KnownServer* chooseEngine(const ServedRequest& request, const StreamProgress& progress);
+    const KnownServer* chooseEngine(const ServedRequest& request, StreamProgress& progress);
+    // If all engines have limits, acquires a permit before the stages run in vain, or sets the refusal.
+    boost::asio::awaitable<void> reservePermit(const ServedRequest& request, StreamProgress& progress);
+    // Acquires a permit for an engine, unless it was reserved.
+    boost::asio::awaitable<bool> acquirePermit(StreamProgress& progress, ServerEntry engine);
     // Finds the pool and the version that may go on with a stream that its caller resumes. Sets the refusal if
     // there are none.
     boost::asio::awaitable<void> findOrigin(ServedRequest& request, StreamProgress& progress);
--- a/src/gateway/streamoriginsync.cpp
+++ b/src/gateway/streamoriginsync.cpp
@@ -69,9 +69,7 @@
     bool isSent = false;
     try {
         Message message = TextMessage { noticeTopic, std::move(notice) };
-        const auto stream = co_await m_peers.open(std::move(peer), std::move(message), peerTimeout);
-        stream->finish();
-        co_await stream->read();
+        co_await m_peers.notify(std::move(peer), std::move(message), peerTimeout);
         isSent = true;
     } catch (const std::exception&) {
         // The other holder may have got it. A caller that resumes the stream is refused otherwise.
--- a/src/libnet/peerclient.cpp
+++ b/src/libnet/peerclient.cpp
@@ -117,4 +117,14 @@
     co_return std::move(*response);
 }
 
+Asio::awaitable<void> PeerClient::notify(PeerEndpoint endpoint, Message message, Milliseconds timeout)
+{
+    const std::shared_ptr<Impl> impl = m_impl;
+    const std::shared_ptr<PeerStream> stream
+        = co_await open(std::move(endpoint), std::move(message), timeout);
+    const Watchdog watchdog(impl->context(), timeout, [stream] { stream->cancel(); });
+    stream->finish();
+    co_await stream->read();
+}
+
 }
--- a/src/libnet/peerstream.h
+++ b/src/libnet/peerstream.h
@@ -103,6 +103,9 @@
     boost::asio::awaitable<Message> call(
         PeerEndpoint endpoint, Message request, Milliseconds timeout);
 
+    // Opens a stream, sends a message that has no response, and waits until the peer has handled it.
+    boost::asio::awaitable<void> notify(PeerEndpoint endpoint, Message message, Milliseconds timeout);
+
 private:
     class Impl;
     std::shared_ptr<Impl> m_impl;
--- a/src/libserving/crashdetector.h
+++ b/src/libserving/crashdetector.h
@@ -3,6 +3,7 @@
 #include "libapricot/fingerprint.h"
 #include "libapricot/poisontable.h"
 #include "libserving/serverdirectory.h"
+#include "libserving/serverstart.h"
 
 #include <map>
 #include <string_view>
@@ -23,14 +24,6 @@
     Unproven,
 };
 
-// One start of a backend server.
-struct ServerStart {
-    BackendServerId server;
-    std::int64_t startedAt = 0;
-
-    auto operator<=>(const ServerStart&) const = default;
-};
-
 // A run that ended, and when it was sent.
 struct EndedRun {
     Fingerprint fingerprint = 0;
--- a/src/libserving/stagescheduler.cpp
+++ b/src/libserving/stagescheduler.cpp
@@ -58,6 +58,12 @@
     });
 }
 
+void StageScheduler::pauseServers(const std::function<TimePoint(const StageServer&)>& availableAt)
+{
+    for (auto& [id, server] : m_servers)
+        server.pausedUntil = std::max(server.pausedUntil, availableAt(server.server));
+}
+
 std::optional<StageWorkResult> StageScheduler::submit(TaskId id, StageWork work, TimePoint now)
 {
     Task task { .work = std::move(work) };
@@ -243,8 +249,10 @@
     const Call call = found->second;
     endCall(found);
     Server& server = m_servers.at(call.server);
-    server.pausedUntil = now
-        + (failure == StageCallFailure::Refused ? m_options.fullPause : m_options.failurePause);
+    // The pause of a limited server depends on its next permit; see pauseServers().
+    if (failure != StageCallFailure::Limited)
+        server.pausedUntil = now
+            + (failure == StageCallFailure::Refused ? m_options.fullPause : m_options.failurePause);
     if (failure == StageCallFailure::TimedOut)
         server.slowdownFactor = std::max(
             server.slowdownFactor, slowdownFactorOf(call.startedAt, call.expectedTime, now));
@@ -256,7 +264,7 @@
         const auto task = m_tasks.find(piece.task);
         if (task == m_tasks.end() || call.isOverdue)
             continue;
-        if (failure == StageCallFailure::Refused)
+        if (failure == StageCallFailure::Refused || failure == StageCallFailure::Limited)
             requeuePiece(task->second, piece.piece);
         else
             onPieceFailed(piece.task, task->second, piece.piece);
--- a/src/libserving/stagescheduler.h
+++ b/src/libserving/stagescheduler.h
@@ -92,6 +92,8 @@
     Refused,
     // The server could not be reached.
     NotSent,
+    // The server's limit permitted no call.
+    Limited,
     // The connection broke after the call was sent, or the response was malformed.
     Broken,
     // No response arrived in time.
@@ -115,6 +117,8 @@
 
     void setTraits(const StageTraits& traits);
     void setServers(const std::vector<StageServer>& servers);
+    // Plans no calls of a server before the time that the function returns for it.
+    void pauseServers(const std::function<TimePoint(const StageServer&)>& availableAt);
 
     // Accepts work and returns nothing, or returns the result at once: Done for work without pieces,
     // Overloaded for the first work of a request that cannot meet its deadline.
--- a/tests/platform/gatewayfixture.h
+++ b/tests/platform/gatewayfixture.h
@@ -36,8 +36,9 @@
     Apricot::ColdLimiter coldLimiter;
     Apricot::PoisonTable poison;
     Apricot::MetricRegistry registry;
-    Apricot::BackendCaller backendCaller { context, view, tracker };
     Apricot::PeerClient peers { context };
+    Apricot::LimitPermits limits { context, view, peers, Apricot::HostId("h1"), registry };
+    Apricot::BackendCaller backendCaller { context, view, tracker, limits };
     Apricot::StageHome home { context, view, backendCaller, poison };
     Apricot::StageRouter router { context, Apricot::HostId("h1"), view, home, peers };
     Apricot::StageRunner stages { context, router };
--- a/tests/platform/serverlimittest.cpp
+++ b/tests/platform/serverlimittest.cpp
@@ -1,7 +1,10 @@
 #include "gatewaycluster.h"
 
+#include "libapricot/rendezvous.h"
+
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <cstdlib>
 
 using namespace Apricot;
@@ -36,6 +39,27 @@
             cluster.send(host, path, "ordinary " + std::to_string(number));
             cluster.runFor(pause);
         }
+        cluster.runFor(Milliseconds(300));
+    }
+
+    // Plain servers, the first of which names a limit.
+    std::string addLimitedServer(const std::string& limit)
+    {
+        cluster.addServers("plain", 3);
+        cluster.waitUntilReady();
+        const std::string server = cluster.serverId("plain", 0);
+        cluster.limits[server] = limit;
+        return server;
+    }
+
+    // Position of the host that grants the permits of a server.
+    static std::size_t grantorOf(const std::string& server)
+    {
+        std::vector<HostId> hosts;
+        for (std::size_t host = 0; host < hostCount; ++host)
+            hosts.emplace_back("host-" + std::to_string(host));
+        const HostId first = rankHosts(server, hosts).front();
+        return static_cast<std::size_t>(std::find(hosts.begin(), hosts.end(), first) - hosts.begin());
     }
 
     void checkLimits(TimePoint namedAt)
@@ -121,3 +145,105 @@
     checkLimits(namedAt);
     CHECK_COMPARE(cluster.countResponses("ordinary", 200), >=, 30);
 }
+
+// Guards against stage results that are produced in vain, because no engine may run their request.
+TEST(ServerLimit, ofAllEnginesRefusesRequestsBeforeTheirStagesRun)
+{
+    cluster.addServers("engines", 2);
+    cluster.addServers("stages", 4);
+    cluster.waitUntilReady();
+    for (std::size_t position = 0; position < 2; ++position)
+        cluster.limits[cluster.serverId("engines", position)] = "0.5";
+    play("/staged/x", Milliseconds(5000), Milliseconds(50));
+    const std::size_t refused = cluster.countResponses("ordinary", 503);
+    CHECK_COMPARE(refused, >=, 50);
+    std::size_t pieces = 0;
+    for (const ScriptedRun& run : cluster.runs) {
+        if (run.pool == "stages")
+            pieces += static_cast<std::size_t>(std::count(run.content.begin(), run.content.end(), ' ')) / 2;
+    }
+    CHECK_COMPARE(pieces + refused, <=, static_cast<std::size_t>(requests) + 5);
+}
+
+TEST(ServerLimit, endsWithAResponseThatNamesNone)
+{
+    const std::string server = addLimitedServer("1");
+    play("/again/x", Milliseconds(4000));
+    cluster.limits.clear();
+    cluster.runFor(Milliseconds(1500));
+    play("/again/x", Milliseconds(2000));
+    const TimePoint from = RuntimeClock::now();
+    play("/again/x", Milliseconds(2000));
+    CHECK_COMPARE(cluster.runsAt(server, from), >=, 10);
+}
+
+TEST(ServerLimit, thatIsLoweredHolds)
+{
+    const std::string server = addLimitedServer("8");
+    play("/again/x", Milliseconds(4000));
+    cluster.limits[server] = "0.5";
+    const TimePoint namedAt = RuntimeClock::now();
+    play("/again/x", playTime);
+    checkLimits(namedAt);
+}
+
+// A server that permits nothing is tried again now and then, because its limit may have ended.
+TEST(ServerLimit, ofZeroLeavesFewRequests)
+{
+    const std::string server = addLimitedServer("0");
+    const TimePoint namedAt = RuntimeClock::now();
+    play("/again/x", playTime);
+    checkLimits(namedAt);
+    CHECK_COMPARE(cluster.runsAt(server, namedAt + contactTime), <=, 2);
+}
+
+TEST(ServerLimit, thatIsNoDecimalNumberChangesNothing)
+{
+    const std::string server = addLimitedServer("");
+    const std::vector<std::string> values { "", "-1", "none", "1e1", "inf", "nan", "1 a", std::string(500, '9') };
+    for (const std::string& value : values) {
+        cluster.limits[server] = value;
+        const TimePoint from = RuntimeClock::now();
+        play("/again/x", Milliseconds(700));
+        CHECK_COMPARE_TEXT(cluster.runsAt(server, from), >=, 4, value.c_str());
+    }
+}
+
+// Guards against a substitute that grants the whole limit beside the host that it replaces.
+TEST(ServerLimit, holdsWhileTheGrantingHostIsRestarted)
+{
+    const std::string server = addLimitedServer("2");
+    const std::size_t grantor = grantorOf(server);
+    const TimePoint namedAt = RuntimeClock::now();
+    play("/again/x", Milliseconds(4000));
+    cluster.restartHost(grantor);
+    play("/again/x", Milliseconds(6000));
+    checkLimits(namedAt);
+    CHECK_COMPARE(cluster.runsAt(server, namedAt + contactTime), >=, 5);
+}
+
+TEST(ServerLimit, holdsWhileTheGrantingHostIsGone)
+{
+    const std::string server = addLimitedServer("2");
+    const std::size_t grantor = grantorOf(server);
+    const TimePoint namedAt = RuntimeClock::now();
+    play("/again/x", Milliseconds(3000));
+    cluster.killHost(grantor);
+    const TimePoint from = RuntimeClock::now();
+    play("/again/x", Milliseconds(8000));
+    checkLimits(namedAt);
+    // The substitute grants half of the limit.
+    CHECK_COMPARE(cluster.runsAt(server, from), >=, 4);
+}
+
+// A host that starts later knows no limits, and learns of them before it has sent many requests.
+TEST(ServerLimit, holdsForAHostThatStartsLater)
+{
+    const std::string server = addLimitedServer("1");
+    cluster.killHost(0);
+    const TimePoint namedAt = RuntimeClock::now();
+    play("/again/x", Milliseconds(4000));
+    cluster.restartHost(0);
+    play("/again/x", playTime);
+    checkLimits(namedAt);
+}
