Serve what has arrived when a server stops as planned

Callers whose request had just been accepted, or was being read, got a reset or a closed connection without a response during a planned stop under load (LOST).

Cause: stopAccepting() closed the listener with what waited in it, and every connection that waited for a request, also if its bytes had arrived; and only handlers counted as in flight. Change: stopAfterPendingRequests() accepts what waits, closes idle connections without bytes, gives new ones 300 ms for their first request, and counts open connections as in flight until they end. The gateway and the entry daemon use it; stopAccepting() stays for ends at once.

--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -74,7 +74,7 @@
         {
             m_service.beginShutdown();
             co_await sleepFor(m_daemon.control().get_executor(), balancerDelay);
-            Asio::post(m_daemon.traffic(), [this] { m_http.stopAccepting(); });
+            Asio::post(m_daemon.traffic(), [this] { m_http.stopAfterPendingRequests(); });
             do
                 co_await sleepFor(m_daemon.control().get_executor(), drainPollInterval);
             while (m_http.exchangesInFlight() > 0);
--- a/src/gateway/gatewaydaemon.cpp
+++ b/src/gateway/gatewaydaemon.cpp
@@ -257,7 +257,7 @@
     const auto executor = m_context.get_executor();
     while (RuntimeClock::now() < startedAt + balancerNoticeTime)
         co_await sleepFor(executor, drainPollInterval);
-    m_callerServer.stopAccepting();
+    m_callerServer.stopAfterPendingRequests();
     while (RuntimeClock::now() < endsAt
         && (m_callerServer.exchangesInFlight() > 0 || m_peerServer.streamsInFlight() > 0)) {
         if (RuntimeClock::now() >= endsAt - refusalMargin)
--- a/src/libnet/httpserver.cpp
+++ b/src/libnet/httpserver.cpp
@@ -1,5 +1,6 @@
 #include "libnet/httpserver.h"
 
+#include "libnet/asyncevent.h"
 #include "libnet/httpexchangeimpl.h"
 #include "libnet/requesthead.h"
 #include "libnet/watchdog.h"
@@ -12,8 +13,9 @@
 
 #include <array>
 #include <atomic>
+#include <map>
 #include <optional>
-#include <set>
+#include <utility>
 
 namespace Apricot {
 
@@ -29,6 +31,8 @@
     constexpr int statusTimeout = 408;
     constexpr int statusBodyTooLarge = 413;
     constexpr int statusHeaderTooLarge = 431;
+    // How long a new connection may take to send its first request once the server stops.
+    constexpr Milliseconds firstRequestTimeout { 300 };
     // How long the unread data of a rejected request is read and discarded.
     constexpr Milliseconds lingerTimeout { 500 };
 
@@ -52,17 +56,38 @@
     }
 
     std::uint16_t port() const { return m_port; }
-    std::size_t exchangesInFlight() const { return m_exchangesInFlight; }
+    std::size_t exchangesInFlight() const { return m_isStopping ? m_connections : m_exchangesInFlight; }
 
     void stopAccepting()
     {
         m_acceptingStopped = true;
         boost::system::error_code ignored;
         m_acceptor.close(ignored); // NOLINT(bugprone-unused-return-value)
-        for (Tcp::socket* socket : m_idleSockets)
+        for (const auto& [socket, isNew] : m_idleSockets)
             socket->close(ignored); // NOLINT(bugprone-unused-return-value)
     }
 
+    void stopAfterPendingRequests()
+    {
+        m_isStopping = true;
+        boost::system::error_code error;
+        m_acceptor.non_blocking(true, error); // NOLINT(bugprone-unused-return-value)
+        while (!error || error == Asio::error::connection_aborted) {
+            Tcp::socket socket = m_acceptor.accept(error);
+            if (!error)
+                serve(std::move(socket));
+        }
+        m_acceptor.close(error); // NOLINT(bugprone-unused-return-value)
+        closeIdleSockets(false);
+        Asio::co_spawn(
+            m_acceptor.get_executor(),
+            [self = shared_from_this()]() -> Asio::awaitable<void> {
+                co_await sleepFor(self->m_acceptor.get_executor(), firstRequestTimeout);
+                self->closeIdleSockets(true);
+            },
+            Asio::detached);
+    }
+
     void closeAfterResponses() { m_closingAfterResponses = true; }
     void storePort() { m_port = m_acceptor.local_endpoint().port(); }
 
@@ -75,23 +100,53 @@
                 Asio::redirect_error(Asio::use_awaitable, error));
             if (error)
                 continue;
-            Asio::co_spawn(
-                m_acceptor.get_executor(),
-                [self = shared_from_this(), moved = std::move(socket)]() mutable {
-                    return self->serveConnection(std::move(moved));
-                },
-                Asio::detached);
+            serve(std::move(socket));
         }
     }
 
+    void serve(Tcp::socket socket)
+    {
+        ++m_connections;
+        Asio::co_spawn(
+            m_acceptor.get_executor(),
+            [self = shared_from_this(), moved = std::move(socket)]() mutable {
+                return self->serveConnection(std::move(moved));
+            },
+            [self = shared_from_this()](const std::exception_ptr&) { --self->m_connections; });
+    }
+
+    static bool hasReceived(const Tcp::socket& socket)
+    {
+        boost::system::error_code ignored;
+        return socket.available(ignored) > 0;
+    }
+
+    // Closes the connections that wait for a request of which no byte has arrived, those that wait for their first one
+    // only if stated.
+    void closeIdleSockets(bool withNew)
+    {
+        boost::system::error_code ignored;
+        for (const auto& [socket, isNew] : m_idleSockets) {
+            if ((withNew || !isNew) && !hasReceived(*socket))
+                socket->close(ignored); // NOLINT(bugprone-unused-return-value)
+        }
+    }
+
+    // Whether another request is read from a connection.
+    bool mayRead(const Tcp::socket& socket, const boost::beast::flat_buffer& buffer, bool isFirst) const
+    {
+        return !m_acceptingStopped && (!m_isStopping || isFirst || buffer.size() > 0 || hasReceived(socket));
+    }
+
     Asio::awaitable<void> serveConnection(Tcp::socket socket)
     {
         boost::system::error_code error;
         socket.set_option(Tcp::no_delay(true), error); // NOLINT(bugprone-unused-return-value)
         boost::beast::flat_buffer buffer;
+        bool isFirst = true;
         bool keepOpen = true;
-        while (keepOpen && !m_acceptingStopped)
-            keepOpen = co_await serveRequest(socket, buffer);
+        while (keepOpen && mayRead(socket, buffer, isFirst))
+            keepOpen = co_await serveRequest(socket, buffer, std::exchange(isFirst, false));
     }
 
     HttpLimits limits() const
@@ -112,13 +167,13 @@
     }
 
     // Waits for the first byte of a request. Returns false if the connection ends first.
-    Asio::awaitable<bool> waitForRequest(
-        Tcp::socket& socket, const boost::beast::flat_buffer& buffer, Milliseconds timeout)
+    Asio::awaitable<bool> waitForRequest(Tcp::socket& socket, const boost::beast::flat_buffer& buffer,
+        Milliseconds timeout, bool isFirst)
     {
         if (buffer.size() > 0)
             co_return true;
         const std::unique_ptr<Watchdog> watchdog = startTimeout(socket, timeout);
-        m_idleSockets.insert(&socket);
+        m_idleSockets.emplace(&socket, isFirst);
         boost::system::error_code error;
         co_await socket.async_wait(
             Tcp::socket::wait_read, Asio::redirect_error(Asio::use_awaitable, error));
@@ -154,10 +209,10 @@
     }
 
     // Reads and handles one request. Returns whether the connection may be used for another one.
-    Asio::awaitable<bool> serveRequest(Tcp::socket& socket, boost::beast::flat_buffer& buffer)
+    Asio::awaitable<bool> serveRequest(Tcp::socket& socket, boost::beast::flat_buffer& buffer, bool isFirst)
     {
         const HttpLimits currentLimits = limits();
-        if (!co_await waitForRequest(socket, buffer, currentLimits.idleTimeout))
+        if (!co_await waitForRequest(socket, buffer, currentLimits.idleTimeout, isFirst))
             co_return false;
         const std::optional<int> errorStatus = co_await readHeader(socket, buffer, currentLimits);
         if (!errorStatus)
@@ -247,7 +302,11 @@
     std::atomic<std::size_t> m_exchangesInFlight { 0 };
     bool m_acceptingStopped = false;
     bool m_closingAfterResponses = false;
-    std::set<Tcp::socket*> m_idleSockets;
+    // Set by stopAfterPendingRequests().
+    std::atomic<bool> m_isStopping { false };
+    std::atomic<std::size_t> m_connections { 0 };
+    // Connections that wait for a request, and whether it is their first.
+    std::map<Tcp::socket*, bool> m_idleSockets;
 };
 
 HttpServer::HttpServer(
@@ -278,6 +337,11 @@
     m_impl->closeAfterResponses();
 }
 
+void HttpServer::stopAfterPendingRequests()
+{
+    m_impl->stopAfterPendingRequests();
+}
+
 void HttpServer::stopAccepting()
 {
     m_impl->stopAccepting();
--- a/src/libnet/httpserver.h
+++ b/src/libnet/httpserver.h
@@ -94,10 +94,14 @@
     std::uint16_t port() const;
     // Closes each connection after its next response, which announces this to the client.
     void closeAfterResponses();
-    // Number of requests whose handler has not returned. May be called on any thread.
+    // Number of requests whose handler has not returned; once the server stops after pending requests, of all
+    // connections that are still open. May be called on any thread.
     std::size_t exchangesInFlight() const;
     // Stops listening and closes idle connections; exchanges in flight continue.
     void stopAccepting();
+    // Accepts the connections that wait for it and then stops listening. Requests of which a byte has arrived are served,
+    // and so are first requests that arrive soon; idle connections are closed.
+    void stopAfterPendingRequests();
 
 private:
     class Impl;
