--- a/tests/platform/clusterservers.cpp
+++ b/tests/platform/clusterservers.cpp
@@ -101,7 +101,7 @@
 
 std::string GatewayCluster::removeServer(const std::string& pool, std::size_t position)
 {
-    const std::string id = serverAt(pool, position).id;
+    std::string id = serverAt(pool, position).id;
     removeObject("servers/" + id);
     return id;
 }
--- a/tests/platform/gatewaycluster.cpp
+++ b/tests/platform/gatewaycluster.cpp
@@ -153,6 +153,17 @@
     runFor(storeCallTime);
 }
 
+void GatewayCluster::sendToPeer(std::size_t host, Message message)
+{
+    Asio::co_spawn(
+        m_context,
+        [this, port = m_hosts.at(host)->peers, message = std::move(message)]() mutable -> Asio::awaitable<void> {
+            Endpoint endpoint { "127.0.0.1", port };
+            co_await m_peers.notify(std::move(endpoint), std::move(message), Milliseconds(500));
+        },
+        Asio::detached);
+}
+
 void GatewayCluster::setStoreFaults(const std::string& faults)
 {
     HttpCall call { .method = "POST", .target = "/faults", .body = faults };
--- a/tests/platform/gatewaycluster.h
+++ b/tests/platform/gatewaycluster.h
@@ -86,6 +86,8 @@
     void send(std::size_t host, const ClusterRequest& request);
     // Sends a caller's request to a host, and runs until its response has ended.
     ClusterResponse call(std::size_t host, const ClusterRequest& request);
+    // Sends a message to a host as a peer does.
+    void sendToPeer(std::size_t host, Apricot::Message message);
     // Ends the process of a host at once, and starts it again.
     void restartHost(std::size_t host);
     // Ends the process of a host at once. The store still lists the host.
@@ -166,6 +168,7 @@
     boost::asio::io_context m_context;
     Apricot::PlatformServer m_platform { m_context, {} };
     Apricot::PlatformClient m_store { m_context, { .port = m_platform.port() } };
+    Apricot::PeerClient m_peers { m_context };
     ClusterRetries m_retries;
     std::vector<std::unique_ptr<BackendServer>> m_servers;
     std::vector<std::unique_ptr<ScriptedServer>> m_scriptedServers;
--- a/tests/platform/serverlimittest.cpp
+++ b/tests/platform/serverlimittest.cpp
@@ -47,7 +47,7 @@
     {
         cluster.addServers("plain", 3);
         cluster.waitUntilReady();
-        const std::string server = cluster.serverId("plain", 0);
+        std::string server = cluster.serverId("plain", 0);
         cluster.limits[server] = limit;
         return server;
     }
