Rely on a substitute's own refusal of a permit until the next one is due

Found by reading. While the first granting host of a server does not respond and this host is its substitute, a refusal was not recorded, so a limited stage server counted as available, and its home planned, refused and planned its call again at once until the next permit was due.

--- a/src/gateway/limitpermits.cpp
+++ b/src/gateway/limitpermits.cpp
@@ -121,8 +121,12 @@
 
 bool LimitPermits::acquireHere(const ServerStart& server, double share)
 {
-    const bool isGranted = m_limits.tryAcquire(server, share, RuntimeClock::now());
+    const TimePoint now = RuntimeClock::now();
+    const bool isGranted = m_limits.tryAcquire(server, share, now);
     count(isGranted ? "granted" : "refused");
+    // A substitute relies on this as on the refusal of another host; otherwise it would try again at once.
+    if (!isGranted)
+        m_limits.recordRefusal(server, m_limits.nextPermitAt(server, share, now), now);
     return isGranted;
 }
 
