--- a/tests/platform/serverlimittest.cpp
+++ b/tests/platform/serverlimittest.cpp
@@ -263,3 +263,19 @@
     play("/again/x", playTime);
     checkLimits(namedAt);
 }
+
+// Guards against a stage home that plans the calls of a limited server over and over while it substitutes for the host
+// that grants its permits.
+TEST(ServerLimit, ofStagesHoldsWhileAGrantingHostIsGone)
+{
+    cluster.addServers("engines", 2);
+    cluster.addServers("stages", 6);
+    cluster.waitUntilReady();
+    for (std::size_t position = 0; position < 6; ++position)
+        cluster.limits[cluster.serverId("stages", position)] = "0.5";
+    const TimePoint namedAt = RuntimeClock::now();
+    play("/staged/x", Milliseconds(2000), Milliseconds(50));
+    cluster.killHost(grantorOf(cluster.serverId("stages", 0)));
+    play("/staged/x", Milliseconds(5000), Milliseconds(50));
+    checkLimits(namedAt);
+}
