--- a/src/emulator/link/link.cpp
+++ b/src/emulator/link/link.cpp
@@ -44,6 +44,19 @@
         m_cutEnded.notifyAll();
 }
 
+void Link::resetConnections()
+{
+    boost::system::error_code ignored;
+    for (const std::weak_ptr<Socket>& weak : m_sockets) {
+        const std::shared_ptr<Socket> socket = weak.lock();
+        if (!socket)
+            continue;
+        socket->set_option(Asio::socket_base::linger(true, 0), ignored); // NOLINT(bugprone-unused-return-value)
+        socket->close(ignored); // NOLINT(bugprone-unused-return-value)
+    }
+    m_sockets.clear();
+}
+
 Asio::awaitable<void> Link::acceptConnections()
 {
     while (true) {
@@ -67,6 +80,8 @@
         co_return;
     client->set_option(Tcp::no_delay(true));
     server->set_option(Tcp::no_delay(true));
+    std::erase_if(m_sockets, [](const auto& weak) { return weak.expired(); });
+    m_sockets.insert(m_sockets.end(), { client, server });
     Asio::co_spawn(
         m_context,
         [self = shared_from_this(), client, server] { return self->forward(client, server); },
--- a/src/emulator/link/link.h
+++ b/src/emulator/link/link.h
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <memory>
+#include <vector>
 
 namespace Apricot {
 
@@ -33,6 +34,8 @@
 
     void start();
     void setFaults(LinkFaults faults);
+    // Resets the connections that are being forwarded.
+    void resetConnections();
     std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
 
 private:
@@ -49,6 +52,7 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     LinkFaults m_faults;
     AsyncEvent m_cutEnded;
+    std::vector<std::weak_ptr<Socket>> m_sockets;
 };
 
 }
--- a/src/gateway/backendcaller.cpp
+++ b/src/gateway/backendcaller.cpp
@@ -1,6 +1,5 @@
 #include "gateway/backendcaller.h"
 
-#include "gateway/serverprobe.h"
 #include "libnet/log.h"
 #include "platform/requesttranslation.h"
 
@@ -84,11 +83,13 @@
 }
 
 BackendCaller::BackendCaller(
-    Asio::io_context& context, ServingView& view, ServerTracker& tracker, LimitPermits& limits)
+    Asio::io_context& context, ServingView& view, ServerTracker& tracker, LimitPermits& limits,
+    BackendLinks& links)
     : m_context(context)
     , m_view(view)
     , m_tracker(tracker)
     , m_limits(limits)
+    , m_links(links)
 {
 }
 
@@ -225,7 +226,7 @@
 Asio::awaitable<bool> BackendCaller::hasEnded(const ServerEntry& server)
 {
     Endpoint endpoint = server.endpoint;
-    return refusesConnections(m_context, std::move(endpoint));
+    return m_links.refusesConnections(std::move(endpoint));
 }
 
 SendResult BackendCaller::classify(std::unique_ptr<HttpStream> stream) const
@@ -287,7 +288,8 @@
     if (!client) {
         HttpClientOptions options { .address = endpoint.address,
             .port = endpoint.port,
-            .connectTimeout = connectTimeout };
+            .connectTimeout = connectTimeout,
+            .translation = m_links.translation() };
         client = std::make_shared<HttpClient>(m_context, std::move(options));
     }
     return client;
--- a/src/gateway/backendcaller.h
+++ b/src/gateway/backendcaller.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/backendlinks.h"
 #include "gateway/limitpermits.h"
 #include "gateway/requestscope.h"
 #include "libserving/runobserver.h"
@@ -65,7 +66,7 @@
 class BackendCaller {
 public:
     BackendCaller(boost::asio::io_context& context, ServingView& view, ServerTracker& tracker,
-        LimitPermits& limits);
+        LimitPermits& limits, BackendLinks& links);
 
     // Sends a caller's request. The timeout bounds the wait for the response header; the server is sent
     // the time left until the caller's deadline.
@@ -120,6 +121,7 @@
     ServingView& m_view;
     ServerTracker& m_tracker;
     LimitPermits& m_limits;
+    BackendLinks& m_links;
     std::map<Endpoint, std::shared_ptr<HttpClient>> m_clients;
     RunObserver* m_runObserver = nullptr;
 };
--- a/src/gateway/crashmonitor.h
+++ b/src/gateway/crashmonitor.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/backendlinks.h"
 #include "gateway/poisonsync.h"
 #include "libapricot/metrics.h"
 #include "libserving/runobserver.h"
@@ -13,7 +14,7 @@
 class CrashMonitor : public RunObserver {
 public:
     CrashMonitor(boost::asio::io_context& context, ServingView& view, PoisonTable& poison,
-        PoisonSync& sync, MetricRegistry& metrics);
+        PoisonSync& sync, BackendLinks& links, MetricRegistry& metrics);
 
     void onRunEnded(const EndedRun& run) override;
     void onFinished(const std::vector<PoisonSubject>& subjects, int stage) override;
@@ -30,6 +31,7 @@
     ServingView& m_view;
     PoisonTable& m_poison;
     PoisonSync& m_sync;
+    BackendLinks& m_links;
     MetricRegistry& m_metrics;
     CrashDetector m_detector;
     // Servers that are being probed.
--- a/src/gateway/gatewaydaemon.cpp
+++ b/src/gateway/gatewaydaemon.cpp
@@ -70,9 +70,10 @@
           { requireEndpoint(settings.peers), settings.process.failureDomain })
     , m_peers(m_context)
     , m_limits(m_context, m_view, m_peers, settings.process.host, m_metrics)
-    , m_backendCaller(m_context, m_view, m_tracker, m_limits)
+    , m_links(m_context)
+    , m_backendCaller(m_context, m_view, m_tracker, m_limits, m_links)
     , m_poisonSync(m_context, m_store, m_view, m_poison, settings.process.host)
-    , m_crashMonitor(m_context, m_view, m_poison, m_poisonSync, m_metrics)
+    , m_crashMonitor(m_context, m_view, m_poison, m_poisonSync, m_links, m_metrics)
     , m_peerViewSync(m_context, m_viewUpdater, m_view, m_peers, settings.process.host,
           parseEndpoints(settings.seeds).value_or(std::vector<Endpoint>()))
     , m_stageHome(m_context, m_view, m_backendCaller, m_poison)
--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -25,6 +25,7 @@
     // Starts to serve, on the event loop returned by context(). For callers that run it themselves.
     void start();
     boost::asio::io_context& context() { return m_context; }
+    BackendLinks& links() { return m_links; }
 
 private:
     boost::asio::awaitable<void> respondToReadinessProbe(HttpExchange& exchange);
@@ -53,6 +54,7 @@
     ServingViewUpdater m_viewUpdater;
     PeerClient m_peers;
     LimitPermits m_limits;
+    BackendLinks m_links;
     BackendCaller m_backendCaller;
     PoisonSync m_poisonSync;
     CrashMonitor m_crashMonitor;
--- a/src/libnet/httpclient.cpp
+++ b/src/libnet/httpclient.cpp
@@ -85,8 +85,8 @@
         auto connection = std::make_shared<HttpConnection>(m_context);
         setCancelAction(call, connection);
         connection->expires_after(m_options.connectTimeout);
-        const Asio::ip::tcp::endpoint target(
-            Asio::ip::make_address(m_options.address), m_options.port);
+        const Endpoint address = targetAddress();
+        const Asio::ip::tcp::endpoint target(Asio::ip::make_address(address.address), address.port);
         co_await connection->async_connect(target, Asio::use_awaitable);
         connection->socket().set_option(Asio::ip::tcp::no_delay(true));
         connection->socket().set_option(
@@ -126,6 +126,12 @@
     }
 
 private:
+    Endpoint targetAddress() const
+    {
+        Endpoint listed { m_options.address, m_options.port };
+        return m_options.translation ? m_options.translation(listed) : listed;
+    }
+
     struct IdleConnection {
         std::shared_ptr<HttpConnection> connection;
         TimePoint usableUntil {};
--- a/src/libnet/httpclient.h
+++ b/src/libnet/httpclient.h
@@ -91,6 +91,9 @@
 boost::asio::awaitable<boost::system::error_code> tryConnect(
     boost::asio::io_context& context, Endpoint endpoint, Milliseconds timeout);
 
+// Returns the address at which this host reaches a server that is known by another one.
+using AddressTranslation = std::function<Endpoint(const Endpoint&)>;
+
 struct HttpClientOptions {
     std::string address = "127.0.0.1";
     std::uint16_t port = 0;
@@ -102,6 +105,8 @@
     Milliseconds idleTimeout { 60'000 };
     // Whether TCP keepalive probes detect an unresponsive peer while a call waits for its response.
     bool usesKeepaliveProbes = false;
+    // Applied to the address whenever a connection is opened, if set.
+    AddressTranslation translation = {};
 };
 
 // Last check before the bytes of a call are sent: returning false cancels the call.
--- a/tests/platform/clusterservers.cpp
+++ b/tests/platform/clusterservers.cpp
@@ -22,8 +22,6 @@
 constexpr std::int64_t firstStart = 1'700'000'000'000;
 // A server whose process ended is removed from the store after this time.
 constexpr Milliseconds registrationTimeout { 3600 };
-// Time that a run of an ordinary request takes.
-constexpr Milliseconds runTime { 30 };
 
 constexpr const char* firstEvent = "id: 1\ndata: a\n\n";
 constexpr const char* secondEvent = "id: 2\ndata: b\n\n";
@@ -57,6 +55,8 @@
     server.listeners.push_back(std::make_unique<HttpServer>(m_context,
         HttpServerOptions { .port = server.port },
         [this, &server](HttpExchange& exchange) { return serve(server, exchange); }));
+    if (closesConnections)
+        server.listeners.back()->closeAfterResponses();
     registerServer(server, "v1");
 }
 
--- a/tests/platform/gatewaycluster.cpp
+++ b/tests/platform/gatewaycluster.cpp
@@ -37,6 +37,7 @@
     std::uint16_t readiness = findFreePort();
     std::uint16_t peers = findFreePort();
     std::uint16_t admin = findFreePort();
+    std::unique_ptr<HostLinks> links;
     std::unique_ptr<GatewayDaemon> daemon;
 };
 
@@ -46,7 +47,7 @@
     const json::value config = json::parse(clusterConfig);
     Asio::co_spawn(m_context, writeEntry(std::string(Names::configurationKey), config), Asio::detached);
     for (std::size_t host = 0; host < hosts; ++host)
-        m_hosts.push_back(std::make_unique<Host>());
+        m_hosts.push_back(std::make_unique<Host>(Host { .links = std::make_unique<HostLinks>(m_context) }));
     for (std::size_t host = 0; host < hosts; ++host)
         restartHost(host);
 }
@@ -75,6 +76,9 @@
 {
     killHost(host);
     m_hosts.at(host)->daemon = std::make_unique<GatewayDaemon>(settingsFor(host), "");
+    m_hosts.at(host)->daemon->links().setTranslation([this, host](const Endpoint& server) {
+        return m_hosts.at(host)->links->translate(server, forwardsLinks && isServerUp(server.port));
+    });
     m_hosts.at(host)->daemon->start();
 }
 
@@ -83,6 +87,26 @@
     m_hosts.at(host)->daemon.reset();
 }
 
+void GatewayCluster::cutLinks(std::size_t host, LinkFault fault, const std::string& pool)
+{
+    m_hosts.at(host)->links->setFault(fault, [this, pool](std::uint16_t port) {
+        return pool.empty()
+            || std::any_of(m_servers.begin(), m_servers.end(),
+                [&](const auto& server) { return server->port == port && server->pool == pool; });
+    });
+}
+
+std::size_t GatewayCluster::connectionsFrom(std::size_t host) const
+{
+    return m_hosts.at(host)->links->connections();
+}
+
+bool GatewayCluster::isServerUp(std::uint16_t port) const
+{
+    return std::none_of(m_servers.begin(), m_servers.end(),
+        [port](const auto& server) { return server->port == port && !server->isUp; });
+}
+
 Asio::awaitable<void> GatewayCluster::writeEntry(std::string key, json::value value)
 {
     co_await m_store.put(std::move(key), std::move(value), std::nullopt);
--- a/tests/platform/gatewaycluster.h
+++ b/tests/platform/gatewaycluster.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hostlinks.h"
 #include "scriptedserver.h"
 
 #include "emulator/platform/platformserver.h"
@@ -92,6 +93,10 @@
     void restartHost(std::size_t host);
     // Ends the process of a host at once. The store still lists the host.
     void killHost(std::size_t host);
+    // Cuts the links of a host to the backend servers of a pool, or to all of them, or restores them.
+    void cutLinks(std::size_t host, LinkFault fault, const std::string& pool = "");
+    // Number of connections that a host opened to backend servers since its links were last cut or restored.
+    std::size_t connectionsFrom(std::size_t host) const;
     // Ends one backend server of a pool, by its position, if it is up.
     void endServer(const std::string& pool, std::size_t position);
     // Ends all backend servers of a pool at the same time.
@@ -114,6 +119,12 @@
 
     // Time between the end of a server and its return.
     Apricot::Milliseconds serverDownTime { 2000 };
+    // Whether connections to servers are forwarded, so that cutLinks() affects those that are open.
+    bool forwardsLinks = false;
+    // Time that a run of an ordinary request takes.
+    Apricot::Milliseconds runTime { 30 };
+    // Whether servers close their connections after each complete response that is no stream.
+    bool closesConnections = false;
     // ID of a prompt part that ends each engine as it begins to respond, and how far the responses come by then,
     // in turn.
     std::string fatalPart;
@@ -164,6 +175,7 @@
         const BackendServer& server, const std::string& version, const std::string& state) const;
     BackendServer& serverAt(const std::string& pool, std::size_t position);
     Apricot::GatewaySettings settingsFor(std::size_t host) const;
+    bool isServerUp(std::uint16_t port) const;
 
     boost::asio::io_context m_context;
     Apricot::PlatformServer m_platform { m_context, {} };
--- a/tests/platform/gatewayfixture.h
+++ b/tests/platform/gatewayfixture.h
@@ -38,7 +38,8 @@
     Apricot::MetricRegistry registry;
     Apricot::PeerClient peers { context };
     Apricot::LimitPermits limits { context, view, peers, Apricot::HostId("h1"), registry };
-    Apricot::BackendCaller backendCaller { context, view, tracker, limits };
+    Apricot::BackendLinks links { context };
+    Apricot::BackendCaller backendCaller { context, view, tracker, limits, links };
     Apricot::StageHome home { context, view, backendCaller, poison };
     Apricot::StageRouter router { context, Apricot::HostId("h1"), view, home, peers };
     Apricot::StageRunner stages { context, router };
