Go round lost links to servers through peers that have theirs

No path led through a peer.

A host now keeps a table of its links, from its own connections: one is lost once a connection fails, or once a server neither responds nor accepts a connection while a call waits; with two lost and no server reached since, the host is cut off. Calls over a lost link are sent by a peer, chosen by its relayed calls in flight, that says at once if it has no link either. The peer only forwards, one hop: retries, limits, permits, deadlines and what responses show stay with the host that has the request, and it checks by itself that the server may receive the call. A peer that sends nothing says so, so that a refusal stays true; one that breaks later promises nothing. Lost links are probed a few at a time, and used again once they are back.

--- a/src/gateway/backendcaller.cpp
+++ b/src/gateway/backendcaller.cpp
@@ -15,8 +15,6 @@
 
 namespace {
 
-    // Hosts are a few milliseconds apart.
-    constexpr Milliseconds connectTimeout { 350 };
     constexpr int statusMisdirected = 421;
     constexpr int statusesPerClass = 100;
     constexpr int successClass = 2;
@@ -83,13 +81,11 @@
 }
 
 BackendCaller::BackendCaller(
-    Asio::io_context& context, ServingView& view, ServerTracker& tracker, LimitPermits& limits,
-    BackendLinks& links)
-    : m_context(context)
-    , m_view(view)
+    ServingView& view, ServerTracker& tracker, LimitPermits& limits, ServerCalls& calls)
+    : m_view(view)
     , m_tracker(tracker)
     , m_limits(limits)
-    , m_links(links)
+    , m_calls(calls)
 {
 }
 
@@ -115,20 +111,26 @@
     };
     auto sent = std::make_shared<bool>(false);
     HttpSendGate gate = [this, sent, server, scope = request.scope] {
-        *sent = mayReceiveRequest(server);
+        *sent = mayReceive(server, CallCheck::Request);
         if (*sent)
             scope->markSent();
         return *sent;
     };
-    const std::shared_ptr<HttpClient> client = clientFor(server.endpoint);
+    CallTarget target { .server = server,
+        .check = CallCheck::Request,
+        .requestId = request.caller.id,
+        .timeLeft = std::max(request.timeLeft(startedAt), Milliseconds(1)) };
     m_tracker.onCallStarted(server.id);
     SendResult result;
     std::string reason;
     try {
-        auto stream = co_await client->open(std::move(call), std::move(gate));
+        auto stream = co_await m_calls.open(std::move(target), std::move(call), std::move(gate));
         if (stream)
             m_limits.recordResponse(server, startedAt, stream->head());
         result = classify(std::move(stream));
+    } catch (const CallNotSentError& error) {
+        reason = error.code().message();
+        *sent = false;
     } catch (const boost::system::system_error& error) {
         reason = error.code().message();
         const RunEnd end = request.scope->isOver() ? RunEnd::Silent : runEndOf(error.code());
@@ -143,7 +145,7 @@
     const TimePoint now = RuntimeClock::now();
     logFailedSend(request, server, result, reason, now - startedAt);
     const bool isInconclusive = request.scope->isOver()
-        || (!*sent && !mayReceiveRequest(server));
+        || (!*sent && !mayReceive(server, CallCheck::Request));
     m_tracker.onCallEnded(server.id,
         isInconclusive ? CallOutcome::Abandoned : callOutcomeOf(result.outcome), now - startedAt, now);
     co_return result;
@@ -226,7 +228,7 @@
 Asio::awaitable<bool> BackendCaller::hasEnded(const ServerEntry& server)
 {
     Endpoint endpoint = server.endpoint;
-    return m_links.refusesConnections(std::move(endpoint));
+    return links().refusesConnections(std::move(endpoint));
 }
 
 SendResult BackendCaller::classify(std::unique_ptr<HttpStream> stream) const
@@ -247,52 +249,69 @@
 {
     const Milliseconds timeout = call.timeout;
     const TimePoint startedAt = RuntimeClock::now();
-    const std::shared_ptr<HttpClient> client = clientFor(server.endpoint);
-    HttpSendGate gate = [this, &isSent, server] { return isSent = mayReceiveWork(server); };
-    const std::unique_ptr<HttpStream> stream
-        = co_await client->open(std::move(call), std::move(gate));
+    HttpSendGate gate = [this, &isSent, server] { return isSent = mayReceive(server, CallCheck::Work); };
+    CallTarget target { .server = server, .check = CallCheck::Work, .timeLeft = timeout };
+    std::unique_ptr<HttpStream> stream;
+    try {
+        stream = co_await m_calls.open(std::move(target), std::move(call), std::move(gate));
+    } catch (const CallNotSentError&) {
+        isSent = false;
+        throw;
+    }
     if (!stream)
         throw boost::system::system_error(Asio::error::operation_aborted);
     m_limits.recordResponse(server, startedAt, stream->head());
     co_return co_await Apricot::readResponse(*stream, timeout);
 }
 
-Asio::awaitable<HttpResponse> BackendCaller::callWithoutCheck(Endpoint endpoint, HttpCall call)
-{
-    const std::shared_ptr<HttpClient> client = clientFor(endpoint);
-    co_return co_await client->send(std::move(call));
-}
-
-void BackendCaller::closeIdleConnections(const Endpoint& endpoint)
+Asio::awaitable<std::unique_ptr<HttpStream>> BackendCaller::openForPeer(
+    const RelayCallMessage& message, std::shared_ptr<HttpCancel> cancel)
 {
-    clientFor(endpoint)->closeIdleConnections();
+    const TimePoint startedAt = RuntimeClock::now();
+    ServerEntry server { .id = message.server,
+        .endpoint = message.endpoint,
+        .softwareVersion = message.softwareVersion,
+        .startedAt = message.startedAt };
+    auto call = std::make_shared<HttpCall>(HttpCall { .method = message.method,
+        .target = message.target,
+        .fields = message.fields,
+        .body = message.body,
+        .timeout = message.headTimeout,
+        .cancel = std::move(cancel) });
+    call->isOwnResponse = [id = message.requestId](const HttpResponseHead& head) {
+        return Platform::isResponseTo(head, id);
+    };
+    HttpSendGate gate = [this, server, check = message.check] { return mayReceive(server, check); };
+    Endpoint endpoint = server.endpoint;
+    std::unique_ptr<HttpStream> stream
+        = co_await m_calls.openDirect(std::move(endpoint), std::move(call), std::move(gate));
+    if (stream)
+        m_limits.recordResponse(server, startedAt, stream->head());
+    co_return stream;
 }
 
-bool BackendCaller::mayReceiveWork(const ServerEntry& server)
+Asio::awaitable<HttpResponse> BackendCaller::callWithoutCheck(Endpoint endpoint, HttpCall call)
 {
-    const KnownServer* known = m_view.servers().findUsable(server.id, RuntimeClock::now());
-    return known && known->server.endpoint == server.endpoint;
+    const Milliseconds timeout = call.timeout;
+    CallTarget target { .server = { .endpoint = std::move(endpoint) }, .timeLeft = timeout };
+    HttpSendGate gate;
+    const std::unique_ptr<HttpStream> stream
+        = co_await m_calls.open(std::move(target), std::move(call), std::move(gate));
+    if (!stream)
+        throw boost::system::system_error(Asio::error::operation_aborted);
+    co_return co_await Apricot::readResponse(*stream, timeout);
 }
 
-bool BackendCaller::mayReceiveRequest(const ServerEntry& server)
+bool BackendCaller::mayReceive(const ServerEntry& server, CallCheck check)
 {
+    if (check == CallCheck::None)
+        return m_view.servers().hasAddress(server.endpoint);
     const KnownServer* known = m_view.servers().findUsable(server.id, RuntimeClock::now());
-    return known && known->server.endpoint == server.endpoint
-        && known->server.startedAt == server.startedAt
-        && known->server.softwareVersion == server.softwareVersion;
-}
-
-std::shared_ptr<HttpClient> BackendCaller::clientFor(const Endpoint& endpoint)
-{
-    std::shared_ptr<HttpClient>& client = m_clients[endpoint];
-    if (!client) {
-        HttpClientOptions options { .address = endpoint.address,
-            .port = endpoint.port,
-            .connectTimeout = connectTimeout,
-            .translation = m_links.translation() };
-        client = std::make_shared<HttpClient>(m_context, std::move(options));
-    }
-    return client;
+    if (!known || known->server.endpoint != server.endpoint)
+        return false;
+    return check == CallCheck::Work
+        || (known->server.startedAt == server.startedAt
+            && known->server.softwareVersion == server.softwareVersion);
 }
 
 void BackendCaller::removeUnknownServers()
@@ -304,8 +323,8 @@
         endpoints.insert(known.server.endpoint);
     }
     m_tracker.retain(ids);
-    std::erase_if(m_clients,
-        [&endpoints](const auto& entry) { return !endpoints.contains(entry.first); });
+    m_calls.retain(endpoints);
+    m_calls.links().removeUnknownServers();
 }
 
 }
--- a/src/gateway/backendcaller.h
+++ b/src/gateway/backendcaller.h
@@ -1,14 +1,12 @@
 #pragma once
 
-#include "gateway/backendlinks.h"
 #include "gateway/limitpermits.h"
 #include "gateway/requestscope.h"
+#include "gateway/servercalls.h"
 #include "libserving/runobserver.h"
 #include "libserving/servertracker.h"
 #include "libserving/servingview.h"
 
-#include <map>
-
 namespace Apricot {
 
 // Outcome of sending a request to one backend server, up to the header of the response.
@@ -65,8 +63,7 @@
 // new work, such as draining ones, are sent none.
 class BackendCaller {
 public:
-    BackendCaller(boost::asio::io_context& context, ServingView& view, ServerTracker& tracker,
-        LimitPermits& limits, BackendLinks& links);
+    BackendCaller(ServingView& view, ServerTracker& tracker, LimitPermits& limits, ServerCalls& calls);
 
     // Sends a caller's request. The timeout bounds the wait for the response header; the server is sent
     // the time left until the caller's deadline.
@@ -75,11 +72,16 @@
     // Makes a call of the gateway itself, and sets isSent once the server may have received it. Throws like
     // HttpClient, and if the server may receive no work.
     boost::asio::awaitable<HttpResponse> call(ServerEntry server, HttpCall call, bool& isSent);
+    // Sends a call for a peer that has lost its link to the server. Returns nothing if the server may not receive the
+    // call, and throws CallNotSentError if this host does not reach the server either.
+    boost::asio::awaitable<std::unique_ptr<HttpStream>> openForPeer(
+        const RelayCallMessage& message, std::shared_ptr<HttpCancel> cancel);
     // Makes a call that assigns no new work, such as the release of results, to any server.
     boost::asio::awaitable<HttpResponse> callWithoutCheck(Endpoint endpoint, HttpCall call);
 
     // Closes the idle connections to a server, on which responses to earlier calls may still arrive.
-    void closeIdleConnections(const Endpoint& endpoint);
+    void closeIdleConnections(const Endpoint& endpoint) { m_calls.closeIdleConnections(endpoint); }
+    BackendLinks& links() { return m_calls.links(); }
 
     // Reads the body of a response and reports how it ended. Returns nothing if it is incomplete.
     boost::asio::awaitable<std::optional<ResponseBody>> readResponse(
@@ -109,20 +111,15 @@
     void removeUnknownServers();
 
 private:
-    std::shared_ptr<HttpClient> clientFor(const Endpoint& endpoint);
-    bool mayReceiveWork(const ServerEntry& server);
-    // The same, and the server has not started again or changed its software version under its ID.
-    bool mayReceiveRequest(const ServerEntry& server);
+    bool mayReceive(const ServerEntry& server, CallCheck check);
     void reportRun(const ServedRequest& request, const ServerEntry& server, RunEnd end, TimePoint sentAt,
         Duration respondedFor = Duration(0));
     SendResult classify(std::unique_ptr<HttpStream> stream) const;
 
-    boost::asio::io_context& m_context;
     ServingView& m_view;
     ServerTracker& m_tracker;
     LimitPermits& m_limits;
-    BackendLinks& m_links;
-    std::map<Endpoint, std::shared_ptr<HttpClient>> m_clients;
+    ServerCalls& m_calls;
     RunObserver* m_runObserver = nullptr;
 };
 
--- a/src/gateway/backendlinks.cpp
+++ b/src/gateway/backendlinks.cpp
@@ -1,6 +1,13 @@
 #include "gateway/backendlinks.h"
 
 #include "libnet/asyncevent.h"
+#include "libnet/log.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json/object.hpp>
+
+#include <algorithm>
 
 namespace Apricot {
 
@@ -11,21 +18,155 @@
     // A process that ends closes its connections and its listener at the same time; the kernel may take a
     // moment between them.
     constexpr Milliseconds probeDelay { 20 };
+    // Hosts are a few milliseconds apart.
     constexpr Milliseconds probeTimeout { 350 };
+    constexpr Milliseconds probeInterval { 400 };
+    // Once one of several lost links is back, the others mostly are, too.
+    constexpr Milliseconds regainedProbeInterval { 60 };
+    constexpr std::size_t lostProbes = 3;
+    constexpr std::size_t regainedProbes = 8;
+    // Number of other servers that show whether this host or a server is cut off.
+    constexpr std::size_t controlProbes = 3;
 
 }
 
-BackendLinks::BackendLinks(Asio::io_context& context)
+BackendLinks::BackendLinks(Asio::io_context& context, const ServingView& view)
     : m_context(context)
+    , m_view(view)
 {
 }
 
-Asio::awaitable<bool> BackendLinks::refusesConnections(Endpoint endpoint)
+void BackendLinks::recordReached(const Endpoint& server)
 {
-    co_await sleepFor(m_context.get_executor(), probeDelay);
-    Endpoint target = m_translation ? m_translation(endpoint) : std::move(endpoint);
+    const TimePoint now = RuntimeClock::now();
+    const std::optional<TimePoint> lostSince = m_table.lostSince(server);
+    if (m_table.recordReached(server, now))
+        writeLog(LogLevel::Info, "server_link_regained",
+            { { "address", toText(server) }, { "lost_ms", millisecondsBetween(*lostSince, now) },
+                { "lost_links", m_table.lostLinks() } });
+    updateCutOff();
+}
+
+void BackendLinks::recordUnreachable(const Endpoint& server, const std::string& reason)
+{
+    const TimePoint now = RuntimeClock::now();
+    if (m_table.recordUnreachable(server, now))
+        writeLog(LogLevel::Info, "server_link_lost",
+            { { "address", toText(server) }, { "reason", reason }, { "lost_links", m_table.lostLinks() },
+                { "reached_ms_ago", millisecondsBetween(m_table.lastReachedAt(), now) } });
+    updateCutOff();
+    if (!std::exchange(m_isProbing, true))
+        Asio::co_spawn(m_context, probeLostLinks(), Asio::detached);
+}
+
+void BackendLinks::updateCutOff()
+{
+    const bool isCutOffNow = isCutOff();
+    if (std::exchange(m_wasCutOff, isCutOffNow) == isCutOffNow)
+        return;
+    writeLog(isCutOffNow ? LogLevel::Warning : LogLevel::Info, isCutOffNow ? "host_cut_off" : "host_links_regained",
+        { { "lost_links", m_table.lostLinks() }, { "servers", m_view.servers().size() },
+            { "reached_ms_ago", millisecondsBetween(m_table.lastReachedAt(), RuntimeClock::now()) } });
+    if (m_changeHandler)
+        m_changeHandler();
+}
+
+Asio::awaitable<boost::system::error_code> BackendLinks::probe(Endpoint server)
+{
+    Endpoint target = m_translation ? m_translation(server) : server;
     const boost::system::error_code error = co_await tryConnect(m_context, std::move(target), probeTimeout);
-    co_return error == Asio::error::connection_refused;
+    if (error)
+        recordUnreachable(server, error.message());
+    else
+        recordReached(server);
+    co_return error;
+}
+
+Asio::awaitable<bool> BackendLinks::refusesConnections(Endpoint server)
+{
+    co_await sleepFor(m_context.get_executor(), probeDelay);
+    co_return co_await probe(std::move(server)) == Asio::error::connection_refused;
+}
+
+void BackendLinks::probeIfSilent(const Endpoint& server, TimePoint sentAt)
+{
+    if (m_table.startSilenceProbe(server, sentAt, RuntimeClock::now()))
+        Asio::co_spawn(
+            m_context,
+            [this, server]() -> Asio::awaitable<void> {
+                Endpoint probed = server;
+                co_await probe(std::move(probed));
+            },
+            Asio::detached);
+}
+
+std::vector<Endpoint> BackendLinks::otherServers(const std::optional<Endpoint>& server, std::size_t count)
+{
+    const auto& known = m_view.servers().all();
+    std::vector<Endpoint> servers;
+    if (known.empty())
+        return servers;
+    auto next = std::next(known.begin(),
+        std::uniform_int_distribution<std::ptrdiff_t>(0, static_cast<std::ptrdiff_t>(known.size()) - 1)(m_random));
+    for (std::size_t visited = 0; visited < known.size() && servers.size() < count; ++visited) {
+        const Endpoint& endpoint = next->second.server.endpoint;
+        if (endpoint != server && !m_table.lostSince(endpoint))
+            servers.push_back(endpoint);
+        if (++next == known.end())
+            next = known.begin();
+    }
+    return servers;
+}
+
+Asio::awaitable<void> BackendLinks::probeAll(std::vector<Endpoint> servers)
+{
+    auto pending = std::make_shared<std::size_t>(servers.size());
+    auto ended = std::make_shared<AsyncEvent>(m_context.get_executor());
+    for (const Endpoint& server : servers)
+        Asio::co_spawn(
+            m_context,
+            [this, server, pending, ended]() -> Asio::awaitable<void> {
+                Endpoint probed = server;
+                co_await probe(std::move(probed));
+                if (--*pending == 0)
+                    ended->notifyAll();
+            },
+            Asio::detached);
+    while (*pending > 0)
+        co_await ended->wait();
+}
+
+Asio::awaitable<void> BackendLinks::probeLostLinks()
+{
+    TimePoint lastRoundAt = RuntimeClock::now();
+    std::size_t lostBefore = 0;
+    while (m_table.lostLinks() > 0) {
+        const std::size_t lost = m_table.lostLinks();
+        const bool isRegaining = lost < lostBefore;
+        lostBefore = lost;
+        std::vector<Endpoint> probed;
+        // The first round only tells a lost link from a host that is cut off.
+        if (m_table.lastReachedAt() <= lastRoundAt)
+            probed = otherServers(std::nullopt, controlProbes);
+        const std::vector<Endpoint> lostServers = m_table.nextToProbe(isRegaining ? regainedProbes : lostProbes);
+        probed.insert(probed.end(), lostServers.begin(), lostServers.end());
+        lastRoundAt = RuntimeClock::now();
+        co_await probeAll(std::move(probed));
+        updateCutOff();
+        const bool hasRegained = m_table.lostLinks() < lost;
+        co_await sleepFor(m_context.get_executor(), hasRegained ? regainedProbeInterval : probeInterval);
+        updateCutOff();
+    }
+    m_isProbing = false;
+}
+
+void BackendLinks::removeUnknownServers()
+{
+    std::set<Endpoint> listed;
+    for (const auto& [id, known] : m_view.servers().all())
+        listed.insert(known.server.endpoint);
+    m_table.retain(listed);
+    updateCutOff();
 }
 
 }
--- a/src/gateway/backendlinks.h
+++ b/src/gateway/backendlinks.h
@@ -1,27 +1,59 @@
 #pragma once
 
 #include "libnet/httpclient.h"
+#include "libserving/linktable.h"
+#include "libserving/servingview.h"
 
-#include <boost/asio/awaitable.hpp>
-#include <boost/asio/io_context.hpp>
+#include <random>
 
 namespace Apricot {
 
-// The links from this host to the backend servers.
+// The links from this host to the backend servers: which are lost, and whether lost ones are back.
 class BackendLinks {
 public:
-    explicit BackendLinks(boost::asio::io_context& context);
+    BackendLinks(boost::asio::io_context& context, const ServingView& view);
 
     // Sets a translation for networks in which this host reaches servers at other addresses than listed.
     void setTranslation(AddressTranslation translation) { m_translation = std::move(translation); }
     const AddressTranslation& translation() const { return m_translation; }
+    // Called when this host has lost its links to all servers, and when the first one is back.
+    void setChangeHandler(std::function<void()> handler) { m_changeHandler = std::move(handler); }
+
+    void recordReached(const Endpoint& server);
+    void recordUnreachable(const Endpoint& server, const std::string& reason);
+    // Whether calls to a server had better take another path.
+    bool isLost(const Endpoint& server) const { return m_table.isLost(server, RuntimeClock::now()); }
+    // Whether this host reaches no server.
+    bool isCutOff() const { return m_table.isCutOff(RuntimeClock::now()); }
+    std::size_t lostLinks() const { return m_table.lostLinks(); }
+
+    // Connects to a server, and records whether that was possible. Returns the error of the attempt, if any.
+    boost::asio::awaitable<boost::system::error_code> probe(Endpoint server);
     // Connects to the address of a backend server whose connection has just ended. Returns whether its host
     // refuses the connection, which shows that the server's process has ended. No response shows nothing.
-    boost::asio::awaitable<bool> refusesConnections(Endpoint endpoint);
+    boost::asio::awaitable<bool> refusesConnections(Endpoint server);
+    // Probes a server whose response to a call sent at a time has not begun, unless it has responded to others.
+    void probeIfSilent(const Endpoint& server, TimePoint sentAt);
+
+    // Forgets the servers that have left the view.
+    void removeUnknownServers();
 
 private:
+    // Some known servers, other than this one, whose links are not known to be lost.
+    std::vector<Endpoint> otherServers(const std::optional<Endpoint>& server, std::size_t count);
+    // Probes lost links until there are none.
+    boost::asio::awaitable<void> probeLostLinks();
+    boost::asio::awaitable<void> probeAll(std::vector<Endpoint> servers);
+    void updateCutOff();
+
     boost::asio::io_context& m_context;
+    const ServingView& m_view;
     AddressTranslation m_translation;
+    std::function<void()> m_changeHandler;
+    LinkTable m_table;
+    bool m_isProbing = false;
+    bool m_wasCutOff = false;
+    std::minstd_rand m_random;
 };
 
 }
--- a/src/gateway/gatewaydaemon.cpp
+++ b/src/gateway/gatewaydaemon.cpp
@@ -70,8 +70,11 @@
           { requireEndpoint(settings.peers), settings.process.failureDomain })
     , m_peers(m_context)
     , m_limits(m_context, m_view, m_peers, settings.process.host, m_metrics)
-    , m_links(m_context)
-    , m_backendCaller(m_context, m_view, m_tracker, m_limits, m_links)
+    , m_links(m_context, m_view)
+    , m_relays(m_context, m_view, m_peers, settings.process.host, m_metrics)
+    , m_calls(m_context, m_links, m_relays)
+    , m_backendCaller(m_view, m_tracker, m_limits, m_calls)
+    , m_relayServer(m_context, m_backendCaller, m_metrics)
     , m_poisonSync(m_context, m_store, m_view, m_poison, settings.process.host)
     , m_crashMonitor(m_context, m_view, m_poison, m_poisonSync, m_links, m_metrics)
     , m_peerViewSync(m_context, m_viewUpdater, m_view, m_peers, settings.process.host,
@@ -108,6 +111,7 @@
                       m_gatewayMetrics.setGauges(
                           m_view, m_stageHome, m_retries, m_poison, m_viewUpdater.isStoreLost());
                       m_gatewayMetrics.setLimitedServers(m_limits.limitedServers());
+                      m_gatewayMetrics.setLostLinks(m_links.lostLinks());
                   } })
     , m_stopSignals(m_context, SIGTERM, SIGINT)
     , m_reloadSignals(m_context, SIGHUP)
@@ -146,6 +150,7 @@
     m_coldLimiter.setHosts(m_settings.process.host, m_view.hostIds());
     m_limits.onViewChanged();
     m_peerViewSync.onHostsChanged();
+    m_relays.onHostsChanged();
     m_backendCaller.removeUnknownServers();
     m_crashMonitor.onServersChanged();
 }
@@ -179,6 +184,8 @@
         co_await m_stageRouter.serve(std::move(stream), std::move(work->work));
     else if (const auto* request = std::get_if<TextMessage>(&*first))
         co_await respondToPeer(std::move(stream), *request);
+    else if (auto* call = std::get_if<RelayCallMessage>(&*first))
+        co_await m_relayServer.serve(std::move(stream), std::move(*call));
     else if (const auto* released = std::get_if<ReleaseResultsMessage>(&*first))
         m_stageHome.release(released->pool, released->group, released->handles);
 }
@@ -255,6 +262,7 @@
     m_callerServer.closeAfterResponses();
     co_await m_viewUpdater.deregister();
     m_stageHome.stop();
+    m_relayServer.stop();
     const auto executor = m_context.get_executor();
     while (RuntimeClock::now() < startedAt + balancerNoticeTime)
         co_await sleepFor(executor, drainPollInterval);
@@ -279,7 +287,8 @@
         { "waiting_pieces", m_stageHome.waitingPieces() }, { "stream_origins", m_streamOrigins.size() },
         { "poisoned_requests", m_poison.count(PoisonState::Refused, false, RuntimeClock::now()) },
         { "poisoned_parts", m_poison.count(PoisonState::Refused, true, RuntimeClock::now()) },
-        { "limited_servers", m_limits.limitedServers() }, { "stopping", m_isStopping } };
+        { "limited_servers", m_limits.limitedServers() }, { "lost_links", m_links.lostLinks() },
+        { "cut_off", m_links.isCutOff() }, { "stopping", m_isStopping } };
 }
 
 }
--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -2,6 +2,7 @@
 
 #include "gateway/crashmonitor.h"
 #include "gateway/peerviewsync.h"
+#include "gateway/relayserver.h"
 #include "gateway/requestservice.h"
 #include "gateway/servingviewupdater.h"
 #include "libnet/adminserver.h"
@@ -55,7 +56,10 @@
     PeerClient m_peers;
     LimitPermits m_limits;
     BackendLinks m_links;
+    RelayClient m_relays;
+    ServerCalls m_calls;
     BackendCaller m_backendCaller;
+    RelayServer m_relayServer;
     PoisonSync m_poisonSync;
     CrashMonitor m_crashMonitor;
     PeerViewSync m_peerViewSync;
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -23,6 +23,8 @@
     , m_poisonedParts(registry.gauge("apricot_poisoned_parts",
           "Parts of prompts whose requests are refused because they crash the servers that run them."))
     , m_limitedServers(registry.gauge("apricot_limited_servers", "Backend servers that named a limit."))
+    , m_lostLinks(registry.gauge(
+          "apricot_lost_links", "Backend servers to which this host has lost its link."))
 {
 }
 
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -17,6 +17,7 @@
         const PoisonTable& poison, bool isStoreLost);
 
     void setLimitedServers(std::size_t count) { m_limitedServers.set(static_cast<double>(count)); }
+    void setLostLinks(std::size_t count) { m_lostLinks.set(static_cast<double>(count)); }
 
 private:
     MetricRegistry& m_registry;
@@ -31,6 +32,7 @@
     Gauge& m_suspectParts;
     Gauge& m_poisonedParts;
     Gauge& m_limitedServers;
+    Gauge& m_lostLinks;
 };
 
 }
--- /dev/null
+++ b/src/gateway/relayclient.cpp
@@ -0,0 +1,158 @@
+#include "gateway/relayclient.h"
+
+#include "gateway/relayedstream.h"
+#include "libnet/log.h"
+#include "libnet/watchdog.h"
+
+#include <boost/beast/core/error.hpp>
+#include <boost/json/object.hpp>
+
+namespace Apricot {
+
+namespace Asio = boost::asio;
+
+namespace {
+
+    // Hosts are a few milliseconds apart.
+    constexpr Milliseconds connectTimeout { 250 };
+    // Time beyond the timeout of a call that the peer has to report its end.
+    constexpr Milliseconds reportMargin { 100 };
+    // Number of peers that are tried for one call, and of those that may have no link to its server.
+    constexpr int maxPeersPerCall = 8;
+    constexpr int maxPeersWithoutLink = 2;
+
+    RelayCallMessage makeMessage(const HostId& self, const CallTarget& target, const HttpCall& call)
+    {
+        return { .from = self,
+            .server = target.server.id,
+            .endpoint = target.server.endpoint,
+            .startedAt = target.server.startedAt,
+            .softwareVersion = target.server.softwareVersion,
+            .check = target.check,
+            .requestId = target.requestId,
+            .method = call.method,
+            .target = call.target,
+            .fields = call.fields,
+            .body = call.body,
+            .headTimeout = call.timeout,
+            .readTimeout = target.timeLeft };
+    }
+
+}
+
+RelayClient::RelayClient(Asio::io_context& context, const ServingView& view, PeerClient& peers, HostId self,
+    MetricRegistry& metrics)
+    : m_context(context)
+    , m_view(view)
+    , m_peers(peers)
+    , m_self(std::move(self))
+    , m_metrics(metrics)
+{
+}
+
+void RelayClient::onHostsChanged()
+{
+    m_relayPeers->setHosts(m_self, m_view.hostIds());
+}
+
+Asio::awaitable<std::unique_ptr<HttpStream>> RelayClient::open(
+    CallTarget target, std::shared_ptr<HttpCall> call, HttpSendGate gate)
+{
+    int peersWithoutLink = 0;
+    for (int attempt = 0; attempt < maxPeersPerCall && peersWithoutLink < maxPeersWithoutLink; ++attempt) {
+        const TimePoint startedAt = RuntimeClock::now();
+        const std::optional<HostId> peer = m_relayPeers->choose(startedAt);
+        if (!peer)
+            break;
+        if (call->cancel && call->cancel->isCancelled())
+            throw CallNotSentError(Asio::error::operation_aborted);
+        if (gate && !gate())
+            co_return nullptr;
+        std::unique_ptr<HttpStream> stream;
+        const RelayEnd end = co_await openThrough(*peer, target, call, stream);
+        count(relayEndName(end));
+        writeLog(LogLevel::Info, "call_relayed",
+            { { "request", target.requestId }, { "server", target.server.id.value() },
+                { "address", toText(target.server.endpoint) }, { "peer", peer->value() }, { "end", relayEndName(end) },
+                { "ms", millisecondsBetween(startedAt, RuntimeClock::now()) } });
+        if (stream)
+            co_return stream;
+        if (end == RelayEnd::NotPermitted)
+            break;
+        peersWithoutLink += end == RelayEnd::NoLink ? 1 : 0;
+    }
+    throw CallNotSentError(Asio::error::host_unreachable);
+}
+
+Asio::awaitable<RelayEnd> RelayClient::openThrough(HostId peer, const CallTarget& target,
+    std::shared_ptr<HttpCall> call, std::unique_ptr<HttpStream>& stream)
+{
+    const auto host = m_view.hosts().find(peer);
+    if (host == m_view.hosts().end()) {
+        m_relayPeers->recordSilence(peer, RuntimeClock::now());
+        co_return RelayEnd::Busy;
+    }
+    m_relayPeers->onCallStarted(peer);
+    const auto onEnded = [peers = m_relayPeers, peer] { peers->onCallEnded(peer); };
+    std::shared_ptr<PeerStream> peerStream;
+    try {
+        Message message = makeMessage(m_self, target, *call);
+        Endpoint endpoint = host->second.endpoint;
+        peerStream = co_await m_peers.open(std::move(endpoint), std::move(message), connectTimeout);
+    } catch (const std::exception&) {
+        // Nothing was sent: the connection failed, or its stream was closed before.
+    }
+    if (!peerStream) {
+        onEnded();
+        m_relayPeers->recordSilence(peer, RuntimeClock::now());
+        co_return RelayEnd::Busy;
+    }
+    if (call->cancel && call->cancel->isCancelled()) {
+        onEnded();
+        peerStream->cancel();
+        throw boost::system::system_error(Asio::error::operation_aborted);
+    }
+    if (call->cancel)
+        call->cancel->setAction([peerStream] { peerStream->cancel(); });
+    std::optional<Message> response;
+    const Watchdog watchdog(m_context, call->timeout + reportMargin, [peerStream] { peerStream->cancel(); });
+    try {
+        response = co_await peerStream->read();
+    } catch (const PeerError&) {
+        response.reset();
+    }
+    if (auto* head = response ? std::get_if<RelayHeadMessage>(&*response) : nullptr) {
+        stream = std::make_unique<RelayedStream>(
+            m_context, peerStream, std::move(*head), call->cancel, target.timeLeft, onEnded);
+        co_return RelayEnd::Complete;
+    }
+    onEnded();
+    if (call->cancel)
+        call->cancel->setAction(nullptr);
+    const auto* end = response ? std::get_if<RelayEndMessage>(&*response) : nullptr;
+    const RelayEnd reported = end ? end->end : RelayEnd::Broken;
+    peerStream->cancel();
+    if (reported == RelayEnd::CutOff || reported == RelayEnd::Busy)
+        m_relayPeers->recordRefusal(peer, RuntimeClock::now());
+    if (reported == RelayEnd::Broken || reported == RelayEnd::TimedOut) {
+        const bool isSilent = watchdog.hasExpired();
+        count(isSilent ? relayEndName(RelayEnd::TimedOut) : relayEndName(reported));
+        if (!end && !(call->cancel && call->cancel->isCancelled()))
+            m_relayPeers->recordSilence(peer, RuntimeClock::now());
+        if (end || isSilent)
+            throwRelayError(isSilent ? RelayEnd::TimedOut : reported);
+        // The peer's end shows nothing about the server.
+        throw boost::system::system_error(Asio::error::operation_aborted);
+    }
+    co_return reported;
+}
+
+void RelayClient::count(const char* outcome)
+{
+    m_metrics
+        .counter("apricot_relayed_calls_total",
+            "Calls that this host sent through a peer, by how it began.", { { "outcome", outcome } })
+        .add();
+}
+
+}
--- a/src/libnet/httpclient.cpp
+++ b/src/libnet/httpclient.cpp
@@ -22,7 +22,8 @@
     // process is paused, so that it can't arrive after a network partition has ended.
     constexpr int unacknowledgedTimeoutMs = 3000;
 
-    // The connection ends about two seconds after the peer stops acknowledging keepalive probes.
+    // With TCP_USER_TIMEOUT, probes give up once the peer has acknowledged nothing for that time, whatever their
+    // number.
     void enableKeepaliveProbes(Asio::ip::tcp::socket& socket)
     {
         constexpr int idleSeconds = 1;
@@ -222,14 +223,20 @@
 }
 
 Asio::awaitable<std::unique_ptr<HttpStream>> HttpClient::open(HttpCall call, HttpSendGate gate)
+{
+    auto shared = std::make_shared<HttpCall>(std::move(call));
+    co_return co_await open(std::move(shared), std::move(gate));
+}
+
+Asio::awaitable<std::unique_ptr<HttpStream>> HttpClient::open(
+    std::shared_ptr<HttpCall> call, HttpSendGate gate)
 {
     // Keeps the pool alive only while this call runs.
     const std::shared_ptr<Impl> impl = m_impl;
-    std::shared_ptr<HttpConnection> connection = co_await impl->acquireConnection(call);
-    throwIfCancelled(call);
-    Http::request<Http::string_body> message = impl->toMessage(call);
-    auto stream = std::make_unique<HttpStreamImpl>(std::move(connection), call.timeout,
-        [weak = std::weak_ptr<Impl>(impl), cancel = call.cancel](
+    std::shared_ptr<HttpConnection> connection = co_await impl->acquireConnection(*call);
+    throwIfCancelled(*call);
+    auto stream = std::make_unique<HttpStreamImpl>(std::move(connection), call->timeout,
+        [weak = std::weak_ptr<Impl>(impl), cancel = call->cancel](
             std::shared_ptr<HttpConnection> released, Milliseconds idleTimeout) {
             if (cancel)
                 cancel->setAction(nullptr);
@@ -240,7 +247,8 @@
         stream->releaseUnused();
         co_return nullptr;
     }
-    co_await stream->exchange(std::move(message), std::move(call.isOwnResponse));
+    Http::request<Http::string_body> message = impl->toMessage(*call);
+    co_await stream->exchange(std::move(message), std::move(call->isOwnResponse));
     co_return stream;
 }
 
--- a/src/libnet/httpclient.h
+++ b/src/libnet/httpclient.h
@@ -127,6 +127,9 @@
     // established connection just before the first byte is written; if it returns false, nothing is
     // sent and nullptr is returned. Errors before the gate was called mean that nothing was sent.
     boost::asio::awaitable<std::unique_ptr<HttpStream>> open(HttpCall call, HttpSendGate gate = {});
+    // The same; the call is unchanged unless the gate was called and returned true.
+    boost::asio::awaitable<std::unique_ptr<HttpStream>> open(
+        std::shared_ptr<HttpCall> call, HttpSendGate gate);
     void closeIdleConnections();
 
 private:
--- a/src/libnet/httpserver.h
+++ b/src/libnet/httpserver.h
@@ -20,6 +20,9 @@
 struct HttpField {
     std::string name;
     std::string value;
+
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(name, value); }
 };
 
 // A request with its complete body, as handlers receive it.
--- a/src/libnet/messages.h
+++ b/src/libnet/messages.h
@@ -7,6 +7,7 @@
 #include "libapricot/stagecall.h"
 #include "libnet/controlmessages.h"
 #include "libnet/recordmessages.h"
+#include "libnet/relaymessages.h"
 #include "libserving/stagework.h"
 
 #include <cstdint>
@@ -187,7 +188,8 @@
     HomeReleasedMessage, RelayedSubmitMessage, StoreCopyMessage, CopyResponseMessage, ClaimMessage,
     ClaimResponseMessage, PoisonMessage, ShareRequestMessage, ShareResponseMessage, HeartbeatMessage,
     HeartbeatResponseMessage, ConfigRequestMessage, ConfigResponseMessage, ViewRequestMessage,
-    ViewResponseMessage, StageWorkMessage, StageResultMessage, ReleaseResultsMessage>;
+    ViewResponseMessage, StageWorkMessage, StageResultMessage, ReleaseResultsMessage,
+    RelayCallMessage, RelayHeadMessage, RelayDataMessage, RelayConsumedMessage, RelayEndMessage>;
 
 // Version of the encoding. A message of another version closes its connection.
 constexpr std::uint8_t messageVersion = 2;
--- a/src/libserving/serverdirectory.cpp
+++ b/src/libserving/serverdirectory.cpp
@@ -225,4 +225,10 @@
     return m_servers.erase(entry);
 }
 
+bool ServerDirectory::hasAddress(const Endpoint& endpoint) const
+{
+    return std::any_of(m_servers.begin(), m_servers.end(),
+        [&endpoint](const auto& entry) { return entry.second.server.endpoint == endpoint; });
+}
+
 }
--- a/tests/platform/gatewayfixture.h
+++ b/tests/platform/gatewayfixture.h
@@ -38,8 +38,10 @@
     Apricot::MetricRegistry registry;
     Apricot::PeerClient peers { context };
     Apricot::LimitPermits limits { context, view, peers, Apricot::HostId("h1"), registry };
-    Apricot::BackendLinks links { context };
-    Apricot::BackendCaller backendCaller { context, view, tracker, limits, links };
+    Apricot::BackendLinks links { context, view };
+    Apricot::RelayClient relays { context, view, peers, Apricot::HostId("h1"), registry };
+    Apricot::ServerCalls calls { context, links, relays };
+    Apricot::BackendCaller backendCaller { view, tracker, limits, calls };
     Apricot::StageHome home { context, view, backendCaller, poison };
     Apricot::StageRouter router { context, Apricot::HostId("h1"), view, home, peers };
     Apricot::StageRunner stages { context, router };
