Hand stages over to other homes while a host reaches none of their servers

A home whose links to all servers of a group are lost now hands waiting and new work over, as a stopping one does, and the asking host tries up to eight homes as long as they respond. With the links back it accepts work again, and is asked again once its avoidance has passed.

--- a/src/gateway/gatewaydaemon.cpp
+++ b/src/gateway/gatewaydaemon.cpp
@@ -123,6 +123,7 @@
     m_backendCaller.setRunObserver(m_crashMonitor);
     m_requests.setProbationHandler(
         [this](const std::vector<PoisonSubject>& refused) { return m_poisonSync.tryStartProbation(refused); });
+    m_links.setChangeHandler([this] { m_stageHome.onLinksChanged(); });
     m_poisonSync.setChangeHandler([this] { m_stageHome.onPoisonChanged(); });
 }
 
--- a/src/gateway/stagehome.cpp
+++ b/src/gateway/stagehome.cpp
@@ -1,5 +1,6 @@
 #include "gateway/stagehome.h"
 
+#include "gateway/stagelogs.h"
 #include "libnet/log.h"
 #include "libserving/stagegroups.h"
 #include "platform/stagetranslation.h"
@@ -7,7 +8,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/beast/core/error.hpp>
-#include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 
 #include <algorithm>
@@ -25,75 +25,6 @@
     constexpr Milliseconds limitedReleaseDelay { 400 };
     constexpr int statusOk = 200;
 
-    std::string_view outcomeName(StageWorkOutcome outcome)
-    {
-        switch (outcome) {
-        case StageWorkOutcome::Done:
-            return "done";
-        case StageWorkOutcome::Overloaded:
-            return "overloaded";
-        case StageWorkOutcome::Late:
-            return "late";
-        case StageWorkOutcome::InputGone:
-            return "input_gone";
-        case StageWorkOutcome::Failed:
-            return "failed";
-        case StageWorkOutcome::HandedOver:
-            return "moved";
-        case StageWorkOutcome::Poisoned:
-            return "poisoned";
-        }
-        return "unknown";
-    }
-
-    std::size_t countPieces(const std::vector<PieceResult>& results, PieceOutcome outcome)
-    {
-        return static_cast<std::size_t>(std::count_if(results.begin(), results.end(),
-            [outcome](const PieceResult& result) { return result.outcome == outcome; }));
-    }
-
-    boost::json::array requestsOf(const PlannedCall& call)
-    {
-        std::set<std::string> ids;
-        for (const PlannedPiece& piece : call.pieces)
-            ids.insert(piece.requestId);
-        boost::json::array list;
-        for (const std::string& id : ids)
-            list.emplace_back(id);
-        return list;
-    }
-
-    // Logs a call that did not return every result. The reason is empty if the server responded.
-    void logIncompleteCall(const PoolId& pool, const PlannedCall& call,
-        const std::optional<std::vector<PieceResult>>& results, double bytesUsed,
-        const std::string& reason)
-    {
-        boost::json::object fields { { "pool", pool.value() },
-            { "server", call.server.id.value() }, { "started_at", call.server.startedAt },
-            { "requests", requestsOf(call) }, { "pieces", call.pieces.size() },
-            { "answered", results.has_value() }, { "room_used_bytes", bytesUsed } };
-        if (!reason.empty())
-            fields["reason"] = reason;
-        if (results) {
-            fields["no_room"] = countPieces(*results, PieceOutcome::NoCapacity);
-            fields["input_gone"] = countPieces(*results, PieceOutcome::InputGone);
-            fields["late"] = countPieces(*results, PieceOutcome::Late);
-            fields["failed"] = countPieces(*results, PieceOutcome::Failed);
-        }
-        writeLog(LogLevel::Info, "stage_call_incomplete", fields);
-    }
-
-    void logFailedWork(const StageWork& work, const StageScheduler& scheduler, StageWorkOutcome outcome)
-    {
-        writeLog(LogLevel::Info, "stage_work_failed",
-            { { "request", work.requestId }, { "stage", work.stage }, { "pool", work.pool.value() },
-                { "group", work.group }, { "end", outcomeName(outcome) }, { "rank", work.rank },
-                { "pieces", work.pieces }, { "objective_slack_ms", work.objectiveSlack.count() },
-                { "deadline_slack_ms", work.deadlineSlack.count() },
-                { "waiting_pieces", scheduler.waitingPieces() },
-                { "working_servers", scheduler.workingServers(RuntimeClock::now()) } });
-    }
-
     // The endpoint of the server that holds a result: the part of its handle before the slash.
     std::optional<Endpoint> endpointOfHandle(const std::string& handle)
     {
@@ -134,17 +65,24 @@
     m_receivedHandles.retain(directory);
     const StageGroups groups(directory.notDraining(key.first));
     std::vector<StageServer> members;
+    group.servers.clear();
     for (const KnownServer* known : servers) {
         const ServerEntry& server = known->server;
-        if (groups.groupOf(server) == key.second)
-            members.push_back({ server.id, server.endpoint, server.domain, server.startedAt });
+        if (groups.groupOf(server) != key.second)
+            continue;
+        members.push_back({ server.id, server.endpoint, server.domain, server.startedAt });
+        group.servers.push_back(server.endpoint);
     }
     group.scheduler.setServers(members);
 }
 
 Asio::awaitable<StageWorkResult> StageHome::run(StageWork work, std::shared_ptr<HttpCancel> cancel)
 {
-    if (m_isStopping)
+    const GroupKey key { work.pool, work.group };
+    Group* group = findGroup(key.first, key.second);
+    if (group)
+        refreshServers(key, *group);
+    if (m_isStopping || (group && isUnreachable(*group)))
         co_return StageWorkResult { .outcome = StageWorkOutcome::HandedOver };
     co_return co_await runEvenIfStopping(std::move(work), std::move(cancel));
 }
@@ -188,15 +126,35 @@
 void StageHome::stop()
 {
     m_isStopping = true;
+    for (const auto& [key, group] : m_groups)
+        handOverWaiting(key, *group);
+}
+
+void StageHome::onLinksChanged()
+{
     for (const auto& [key, group] : m_groups) {
-        writeLog(LogLevel::Info, "stage_work_handed_over",
-            { { "pool", key.first.value() }, { "group", key.second },
-                { "waiting_pieces", group->scheduler.waitingPieces() } });
-        group->scheduler.handOverWaiting();
-        advance(key);
+        if (isUnreachable(*group))
+            handOverWaiting(key, *group);
     }
 }
 
+bool StageHome::isUnreachable(const Group& group) const
+{
+    const BackendLinks& links = m_backendCaller.links();
+    return !group.servers.empty()
+        && std::all_of(group.servers.begin(), group.servers.end(),
+            [&links](const Endpoint& server) { return links.isLost(server); });
+}
+
+void StageHome::handOverWaiting(const GroupKey& key, Group& group)
+{
+    writeLog(LogLevel::Info, "stage_work_handed_over",
+        { { "pool", key.first.value() }, { "group", key.second },
+            { "waiting_pieces", group.scheduler.waitingPieces() }, { "stopping", m_isStopping } });
+    group.scheduler.handOverWaiting();
+    advance(key);
+}
+
 void StageHome::onPoisonChanged()
 {
     for (const auto& [key, group] : m_groups)
--- a/src/gateway/stagerouter.cpp
+++ b/src/gateway/stagerouter.cpp
@@ -20,8 +20,10 @@
     constexpr Milliseconds connectTimeout { 250 };
     // Time for which a home that did not respond is avoided.
     constexpr Milliseconds avoidanceTime { 1500 };
-    // Number of homes that are tried for one stage.
-    constexpr std::size_t maxHomes = 3;
+    // Number of homes that are tried for one stage, and of those that may not respond. Hosts that cannot serve a group
+    // respond at once.
+    constexpr std::size_t maxHomes = 8;
+    constexpr int maxSilentHomes = 3;
     // A backlog is discarded as stale after this time without an update.
     constexpr Milliseconds backlogLifetime { 1000 };
 
@@ -87,8 +89,9 @@
 Asio::awaitable<StageWorkResult> StageRouter::runAtHome(
     StageWork work, std::shared_ptr<HttpCancel> cancel, HostId& ranOnHost)
 {
+    int silentHomes = 0;
     for (const HostId& host : candidateHomes(work.pool, work.group)) {
-        if (cancel->isCancelled())
+        if (cancel->isCancelled() || silentHomes == maxSilentHomes)
             break;
         ranOnHost = host;
         const TimePoint startedAt = RuntimeClock::now();
@@ -99,6 +102,7 @@
             result = co_await runAtPeer(host, work, cancel);
         if (result && result->outcome != StageWorkOutcome::HandedOver)
             co_return *result;
+        silentHomes += result ? 0 : 1;
         const TimePoint now = RuntimeClock::now();
         m_avoidedUntil[host] = now + avoidanceTime;
         const auto elapsed = std::chrono::ceil<Milliseconds>(now - startedAt);
--- a/src/libserving/stagework.h
+++ b/src/libserving/stagework.h
@@ -64,7 +64,7 @@
     InputGone,
     // The pool's servers failed, or the pool has none.
     Failed,
-    // The home is stopping; the work must be sent to the next one.
+    // The home is stopping or reaches none of the servers; the work must be sent to the next one.
     HandedOver,
     // The request crashes the servers that run it.
     Poisoned,
