Take a refused connection for the end of a server only with a second view

A whole response that ended with its connection was thrown away likewise.

A refused connection is now confirmed by a peer that itself reaches another server, those of other failure domains first; if no peer reaches any server, by all that were asked; without peers by a sound link of this host to another server. Both tests of LostLinks failed before with 2 crashes and status 502, and pass.

--- a/src/gateway/backendcaller.cpp
+++ b/src/gateway/backendcaller.cpp
@@ -81,11 +81,13 @@
 }
 
 BackendCaller::BackendCaller(
-    ServingView& view, ServerTracker& tracker, LimitPermits& limits, ServerCalls& calls)
+    ServingView& view, ServerTracker& tracker, LimitPermits& limits, ServerCalls& calls,
+    ServerEndProbe& serverEnds)
     : m_view(view)
     , m_tracker(tracker)
     , m_limits(limits)
     , m_calls(calls)
+    , m_serverEnds(serverEnds)
 {
 }
 
@@ -228,7 +230,7 @@
 Asio::awaitable<bool> BackendCaller::hasEnded(const ServerEntry& server)
 {
     Endpoint endpoint = server.endpoint;
-    return links().refusesConnections(std::move(endpoint));
+    return m_serverEnds.hasEnded(std::move(endpoint));
 }
 
 SendResult BackendCaller::classify(std::unique_ptr<HttpStream> stream) const
--- a/src/gateway/backendcaller.h
+++ b/src/gateway/backendcaller.h
@@ -3,6 +3,7 @@
 #include "gateway/limitpermits.h"
 #include "gateway/requestscope.h"
 #include "gateway/servercalls.h"
+#include "gateway/serverendprobe.h"
 #include "libserving/runobserver.h"
 #include "libserving/servertracker.h"
 #include "libserving/servingview.h"
@@ -63,7 +64,8 @@
 // new work, such as draining ones, are sent none.
 class BackendCaller {
 public:
-    BackendCaller(ServingView& view, ServerTracker& tracker, LimitPermits& limits, ServerCalls& calls);
+    BackendCaller(ServingView& view, ServerTracker& tracker, LimitPermits& limits, ServerCalls& calls,
+        ServerEndProbe& serverEnds);
 
     // Sends a caller's request. The timeout bounds the wait for the response header; the server is sent
     // the time left until the caller's deadline.
@@ -120,6 +122,7 @@
     ServerTracker& m_tracker;
     LimitPermits& m_limits;
     ServerCalls& m_calls;
+    ServerEndProbe& m_serverEnds;
     RunObserver* m_runObserver = nullptr;
 };
 
--- a/src/gateway/backendlinks.cpp
+++ b/src/gateway/backendlinks.cpp
@@ -15,9 +15,6 @@
 
 namespace {
 
-    // A process that ends closes its connections and its listener at the same time; the kernel may take a
-    // moment between them.
-    constexpr Milliseconds probeDelay { 20 };
     // Hosts are a few milliseconds apart.
     constexpr Milliseconds probeTimeout { 350 };
     constexpr Milliseconds probeInterval { 400 };
@@ -82,12 +79,6 @@
     co_return error;
 }
 
-Asio::awaitable<bool> BackendLinks::refusesConnections(Endpoint server)
-{
-    co_await sleepFor(m_context.get_executor(), probeDelay);
-    co_return co_await probe(std::move(server)) == Asio::error::connection_refused;
-}
-
 void BackendLinks::probeIfSilent(const Endpoint& server, TimePoint sentAt)
 {
     if (m_table.startSilenceProbe(server, sentAt, RuntimeClock::now()))
@@ -118,6 +109,17 @@
     return servers;
 }
 
+Asio::awaitable<bool> BackendLinks::reachesAnother(Endpoint server)
+{
+    const std::vector<Endpoint> others = otherServers(server, controlProbes);
+    bool isReached = others.empty() && m_table.lostLinks() <= 1;
+    for (auto other = others.begin(); other != others.end() && !isReached; ++other) {
+        Endpoint probed = *other;
+        isReached = !co_await probe(std::move(probed));
+    }
+    co_return isReached;
+}
+
 Asio::awaitable<void> BackendLinks::probeAll(std::vector<Endpoint> servers)
 {
     auto pending = std::make_shared<std::size_t>(servers.size());
--- a/src/gateway/backendlinks.h
+++ b/src/gateway/backendlinks.h
@@ -29,11 +29,10 @@
 
     // Connects to a server, and records whether that was possible. Returns the error of the attempt, if any.
     boost::asio::awaitable<boost::system::error_code> probe(Endpoint server);
-    // Connects to the address of a backend server whose connection has just ended. Returns whether its host
-    // refuses the connection, which shows that the server's process has ended. No response shows nothing.
-    boost::asio::awaitable<bool> refusesConnections(Endpoint server);
     // Probes a server whose response to a call sent at a time has not begun, unless it has responded to others.
     void probeIfSilent(const Endpoint& server, TimePoint sentAt);
+    // Whether this host reaches a server other than this one, or knows no other.
+    boost::asio::awaitable<bool> reachesAnother(Endpoint server);
 
     // Forgets the servers that have left the view.
     void removeUnknownServers();
--- a/src/gateway/crashmonitor.cpp
+++ b/src/gateway/crashmonitor.cpp
@@ -11,12 +11,12 @@
 namespace Asio = boost::asio;
 
 CrashMonitor::CrashMonitor(Asio::io_context& context, ServingView& view, PoisonTable& poison,
-    PoisonSync& sync, BackendLinks& links, MetricRegistry& metrics)
+    PoisonSync& sync, ServerEndProbe& serverEnds, MetricRegistry& metrics)
     : m_context(context)
     , m_view(view)
     , m_poison(poison)
     , m_sync(sync)
-    , m_links(links)
+    , m_serverEnds(serverEnds)
     , m_metrics(metrics)
 {
 }
@@ -33,7 +33,7 @@
 
 Asio::awaitable<void> CrashMonitor::probe(ServerStart server, Endpoint endpoint)
 {
-    const bool hasEnded = co_await m_links.refusesConnections(std::move(endpoint));
+    const bool hasEnded = co_await m_serverEnds.hasEnded(std::move(endpoint));
     m_probed.erase(server);
     if (!hasEnded)
         co_return;
--- a/src/gateway/crashmonitor.h
+++ b/src/gateway/crashmonitor.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "gateway/backendlinks.h"
 #include "gateway/poisonsync.h"
+#include "gateway/serverendprobe.h"
 #include "libapricot/metrics.h"
 #include "libserving/runobserver.h"
 
@@ -14,7 +14,7 @@
 class CrashMonitor : public RunObserver {
 public:
     CrashMonitor(boost::asio::io_context& context, ServingView& view, PoisonTable& poison,
-        PoisonSync& sync, BackendLinks& links, MetricRegistry& metrics);
+        PoisonSync& sync, ServerEndProbe& serverEnds, MetricRegistry& metrics);
 
     void onRunEnded(const EndedRun& run) override;
     void onFinished(const std::vector<PoisonSubject>& subjects, int stage) override;
@@ -22,7 +22,7 @@
     void onServersChanged();
 
 private:
-    // Connects to the address of a server, which is refused if its process has ended.
+    // Checks whether the process of a server has ended.
     boost::asio::awaitable<void> probe(ServerStart server, Endpoint endpoint);
     void recordCrashes(CrashEvidence evidence, const std::vector<DetectedCrash>& crashes);
     void recordWithdrawn();
@@ -31,7 +31,7 @@
     ServingView& m_view;
     PoisonTable& m_poison;
     PoisonSync& m_sync;
-    BackendLinks& m_links;
+    ServerEndProbe& m_serverEnds;
     MetricRegistry& m_metrics;
     CrashDetector m_detector;
     // Servers that are being probed.
--- a/src/gateway/gatewaydaemon.cpp
+++ b/src/gateway/gatewaydaemon.cpp
@@ -73,10 +73,11 @@
     , m_links(m_context, m_view)
     , m_relays(m_context, m_view, m_peers, settings.process.host, m_metrics)
     , m_calls(m_context, m_links, m_relays)
-    , m_backendCaller(m_view, m_tracker, m_limits, m_calls)
+    , m_serverEnds(m_context, m_view, m_links, m_peers, settings.process.host)
+    , m_backendCaller(m_view, m_tracker, m_limits, m_calls, m_serverEnds)
     , m_relayServer(m_context, m_backendCaller, m_metrics)
     , m_poisonSync(m_context, m_store, m_view, m_poison, settings.process.host)
-    , m_crashMonitor(m_context, m_view, m_poison, m_poisonSync, m_links, m_metrics)
+    , m_crashMonitor(m_context, m_view, m_poison, m_poisonSync, m_serverEnds, m_metrics)
     , m_peerViewSync(m_context, m_viewUpdater, m_view, m_peers, settings.process.host,
           parseEndpoints(settings.seeds).value_or(std::vector<Endpoint>()))
     , m_stageHome(m_context, m_view, m_backendCaller, m_poison)
@@ -205,6 +206,8 @@
         text = m_streamOrigins.respondTo(request.json);
     else if (request.topic == LimitPermits::permitTopic)
         text = m_limits.respondTo(request.json);
+    else if (request.topic == ServerEndProbe::topic)
+        text = co_await m_serverEnds.respondTo(std::move(request.json));
     else
         co_return;
     Message response = TextMessage { request.topic, std::move(text) };
--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -58,6 +58,7 @@
     BackendLinks m_links;
     RelayClient m_relays;
     ServerCalls m_calls;
+    ServerEndProbe m_serverEnds;
     BackendCaller m_backendCaller;
     RelayServer m_relayServer;
     PoisonSync m_poisonSync;
--- a/tests/platform/gatewayfixture.h
+++ b/tests/platform/gatewayfixture.h
@@ -41,7 +41,8 @@
     Apricot::BackendLinks links { context, view };
     Apricot::RelayClient relays { context, view, peers, Apricot::HostId("h1"), registry };
     Apricot::ServerCalls calls { context, links, relays };
-    Apricot::BackendCaller backendCaller { view, tracker, limits, calls };
+    Apricot::ServerEndProbe serverEnds { context, view, links, peers, Apricot::HostId("h1") };
+    Apricot::BackendCaller backendCaller { view, tracker, limits, calls, serverEnds };
     Apricot::StageHome home { context, view, backendCaller, poison };
     Apricot::StageRouter router { context, Apricot::HostId("h1"), view, home, peers };
     Apricot::StageRunner stages { context, router };
