Keep to the room of brittle servers over all hosts

A server that says Server-Brittle ends if it has to turn away more requests in a second than it names. Nothing read that: at 1.35 times what six servers could run, 19 of them ended in 12 s, because each host tried the full servers in turn.

Each host now keeps to its part of a brittle server's slots, and pauses for a server that turned a request away, for so long that all hosts together stay at half of what the server can turn away. Servers that start again count as brittle as long as others of their pool are. Requests that find no room are refused at once. What servers say about themselves is read in one place for every response, those to calls for peers included.

--- a/src/gateway/backendcaller.cpp
+++ b/src/gateway/backendcaller.cpp
@@ -81,11 +81,12 @@
 }
 
 BackendCaller::BackendCaller(
-    ServingView& view, ServerTracker& tracker, LimitPermits& limits, ServerCalls& calls,
-    ServerEndProbe& serverEnds)
+    ServingView& view, ServerTracker& tracker, LimitPermits& limits,
+    ServerStatements& statements, ServerCalls& calls, ServerEndProbe& serverEnds)
     : m_view(view)
     , m_tracker(tracker)
     , m_limits(limits)
+    , m_statements(statements)
     , m_calls(calls)
     , m_serverEnds(serverEnds)
 {
@@ -113,7 +114,7 @@
     };
     auto sent = std::make_shared<bool>(false);
     HttpSendGate gate = [this, sent, server, scope = request.scope] {
-        *sent = mayReceive(server, CallCheck::Request);
+        *sent = mayReceive(server, CallCheck::Request) && m_statements.mayUsePlace(server);
         if (*sent)
             scope->markSent();
         return *sent;
@@ -123,12 +124,13 @@
         .requestId = request.caller.id,
         .timeLeft = std::max(request.timeLeft(startedAt), Milliseconds(1)) };
     m_tracker.onCallStarted(server.id);
+    const std::shared_ptr<void> place = m_statements.takePlace(server.id);
     SendResult result;
     std::string reason;
     try {
         auto stream = co_await m_calls.open(std::move(target), std::move(call), std::move(gate));
         if (stream)
-            m_limits.recordResponse(server, startedAt, stream->head());
+            m_statements.record(server, startedAt, stream->head());
         result = classify(std::move(stream));
     } catch (const CallNotSentError& error) {
         reason = error.code().message();
@@ -144,6 +146,7 @@
         if (request.scope->isOver())
             result.outcome = *sent ? SendOutcome::Cancelled : SendOutcome::NotSent;
     }
+    result.place = place;
     const TimePoint now = RuntimeClock::now();
     logFailedSend(request, server, result, reason, now - startedAt);
     const bool isInconclusive = request.scope->isOver()
@@ -240,7 +243,7 @@
     const Platform::ResponseMarkers markers = Platform::readResponseMarkers(stream->head());
     const int status = stream->status();
     if (markers.isNotRun || status == statusMisdirected)
-        return { .outcome = SendOutcome::NotRun, .stream = nullptr, .status = status };
+        return { .outcome = SendOutcome::NotRun, .status = status };
     const bool isSuccess = status / statusesPerClass == successClass;
     if (isSuccess && (!markers.isSigned || markers.isEncoded))
         return { .outcome = SendOutcome::Broken };
@@ -262,7 +265,7 @@
     }
     if (!stream)
         throw boost::system::system_error(Asio::error::operation_aborted);
-    m_limits.recordResponse(server, startedAt, stream->head());
+    m_statements.record(server, startedAt, stream->head());
     co_return co_await Apricot::readResponse(*stream, timeout);
 }
 
@@ -288,7 +291,7 @@
     std::unique_ptr<HttpStream> stream
         = co_await m_calls.openDirect(std::move(endpoint), std::move(call), std::move(gate));
     if (stream)
-        m_limits.recordResponse(server, startedAt, stream->head());
+        m_statements.record(server, startedAt, stream->head());
     co_return stream;
 }
 
@@ -325,6 +328,7 @@
         endpoints.insert(known.server.endpoint);
     }
     m_tracker.retain(ids);
+    m_statements.onViewChanged();
     m_calls.retain(endpoints);
     m_calls.links().removeUnknownServers();
 }
--- a/src/gateway/backendcaller.h
+++ b/src/gateway/backendcaller.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "gateway/limitpermits.h"
 #include "gateway/requestscope.h"
 #include "gateway/servercalls.h"
 #include "gateway/serverendprobe.h"
+#include "gateway/serverstatements.h"
 #include "libserving/runobserver.h"
 #include "libserving/servertracker.h"
 #include "libserving/servingview.h"
@@ -27,6 +27,8 @@
 };
 
 struct SendResult {
+    // The request's place at the server; see ServerStatements. Destroyed after the response.
+    std::shared_ptr<void> place;
     SendOutcome outcome = SendOutcome::NotSent;
     // The response, if it has started.
     std::unique_ptr<HttpStream> stream;
@@ -64,7 +66,8 @@
 // new work, such as draining ones, are sent none.
 class BackendCaller {
 public:
-    BackendCaller(ServingView& view, ServerTracker& tracker, LimitPermits& limits, ServerCalls& calls,
+    BackendCaller(ServingView& view, ServerTracker& tracker, LimitPermits& limits,
+        ServerStatements& statements, ServerCalls& calls,
         ServerEndProbe& serverEnds);
 
     // Sends a caller's request. The timeout bounds the wait for the response header; the server is sent
@@ -109,6 +112,7 @@
     ServerTracker& tracker() { return m_tracker; }
     // Permits for servers with a limit; acquire one before each call, except those without a check.
     LimitPermits& limits() { return m_limits; }
+    ServerStatements& statements() { return m_statements; }
     // Removes the state of servers that have left the view, and closes their connections.
     void removeUnknownServers();
 
@@ -121,6 +125,7 @@
     ServingView& m_view;
     ServerTracker& m_tracker;
     LimitPermits& m_limits;
+    ServerStatements& m_statements;
     ServerCalls& m_calls;
     ServerEndProbe& m_serverEnds;
     RunObserver* m_runObserver = nullptr;
--- a/src/gateway/gatewaydaemon.cpp
+++ b/src/gateway/gatewaydaemon.cpp
@@ -70,11 +70,12 @@
           { requireEndpoint(settings.peers), settings.process.failureDomain })
     , m_peers(m_context)
     , m_limits(m_context, m_view, m_peers, settings.process.host, m_metrics)
+    , m_statements(m_view, m_limits)
     , m_links(m_context, m_view)
     , m_relays(m_context, m_view, m_peers, settings.process.host, m_metrics)
     , m_calls(m_context, m_links, m_relays)
     , m_serverEnds(m_context, m_view, m_links, m_peers, settings.process.host)
-    , m_backendCaller(m_view, m_tracker, m_limits, m_calls, m_serverEnds)
+    , m_backendCaller(m_view, m_tracker, m_limits, m_statements, m_calls, m_serverEnds)
     , m_relayServer(m_context, m_backendCaller, m_metrics)
     , m_poisonSync(m_context, m_store, m_view, m_poison, settings.process.host)
     , m_crashMonitor(m_context, m_view, m_poison, m_poisonSync, m_serverEnds, m_metrics)
@@ -113,6 +114,7 @@
                           m_view, m_stageHome, m_retries, m_poison, m_viewUpdater.isStoreLost());
                       m_gatewayMetrics.setLimitedServers(m_limits.limitedServers());
                       m_gatewayMetrics.setLostLinks(m_links.lostLinks());
+                      m_gatewayMetrics.setBrittleServers(m_statements.brittleServers());
                   } })
     , m_stopSignals(m_context, SIGTERM, SIGINT)
     , m_reloadSignals(m_context, SIGHUP)
--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -55,6 +55,7 @@
     ServingViewUpdater m_viewUpdater;
     PeerClient m_peers;
     LimitPermits m_limits;
+    ServerStatements m_statements;
     BackendLinks m_links;
     RelayClient m_relays;
     ServerCalls m_calls;
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -25,6 +25,8 @@
     , m_limitedServers(registry.gauge("apricot_limited_servers", "Backend servers that named a limit."))
     , m_lostLinks(registry.gauge(
           "apricot_lost_links", "Backend servers to which this host has lost its link."))
+    , m_brittleServers(registry.gauge("apricot_brittle_servers",
+          "Backend servers that end if they turn away too many requests."))
 {
 }
 
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -17,6 +17,7 @@
         const PoisonTable& poison, bool isStoreLost);
 
     void setLimitedServers(std::size_t count) { m_limitedServers.set(static_cast<double>(count)); }
+    void setBrittleServers(std::size_t count) { m_brittleServers.set(static_cast<double>(count)); }
     void setLostLinks(std::size_t count) { m_lostLinks.set(static_cast<double>(count)); }
 
 private:
@@ -33,6 +34,7 @@
     Gauge& m_poisonedParts;
     Gauge& m_limitedServers;
     Gauge& m_lostLinks;
+    Gauge& m_brittleServers;
 };
 
 }
--- a/src/gateway/limitpermits.cpp
+++ b/src/gateway/limitpermits.cpp
@@ -3,7 +3,6 @@
 #include "libapricot/rendezvous.h"
 #include "libnet/log.h"
 #include "libserving/serverlimitjson.h"
-#include "platform/requesttranslation.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -29,8 +28,6 @@
     constexpr std::size_t treeFanOut = 8;
     constexpr Milliseconds minRefusalTime { 20 };
     constexpr Milliseconds retrySpread { 500 };
-    constexpr int statusMisdirected = 421;
-    constexpr std::size_t maxLoggedBytes = 40;
 
     const char* changeName(LimitChange change)
     {
@@ -202,20 +199,10 @@
     return std::max(std::chrono::ceil<Milliseconds>(earliest - now), minRefusalTime) + jitter(retrySpread);
 }
 
-void LimitPermits::recordResponse(
-    const ServerEntry& server, TimePoint sentAt, const HttpResponseHead& response)
+void LimitPermits::recordLimit(const ServerEntry& server, TimePoint sentAt, std::optional<double> limit)
 {
-    // Comes from another server that has taken over the address.
-    if (response.status == statusMisdirected)
-        return;
-    const Platform::NamedLimit named = Platform::readServerLimit(response);
-    if (named.isMalformed) {
-        writeLog(LogLevel::Warning, "server_limit_ignored",
-            { { "server", server.id.value() }, { "value", named.text.substr(0, maxLoggedBytes) } });
-        return;
-    }
-    if (named.limit || m_limits.latest(startOf(server)))
-        record(startOf(server), { named.limit, sentAt }, "response", true);
+    if (limit || m_limits.latest(startOf(server)))
+        record(startOf(server), { limit, sentAt }, "response", true);
 }
 
 void LimitPermits::record(
--- a/src/gateway/limitpermits.h
+++ b/src/gateway/limitpermits.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "libapricot/metrics.h"
-#include "libnet/httpclient.h"
 #include "libnet/peerstream.h"
 #include "libserving/serverlimits.h"
 #include "libserving/servingview.h"
@@ -32,8 +31,8 @@
     // not all callers return at once.
     Milliseconds retryAfter(const std::vector<const KnownServer*>& servers);
 
-    // Records what a response says about the limit of its server.
-    void recordResponse(const ServerEntry& server, TimePoint sentAt, const HttpResponseHead& response);
+    // Records the limit that a server named in the response to a request sent at a time, or that it named none.
+    void recordLimit(const ServerEntry& server, TimePoint sentAt, std::optional<double> limit);
 
     // Response to a peer's request for a permit.
     std::string respondTo(const std::string& text);
--- a/src/gateway/plainforwarder.cpp
+++ b/src/gateway/plainforwarder.cpp
@@ -26,6 +26,21 @@
 
 }
 
+bool checkAvailability(ServerStatements& statements, const ServerEntry& server, ServedOutcome& outcome)
+{
+    switch (statements.availability(server)) {
+    case ServerAvailability::Available:
+        return true;
+    case ServerAvailability::Limited:
+        outcome.limited.insert(server.id);
+        return false;
+    case ServerAvailability::Full:
+        outcome.full.insert(server.id);
+        return false;
+    }
+    return false;
+}
+
 std::optional<RetryPermit> tryAcquireRetry(RetryWindow& retries, const ServedRequest& request)
 {
     const TimePoint now = RuntimeClock::now();
@@ -131,9 +146,10 @@
     GatewayRefusal reason = GatewayRefusal::ServerFailed;
     std::optional<Milliseconds> retryAfter;
     if (progress.runs == 0) {
-        reason = progress.outcome.sends > 0 ? GatewayRefusal::Overloaded : GatewayRefusal::NoServer;
+        const bool isFull = progress.outcome.sends > 0 || !progress.outcome.full.empty();
+        reason = isFull ? GatewayRefusal::Overloaded : GatewayRefusal::NoServer;
         retryAfter = fullPoolRetryAfter;
-        if (progress.outcome.sends == 0 && !progress.outcome.limited.empty()) {
+        if (!isFull && !progress.outcome.limited.empty()) {
             reason = GatewayRefusal::Limited;
             retryAfter = m_backendCaller.limits().retryAfter(m_view.servers().usable(request.pool, RuntimeClock::now()));
         }
@@ -164,10 +180,8 @@
         const BackendServerId& id = known->server.id;
         if (progress.tried.contains(id))
             continue;
-        if (!m_backendCaller.limits().mayAcquire(known->server)) {
-            progress.outcome.limited.insert(id);
+        if (!checkAvailability(m_backendCaller.statements(), known->server, progress.outcome))
             continue;
-        }
         const std::tuple sortKey(tracker.isAvoided(id, now), tracker.cost(id));
         if (!best || sortKey < bestSortKey) {
             best = known;
--- a/src/gateway/plainforwarder.h
+++ b/src/gateway/plainforwarder.h
@@ -22,12 +22,17 @@
     int sends = 0;
     // Servers that were passed over because of their limits.
     std::set<BackendServerId> limited {};
+    // Servers that were passed over because they have no room.
+    std::set<BackendServerId> full {};
     // Framing of the server's response that was forwarded, if one was.
     std::optional<BodyFraming> framing;
     // Bytes that followed the last complete event of a forwarded stream.
     std::size_t unfinishedBytes = 0;
 };
 
+// Whether a server may receive a request now; if not, records in the outcome that it was passed over, and why.
+bool checkAvailability(ServerStatements& statements, const ServerEntry& server, ServedOutcome& outcome);
+
 // Acquires a permit for one retry of a request, and logs it if there is none.
 std::optional<RetryPermit> tryAcquireRetry(RetryWindow& retries, const ServedRequest& request);
 
--- /dev/null
+++ b/src/gateway/serverstatements.cpp
@@ -0,0 +1,97 @@
+#include "gateway/serverstatements.h"
+
+#include "libnet/log.h"
+#include "platform/requesttranslation.h"
+
+#include <boost/json/object.hpp>
+
+namespace Apricot {
+
+namespace {
+
+    constexpr int statusMisdirected = 421;
+    constexpr int statusUnavailable = 503;
+    constexpr std::size_t maxLoggedBytes = 40;
+
+}
+
+ServerStatements::ServerStatements(const ServingView& view, LimitPermits& limits)
+    : m_view(view)
+    , m_limits(limits)
+{
+}
+
+void ServerStatements::record(const ServerEntry& server, TimePoint sentAt, const HttpResponseHead& response)
+{
+    // Comes from another server that has taken over the address.
+    if (response.status == statusMisdirected)
+        return;
+    const TimePoint now = RuntimeClock::now();
+    const Platform::ServerStatement statement = Platform::readServerStatement(response);
+    if (statement.limit.isMalformed)
+        logIgnored(server, "limit", statement.limit.text);
+    else
+        m_limits.recordLimit(server, sentAt, statement.limit.value);
+    if (statement.brittleLimit.isMalformed)
+        logIgnored(server, "brittle", statement.brittleLimit.text);
+    else if (m_brittle.record(server, statement.brittleLimit.value, sentAt, now))
+        writeLog(LogLevel::Info, "server_brittle_changed",
+            { { "server", server.id.value() }, { "started_at", server.startedAt },
+                { "limit",
+                    statement.brittleLimit.value ? boost::json::value(*statement.brittleLimit.value)
+                                                 : boost::json::value(nullptr) } });
+    if (response.status == statusUnavailable && Platform::readResponseMarkers(response).isNotRun)
+        m_brittle.recordRefusal(server, m_view.hosts().size(), now);
+}
+
+void ServerStatements::logIgnored(
+    const ServerEntry& server, std::string_view field, const std::string& text) const
+{
+    writeLog(LogLevel::Warning, "server_statement_ignored",
+        { { "server", server.id.value() }, { "statement", field }, { "value", text.substr(0, maxLoggedBytes) } });
+}
+
+ServerAvailability ServerStatements::availability(const ServerEntry& server)
+{
+    const TimePoint now = RuntimeClock::now();
+    if (!m_brittle.hasRoom(server, placesTaken(server.id), m_view.hosts().size(), now))
+        return ServerAvailability::Full;
+    return m_limits.mayAcquire(server) ? ServerAvailability::Available : ServerAvailability::Limited;
+}
+
+TimePoint ServerStatements::availableAt(const ServerStart& server)
+{
+    return std::max(m_limits.availableAt(server), m_brittle.pausedUntil(server));
+}
+
+std::shared_ptr<void> ServerStatements::takePlace(const BackendServerId& server)
+{
+    ++(*m_places)[server];
+    return { nullptr, [places = m_places, server](void* /*unused*/) {
+                const auto taken = places->find(server);
+                if (--taken->second == 0)
+                    places->erase(taken);
+            } };
+}
+
+bool ServerStatements::mayUsePlace(const ServerEntry& server) const
+{
+    return m_brittle.hasRoom(
+        server, placesTaken(server.id) - 1, m_view.hosts().size(), RuntimeClock::now());
+}
+
+int ServerStatements::placesTaken(const BackendServerId& server) const
+{
+    const auto taken = m_places->find(server);
+    return taken == m_places->end() ? 0 : taken->second;
+}
+
+void ServerStatements::onViewChanged()
+{
+    std::set<BackendServerId> listed;
+    for (const auto& [id, known] : m_view.servers().all())
+        listed.insert(id);
+    m_brittle.retain(listed);
+}
+
+}
--- a/src/gateway/stagehome.cpp
+++ b/src/gateway/stagehome.cpp
@@ -177,10 +177,10 @@
     if (m_poison.size() > 0)
         group.scheduler.applyPermits(
             [this, now](Fingerprint fingerprint) { return permitFor(fingerprint, now); });
-    LimitPermits& limits = m_backendCaller.limits();
-    if (limits.limitedServers() > 0)
-        group.scheduler.pauseServers([&limits](const StageServer& server) {
-            return limits.availableAt({ server.id, server.startedAt });
+    ServerStatements& statements = m_backendCaller.statements();
+    if (statements.hasRestrictions())
+        group.scheduler.pauseServers([&statements](const StageServer& server) {
+            return statements.availableAt({ server.id, server.startedAt });
         });
     for (PlannedCall& planned : group.scheduler.planCalls(now))
         Asio::co_spawn(m_context, callServer(key, std::move(planned)), Asio::detached);
@@ -227,6 +227,7 @@
     StageCallFailure failure = StageCallFailure::Broken;
     std::string reason;
     const ServerEntry server { .id = planned.server.id,
+        .pool = key.first,
         .endpoint = planned.server.endpoint,
         .startedAt = planned.server.startedAt };
     if (!co_await m_backendCaller.limits().acquire(server)) {
--- a/src/gateway/streamforwarder.cpp
+++ b/src/gateway/streamforwarder.cpp
@@ -249,10 +249,9 @@
         const BackendServerId& id = engine->server.id;
         if (progress.tried.contains(id) || (progress.permit && progress.permit != id && isPermitUsable))
             continue;
-        if (progress.permit != id && !m_backendCaller.limits().mayAcquire(engine->server)) {
-            progress.outcome.limited.insert(id);
+        if (progress.permit != id
+            && !checkAvailability(m_backendCaller.statements(), engine->server, progress.outcome))
             continue;
-        }
         if (engine->isCold(now)
             && !m_coldLimiter.tryAcquire(engine->server.id, pool ? pool->coldRate : 0, now))
             continue;
@@ -403,9 +402,10 @@
         reason = refusalFor(progress.stages.outcome);
         retryAfter = std::max(progress.stages.retryAfter, minStageRetryAfter);
     } else {
-        reason = progress.outcome.sends > 0 ? GatewayRefusal::Overloaded : GatewayRefusal::NoServer;
+        const bool isFull = progress.outcome.sends > 0 || !progress.outcome.full.empty();
+        reason = isFull ? GatewayRefusal::Overloaded : GatewayRefusal::NoServer;
         retryAfter = fullPoolRetryAfter;
-        if (progress.outcome.sends == 0 && !progress.outcome.limited.empty()) {
+        if (!isFull && !progress.outcome.limited.empty()) {
             reason = GatewayRefusal::Limited;
             retryAfter = m_backendCaller.limits().retryAfter(usableEngines(request, progress));
         }
--- a/tests/platform/clusterserver.h
+++ b/tests/platform/clusterserver.h
@@ -14,6 +14,10 @@
     // Number of the report that its entry holds.
     int sequence = 1;
     bool isUp = false;
+    // Requests that run or wait, and when others were turned away within the last second.
+    std::shared_ptr<std::size_t> admitted = std::make_shared<std::size_t>(0);
+    std::shared_ptr<std::size_t> running = std::make_shared<std::size_t>(0);
+    std::vector<Apricot::TimePoint> turnedAwayAt;
     // Shared with the handlers, which may be destroyed after the server.
     std::shared_ptr<std::set<Apricot::HttpExchange*>> exchanges = std::make_shared<std::set<Apricot::HttpExchange*>>();
     // Listeners of earlier starts are kept until their connections have ended.
--- a/tests/platform/clusterservers.cpp
+++ b/tests/platform/clusterservers.cpp
@@ -52,6 +52,9 @@
     server.startedAt = firstStart + number;
     server.sequence = 1;
     server.isUp = true;
+    server.admitted = std::make_shared<std::size_t>(0);
+    server.running = std::make_shared<std::size_t>(0);
+    server.turnedAwayAt.clear();
     server.listeners.push_back(std::make_unique<HttpServer>(m_context,
         HttpServerOptions { .port = server.port },
         [this, &server](HttpExchange& exchange) { return serve(server, exchange); }));
@@ -67,6 +70,8 @@
     const auto limit = limits.find(server.id);
     if (limit != limits.end())
         fields.push_back({ std::string(Names::serverLimitField), limit->second });
+    if (room && server.pool == "plain")
+        fields.push_back({ std::string(Names::serverBrittleField), std::to_string(room->brittleLimit) });
     return fields;
 }
 
@@ -180,6 +185,8 @@
         co_return co_await exchange.respond(421, "text/plain", "");
     if (server.pool == "stages")
         co_return co_await serveStageCall(server, exchange);
+    if (room && server.pool == "plain")
+        co_return co_await serveInRoom(server, exchange);
     if (hasPromptPart(exchange.request(), fatalPart)) {
         const std::size_t turn = runsOf(poisonWord).size();
         co_return co_await endWhileResponding(server, exchange, fatalMoments[turn % fatalMoments.size()]);
@@ -197,6 +204,36 @@
     co_await exchange.endStream();
 }
 
+Asio::awaitable<void> GatewayCluster::serveInRoom(BackendServer& server, HttpExchange& exchange)
+{
+    constexpr Milliseconds countedTime { 1000 };
+    constexpr Milliseconds pollInterval { 2 };
+    const TimePoint now = RuntimeClock::now();
+    const auto admitted = server.admitted;
+    std::vector<HttpField> fields = fieldsOf(server, exchange.request());
+    if (*admitted >= room->slots + room->waiting) {
+        std::erase_if(server.turnedAwayAt, [&](TimePoint time) { return time + countedTime <= now; });
+        server.turnedAwayAt.push_back(now);
+        if (server.isUp && server.turnedAwayAt.size() > static_cast<std::size_t>(room->brittleLimit)) {
+            ++falls;
+            co_return endServer(server);
+        }
+        fields.push_back({ std::string(Names::notRunField), "full" });
+        co_return co_await exchange.respond(503, "text/plain", "", fields);
+    }
+    const std::shared_ptr<void> place(nullptr, [admitted](void*) { --*admitted; });
+    // Requests that wait run in the order in which places get free.
+    ++*admitted;
+    const auto running = server.running;
+    while (*running >= room->slots)
+        co_await sleepFor(m_context.get_executor(), pollInterval);
+    const std::shared_ptr<void> slot(nullptr, [running](void*) { --*running; });
+    ++*running;
+    runs.push_back({ server.pool, server.id, RuntimeClock::now(), exchange.request().body, false });
+    co_await sleepFor(m_context.get_executor(), runTime);
+    co_await exchange.respond(200, "text/plain", "done", std::move(fields));
+}
+
 Asio::awaitable<void> GatewayCluster::endWhileResponding(
     BackendServer& server, HttpExchange& exchange, FatalMoment moment)
 {
--- a/tests/platform/gatewaycluster.h
+++ b/tests/platform/gatewaycluster.h
@@ -53,6 +53,14 @@
     AfterEvent,
 };
 
+// Room of a server for requests. It turns others away, and ends if it has to turn away more than `brittleLimit` within
+// a second.
+struct ServerRoom {
+    std::size_t slots = 4;
+    std::size_t waiting = 4;
+    int brittleLimit = 0;
+};
+
 // How often the hosts of a cluster may send a request again.
 enum class ClusterRetries {
     AsConfigured,
@@ -131,6 +139,9 @@
     std::vector<FatalMoment> fatalMoments { FatalMoment::BeforeHead };
     // Limits that servers name in their responses, by server.
     std::map<std::string, std::string> limits;
+    // Room of each plain server, and the number of servers that ended because they turned away too many.
+    std::optional<ServerRoom> room;
+    int falls = 0;
     std::vector<ScriptedRun> runs;
     std::vector<ClusterResponse> responses;
 
@@ -154,6 +165,8 @@
     void startServer(BackendServer& server);
     void endServer(BackendServer& server);
     boost::asio::awaitable<void> serve(BackendServer& server, Apricot::HttpExchange& exchange);
+    // Responds once a server with little room has run a request, or turns it away.
+    boost::asio::awaitable<void> serveInRoom(BackendServer& server, Apricot::HttpExchange& exchange);
     boost::asio::awaitable<void> serveStageCall(
         BackendServer& server, Apricot::HttpExchange& exchange);
     // Records a run. Returns false if it ended the server.
--- a/tests/platform/gatewayfixture.h
+++ b/tests/platform/gatewayfixture.h
@@ -38,11 +38,12 @@
     Apricot::MetricRegistry registry;
     Apricot::PeerClient peers { context };
     Apricot::LimitPermits limits { context, view, peers, Apricot::HostId("h1"), registry };
+    Apricot::ServerStatements statements { view, limits };
     Apricot::BackendLinks links { context, view };
     Apricot::RelayClient relays { context, view, peers, Apricot::HostId("h1"), registry };
     Apricot::ServerCalls calls { context, links, relays };
     Apricot::ServerEndProbe serverEnds { context, view, links, peers, Apricot::HostId("h1") };
-    Apricot::BackendCaller backendCaller { view, tracker, limits, calls, serverEnds };
+    Apricot::BackendCaller backendCaller { view, tracker, limits, statements, calls, serverEnds };
     Apricot::StageHome home { context, view, backendCaller, poison };
     Apricot::StageRouter router { context, Apricot::HostId("h1"), view, home, peers };
     Apricot::StageRunner stages { context, router };
