--- a/tests/platform/clusterservers.cpp
+++ b/tests/platform/clusterservers.cpp
@@ -70,6 +70,8 @@
     const auto limit = limits.find(server.id);
     if (limit != limits.end())
         fields.push_back({ std::string(Names::serverLimitField), limit->second });
+    if (leaving.contains(server.id))
+        fields.push_back({ std::string(Names::serverLeavingField), "1" });
     if (room && server.pool == "plain")
         fields.push_back({ std::string(Names::serverBrittleField), std::to_string(room->brittleLimit) });
     return fields;
@@ -183,6 +185,14 @@
     const std::string_view expected = exchange.request().field(Names::expectInstanceField);
     if (!expected.empty() && expected != server.id)
         co_return co_await exchange.respond(421, "text/plain", "");
+    const auto rest = rests.find(server.id);
+    if (rest != rests.end()) {
+        turnedAway.push_back({ server.id, exchange.request().body, RuntimeClock::now(), rest->second });
+        std::vector<HttpField> fields = fieldsOf(server, exchange.request());
+        fields.push_back({ std::string(Names::notRunField), "full" });
+        fields.push_back({ std::string(Names::retryAfterField), rest->second });
+        co_return co_await exchange.respond(503, "text/plain", "", std::move(fields));
+    }
     if (server.pool == "stages")
         co_return co_await serveStageCall(server, exchange);
     if (room && server.pool == "plain")
--- a/tests/platform/gatewaycluster.cpp
+++ b/tests/platform/gatewaycluster.cpp
@@ -156,6 +156,7 @@
     try {
         const std::unique_ptr<HttpStream> stream = co_await client.open(std::move(call));
         responses[index].status = stream->status();
+        responses[index].retryAfter = stream->field(Names::retryAfterField);
         while (const std::optional<std::string> data = co_await stream->read())
             responses[index].body += *data;
         responses[index].isComplete = true;
--- a/tests/platform/gatewaycluster.h
+++ b/tests/platform/gatewaycluster.h
@@ -24,6 +24,14 @@
     bool endedServer = false;
 };
 
+// A request or call that a server turned away, asking for rest.
+struct TurnedAway {
+    std::string server;
+    std::string content;
+    Apricot::TimePoint at {};
+    std::string rest;
+};
+
 // A request of a caller of the cluster.
 struct ClusterRequest {
     std::string path;
@@ -41,6 +49,8 @@
     int status = 0;
     // Body as far as it was received, and whether it reached the end that its framing declares.
     std::string body;
+    // Retry-After in seconds, or empty.
+    std::string retryAfter {};
     bool isComplete = false;
     bool hasEnded = false;
 };
@@ -142,6 +152,11 @@
     // Room of each plain server, and the number of servers that ended because they turned away too many.
     std::optional<ServerRoom> room;
     int falls = 0;
+    // Rest that servers ask for, by server, as they turn away what they get.
+    std::map<std::string, std::string> rests;
+    std::vector<TurnedAway> turnedAway;
+    // Servers that say in their responses that they leave.
+    std::set<std::string> leaving;
     std::vector<ScriptedRun> runs;
     std::vector<ClusterResponse> responses;
 
