Give servers the rest that they ask for

Servers that turned a request away and asked for 3 s of rest got three and more requests of the same host in that time: nothing read Retry-After of a server, and a refusal was answered by the next try. The class is a host that does not take a server's word for what it wants.

Each host now keeps the rests that servers asked it for, by start of the server. Resting servers are passed over before a permit or a try is spent, and the check just before the bytes of any call go out - requests, stages, releases, calls for peers - stops those that were chosen before. A later answer does not shorten a rest; after it a server gets one request at first. If all servers rest, requests are refused at once with the time of the first end, before their stages run. Values that are no number of seconds are logged and ignored; rests are an hour at most.

--- a/src/gateway/backendcaller.cpp
+++ b/src/gateway/backendcaller.cpp
@@ -299,7 +299,7 @@
 {
     const Milliseconds timeout = call.timeout;
     CallTarget target { .server = { .endpoint = std::move(endpoint) }, .timeLeft = timeout };
-    HttpSendGate gate;
+    HttpSendGate gate = [this, server = target.server] { return mayReceive(server, CallCheck::None); };
     const std::unique_ptr<HttpStream> stream
         = co_await m_calls.open(std::move(target), std::move(call), std::move(gate));
     if (!stream)
@@ -309,12 +309,13 @@
 
 bool BackendCaller::mayReceive(const ServerEntry& server, CallCheck check)
 {
-    if (check == CallCheck::None)
-        return m_view.servers().hasAddress(server.endpoint);
-    const KnownServer* known = m_view.servers().findUsable(server.id, RuntimeClock::now());
-    if (!known || known->server.endpoint != server.endpoint)
+    const bool isNewWork = check != CallCheck::None;
+    const KnownServer* known = isNewWork ? m_view.servers().findUsable(server.id, RuntimeClock::now())
+                                         : m_view.servers().findByAddress(server.endpoint);
+    if (!known || known->server.endpoint != server.endpoint
+        || m_statements.isResting({ known->server.id, known->server.startedAt }))
         return false;
-    return check == CallCheck::Work
+    return check != CallCheck::Request
         || (known->server.startedAt == server.startedAt
             && known->server.softwareVersion == server.softwareVersion);
 }
--- a/src/gateway/gatewaydaemon.cpp
+++ b/src/gateway/gatewaydaemon.cpp
@@ -115,6 +115,7 @@
                       m_gatewayMetrics.setLimitedServers(m_limits.limitedServers());
                       m_gatewayMetrics.setLostLinks(m_links.lostLinks());
                       m_gatewayMetrics.setBrittleServers(m_statements.brittleServers());
+                      m_gatewayMetrics.setRestingServers(m_statements.restingServers());
                   } })
     , m_stopSignals(m_context, SIGTERM, SIGINT)
     , m_reloadSignals(m_context, SIGHUP)
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -27,6 +27,8 @@
           "apricot_lost_links", "Backend servers to which this host has lost its link."))
     , m_brittleServers(registry.gauge("apricot_brittle_servers",
           "Backend servers that end if they turn away too many requests."))
+    , m_restingServers(registry.gauge("apricot_resting_servers",
+          "Backend servers that asked this host for rest that has not ended."))
 {
 }
 
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -18,6 +18,7 @@
 
     void setLimitedServers(std::size_t count) { m_limitedServers.set(static_cast<double>(count)); }
     void setBrittleServers(std::size_t count) { m_brittleServers.set(static_cast<double>(count)); }
+    void setRestingServers(std::size_t count) { m_restingServers.set(static_cast<double>(count)); }
     void setLostLinks(std::size_t count) { m_lostLinks.set(static_cast<double>(count)); }
 
 private:
@@ -35,6 +36,7 @@
     Gauge& m_limitedServers;
     Gauge& m_lostLinks;
     Gauge& m_brittleServers;
+    Gauge& m_restingServers;
 };
 
 }
--- a/src/gateway/plainforwarder.cpp
+++ b/src/gateway/plainforwarder.cpp
@@ -37,10 +37,33 @@
     case ServerAvailability::Full:
         outcome.full.insert(server.id);
         return false;
+    case ServerAvailability::Resting:
+        outcome.resting.insert(server.id);
+        return false;
     }
     return false;
 }
 
+RefusalWithoutRun refusalWithoutRun(const ServedOutcome& outcome, BackendCaller& backendCaller,
+    const std::vector<const KnownServer*>& servers, Milliseconds fullRetryAfter)
+{
+    ServerStatements& statements = backendCaller.statements();
+    const bool isFull = outcome.sends > 0 || !outcome.full.empty();
+    RefusalWithoutRun refusal { isFull ? GatewayRefusal::Overloaded : GatewayRefusal::NoServer, fullRetryAfter };
+    if (!isFull && !outcome.limited.empty())
+        refusal = { GatewayRefusal::Limited, backendCaller.limits().retryAfter(servers) };
+    const std::optional<Milliseconds> wait = statements.timeUntilAvailable(servers);
+    if (!wait)
+        return refusal;
+    refusal.retryAfter = std::max(refusal.retryAfter, *wait);
+    const bool isResting = std::any_of(servers.begin(), servers.end(), [&statements](const KnownServer* known) {
+        return statements.isResting({ known->server.id, known->server.startedAt });
+    });
+    if (isResting)
+        refusal.reason = GatewayRefusal::Resting;
+    return refusal;
+}
+
 std::optional<RetryPermit> tryAcquireRetry(RetryWindow& retries, const ServedRequest& request)
 {
     const TimePoint now = RuntimeClock::now();
@@ -146,13 +169,10 @@
     GatewayRefusal reason = GatewayRefusal::ServerFailed;
     std::optional<Milliseconds> retryAfter;
     if (progress.runs == 0) {
-        const bool isFull = progress.outcome.sends > 0 || !progress.outcome.full.empty();
-        reason = isFull ? GatewayRefusal::Overloaded : GatewayRefusal::NoServer;
-        retryAfter = fullPoolRetryAfter;
-        if (!isFull && !progress.outcome.limited.empty()) {
-            reason = GatewayRefusal::Limited;
-            retryAfter = m_backendCaller.limits().retryAfter(m_view.servers().usable(request.pool, RuntimeClock::now()));
-        }
+        const RefusalWithoutRun refusal = refusalWithoutRun(progress.outcome, m_backendCaller,
+            m_view.servers().usable(request.pool, RuntimeClock::now()), fullPoolRetryAfter);
+        reason = refusal.reason;
+        retryAfter = refusal.retryAfter;
     } else if (request.scope->endReason() == ScopeEndReason::TimedOut) {
         reason = GatewayRefusal::TimedOut;
     }
--- a/src/gateway/refusals.cpp
+++ b/src/gateway/refusals.cpp
@@ -18,6 +18,8 @@
         return "out_of_time";
     case GatewayRefusal::Limited:
         return "limited";
+    case GatewayRefusal::Resting:
+        return "resting";
     case GatewayRefusal::Poisoned:
         return "poisoned";
     case GatewayRefusal::UnknownOrigin:
@@ -44,6 +46,7 @@
     case GatewayRefusal::NoServer:
     case GatewayRefusal::OutOfTime:
     case GatewayRefusal::Limited:
+    case GatewayRefusal::Resting:
     case GatewayRefusal::Poisoned:
     case GatewayRefusal::UnknownOrigin:
     case GatewayRefusal::VersionUnavailable:
--- a/src/gateway/refusals.h
+++ b/src/gateway/refusals.h
@@ -17,6 +17,8 @@
     OutOfTime,
     // All servers that could run the request named limits, which are used up.
     Limited,
+    // All servers asked for rest.
+    Resting,
     // Earlier attempts of the same request crashed servers.
     Poisoned,
     // Which software version began the stream that is to be resumed is not known.
--- a/src/gateway/requestservice.cpp
+++ b/src/gateway/requestservice.cpp
@@ -119,6 +119,10 @@
     }
     if (!outcome.limited.empty())
         fields["limited_servers"] = outcome.limited.size();
+    if (!outcome.full.empty())
+        fields["full_servers"] = outcome.full.size();
+    if (!outcome.resting.empty())
+        fields["resting_servers"] = outcome.resting.size();
     if (!resumedRequestId.empty())
         fields["resumes"] = resumedRequestId;
     if (outcome.framing) {
--- a/src/gateway/serverendprobe.cpp
+++ b/src/gateway/serverendprobe.cpp
@@ -114,7 +114,7 @@
     const std::optional<Endpoint> server = parseEndpoint(std::string(text.at("address").as_string()));
     Observation observation = Observation::Unknown;
     // Connects to the addresses of servers only.
-    if (server && m_view.servers().hasAddress(*server)) {
+    if (server && m_view.servers().findByAddress(*server)) {
         Endpoint observed = *server;
         observation = co_await observe(std::move(observed));
     }
--- a/src/gateway/serverstatements.cpp
+++ b/src/gateway/serverstatements.cpp
@@ -1,7 +1,6 @@
 #include "gateway/serverstatements.h"
 
 #include "libnet/log.h"
-#include "platform/requesttranslation.h"
 
 #include <boost/json/object.hpp>
 
@@ -12,10 +11,16 @@
     constexpr int statusMisdirected = 421;
     constexpr int statusUnavailable = 503;
     constexpr std::size_t maxLoggedBytes = 40;
+    // Longer rests are cut by ServerRests; bounds the conversion.
+    constexpr double maxRestSeconds = 1e6;
+    // Callers return within this time after a server is available again.
+    constexpr Milliseconds returnSpread { 500 };
+
+    ServerStart startOf(const ServerEntry& server) { return { server.id, server.startedAt }; }
 
 }
 
-ServerStatements::ServerStatements(const ServingView& view, LimitPermits& limits)
+ServerStatements::ServerStatements(ServingView& view, LimitPermits& limits)
     : m_view(view)
     , m_limits(limits)
 {
@@ -40,10 +45,24 @@
                 { "limit",
                     statement.brittleLimit.value ? boost::json::value(*statement.brittleLimit.value)
                                                  : boost::json::value(nullptr) } });
+    recordRest(server, statement.restSeconds, now);
     if (response.status == statusUnavailable && Platform::readResponseMarkers(response).isNotRun)
         m_brittle.recordRefusal(server, m_view.hosts().size(), now);
 }
 
+void ServerStatements::recordRest(
+    const ServerEntry& server, const Platform::StatedNumber& seconds, TimePoint now)
+{
+    if (seconds.isMalformed)
+        return logIgnored(server, "rest", seconds.text);
+    if (!seconds.value || *seconds.value == 0)
+        return;
+    const auto rest = std::chrono::duration<double>(std::min(*seconds.value, maxRestSeconds));
+    if (m_rests.record(startOf(server), std::chrono::duration_cast<Duration>(rest), now))
+        writeLog(LogLevel::Info, "server_rest_started",
+            { { "server", server.id.value() }, { "started_at", server.startedAt }, { "seconds", *seconds.value } });
+}
+
 void ServerStatements::logIgnored(
     const ServerEntry& server, std::string_view field, const std::string& text) const
 {
@@ -54,6 +73,8 @@
 ServerAvailability ServerStatements::availability(const ServerEntry& server)
 {
     const TimePoint now = RuntimeClock::now();
+    if (!m_rests.mayReceive(startOf(server), placesTaken(server.id), now))
+        return ServerAvailability::Resting;
     if (!m_brittle.hasRoom(server, placesTaken(server.id), m_view.hosts().size(), now))
         return ServerAvailability::Full;
     return m_limits.mayAcquire(server) ? ServerAvailability::Available : ServerAvailability::Limited;
@@ -61,7 +82,20 @@
 
 TimePoint ServerStatements::availableAt(const ServerStart& server)
 {
-    return std::max(m_limits.availableAt(server), m_brittle.pausedUntil(server));
+    return std::max(
+        { m_limits.availableAt(server), m_brittle.pausedUntil(server), m_rests.restsUntil(server) });
+}
+
+std::optional<Milliseconds> ServerStatements::timeUntilAvailable(const std::vector<const KnownServer*>& servers)
+{
+    const TimePoint now = RuntimeClock::now();
+    TimePoint earliest = TimePoint::max();
+    for (const KnownServer* known : servers)
+        earliest = std::min(earliest, availableAt(startOf(known->server)));
+    if (servers.empty() || earliest <= now)
+        return std::nullopt;
+    std::uniform_int_distribution<Milliseconds::rep> spread(0, returnSpread.count());
+    return std::chrono::ceil<Milliseconds>(earliest - now) + Milliseconds(spread(m_random));
 }
 
 std::shared_ptr<void> ServerStatements::takePlace(const BackendServerId& server)
@@ -76,8 +110,10 @@
 
 bool ServerStatements::mayUsePlace(const ServerEntry& server) const
 {
-    return m_brittle.hasRoom(
-        server, placesTaken(server.id) - 1, m_view.hosts().size(), RuntimeClock::now());
+    const TimePoint now = RuntimeClock::now();
+    const int others = placesTaken(server.id) - 1;
+    return m_rests.mayReceive(startOf(server), others, now)
+        && m_brittle.hasRoom(server, others, m_view.hosts().size(), now);
 }
 
 int ServerStatements::placesTaken(const BackendServerId& server) const
@@ -92,6 +128,7 @@
     for (const auto& [id, known] : m_view.servers().all())
         listed.insert(id);
     m_brittle.retain(listed);
+    m_rests.retain(listed, RuntimeClock::now());
 }
 
 }
--- a/src/gateway/stagehome.cpp
+++ b/src/gateway/stagehome.cpp
@@ -21,8 +21,8 @@
 
     // Releases are collected for this long and sent in one call to each server.
     constexpr Milliseconds releaseBatchDelay { 20 };
-    // Time after which releases that a limit did not permit are tried again.
-    constexpr Milliseconds limitedReleaseDelay { 400 };
+    // Time after which releases that their server did not permit are tried again.
+    constexpr Milliseconds delayedReleaseDelay { 400 };
     constexpr int statusOk = 200;
 
     // The endpoint of the server that holds a result: the part of its handle before the slash.
@@ -295,16 +295,17 @@
     Asio::co_spawn(m_context, sendReleases(key, delay), Asio::detached);
 }
 
-const ServerEntry* StageHome::findLimited(const Endpoint& endpoint) const
+Asio::awaitable<bool> StageHome::mayRelease(Endpoint endpoint)
 {
-    const LimitPermits& limits = m_backendCaller.limits();
-    if (limits.limitedServers() == 0)
-        return nullptr;
-    for (const auto& [id, known] : m_view.servers().all()) {
-        if (known.server.endpoint == endpoint && limits.isLimited(known.server))
-            return &known.server;
-    }
-    return nullptr;
+    if (!m_backendCaller.statements().hasRestrictions())
+        co_return true;
+    const KnownServer* known = m_view.servers().findByAddress(endpoint);
+    if (!known)
+        co_return true;
+    if (m_backendCaller.statements().isResting({ known->server.id, known->server.startedAt }))
+        co_return false;
+    ServerEntry server = known->server;
+    co_return co_await m_backendCaller.limits().acquire(std::move(server));
 }
 
 Asio::awaitable<void> StageHome::sendReleases(GroupKey key, Milliseconds delay)
@@ -322,9 +323,8 @@
     }
     std::vector<PendingRelease> delayed;
     for (auto& [endpoint, releases] : byServer) {
-        const ServerEntry* limited = findLimited(endpoint);
-        std::optional<ServerEntry> server = limited ? std::optional(*limited) : std::nullopt;
-        if (server && !co_await m_backendCaller.limits().acquire(std::move(*server))) {
+        Endpoint address = endpoint;
+        if (!co_await mayRelease(std::move(address))) {
             std::move(releases.begin(), releases.end(), std::back_inserter(delayed));
             continue;
         }
@@ -339,7 +339,7 @@
     }
     if (!delayed.empty()) {
         std::move(delayed.begin(), delayed.end(), std::back_inserter(group.releases));
-        scheduleReleases(key, limitedReleaseDelay);
+        scheduleReleases(key, delayedReleaseDelay);
     }
     advance(key);
 }
--- a/src/gateway/stagehome.h
+++ b/src/gateway/stagehome.h
@@ -81,8 +81,8 @@
     boost::asio::awaitable<void> callServer(GroupKey key, PlannedCall planned);
     void scheduleReleases(const GroupKey& key, Milliseconds delay);
     boost::asio::awaitable<void> sendReleases(GroupKey key, Milliseconds delay);
-    // The server at an endpoint if it has a limit.
-    const ServerEntry* findLimited(const Endpoint& endpoint) const;
+    // Acquires what the server at an address requires for a release of results.
+    boost::asio::awaitable<bool> mayRelease(Endpoint endpoint);
 
     boost::asio::io_context& m_context;
     ServingView& m_view;
--- a/src/gateway/streamforwarder.cpp
+++ b/src/gateway/streamforwarder.cpp
@@ -64,7 +64,7 @@
     if (!request.caller.lastEventId.empty())
         co_await findOrigin(request, progress);
     m_retries.recordRequest(request.pool, RuntimeClock::now());
-    if (!progress.refusal && m_backendCaller.limits().limitedServers() > 0)
+    if (!progress.refusal && m_backendCaller.statements().hasRestrictions())
         co_await reservePermit(request, progress);
     for (int round = 0; round < maxStageRounds && !progress.refusal; ++round) {
         progress.needsStageRerun = false;
@@ -202,6 +202,14 @@
     LimitPermits& limits = m_backendCaller.limits();
     const auto engines = m_placement.rank(request.caller, usableEngines(request, progress), {},
         m_backendCaller.tracker(), RuntimeClock::now());
+    const bool areResting = !engines.empty()
+        && std::all_of(engines.begin(), engines.end(), [this](const KnownServer* engine) {
+               return m_backendCaller.statements().isResting({ engine->server.id, engine->server.startedAt });
+           });
+    if (areResting) {
+        progress.refusal = GatewayRefusal::Resting;
+        co_return;
+    }
     std::vector<ServerEntry> candidates;
     for (const KnownServer* engine : engines) {
         if (!limits.isLimited(engine->server))
@@ -392,8 +400,10 @@
     std::optional<Milliseconds> retryAfter;
     const bool isTimeout = request.scope->endReason() == ScopeEndReason::TimedOut;
     if (progress.refusal) {
-        if (progress.refusal == GatewayRefusal::Limited)
-            retryAfter = m_backendCaller.limits().retryAfter(usableEngines(request, progress));
+        if (progress.refusal == GatewayRefusal::Limited || progress.refusal == GatewayRefusal::Resting)
+            retryAfter = refusalWithoutRun(
+                progress.outcome, m_backendCaller, usableEngines(request, progress), fullPoolRetryAfter)
+                             .retryAfter;
         else if (progress.version)
             retryAfter = versionRetryAfter(request, *progress.version);
     } else if (progress.runs > 0) {
@@ -402,13 +412,10 @@
         reason = refusalFor(progress.stages.outcome);
         retryAfter = std::max(progress.stages.retryAfter, minStageRetryAfter);
     } else {
-        const bool isFull = progress.outcome.sends > 0 || !progress.outcome.full.empty();
-        reason = isFull ? GatewayRefusal::Overloaded : GatewayRefusal::NoServer;
-        retryAfter = fullPoolRetryAfter;
-        if (!isFull && !progress.outcome.limited.empty()) {
-            reason = GatewayRefusal::Limited;
-            retryAfter = m_backendCaller.limits().retryAfter(usableEngines(request, progress));
-        }
+        const RefusalWithoutRun refusal = refusalWithoutRun(
+            progress.outcome, m_backendCaller, usableEngines(request, progress), fullPoolRetryAfter);
+        reason = refusal.reason;
+        retryAfter = refusal.retryAfter;
     }
     const TimePoint now = RuntimeClock::now();
     if (progress.runs == 0 && !m_poison.refusedOf(request.subjects, now).empty()) {
--- a/src/gateway/streamforwarder.h
+++ b/src/gateway/streamforwarder.h
@@ -50,7 +50,7 @@
         const ServedRequest& request, const StreamProgress& progress) const;
     bool hasUntriedEngine(const ServedRequest& request, const StreamProgress& progress) const;
     const KnownServer* chooseEngine(const ServedRequest& request, StreamProgress& progress);
-    // If all engines have limits, acquires a permit before the stages run in vain, or sets the refusal.
+    // If all engines have limits or rest, acquires a permit before the stages run in vain, or sets the refusal.
     boost::asio::awaitable<void> reservePermit(const ServedRequest& request, StreamProgress& progress);
     // Acquires a permit for an engine, unless it was reserved.
     boost::asio::awaitable<bool> acquirePermit(StreamProgress& progress, ServerEntry engine);
--- a/src/libserving/serverdirectory.cpp
+++ b/src/libserving/serverdirectory.cpp
@@ -225,10 +225,11 @@
     return m_servers.erase(entry);
 }
 
-bool ServerDirectory::hasAddress(const Endpoint& endpoint) const
+const KnownServer* ServerDirectory::findByAddress(const Endpoint& endpoint) const
 {
-    return std::any_of(m_servers.begin(), m_servers.end(),
+    const auto found = std::find_if(m_servers.begin(), m_servers.end(),
         [&endpoint](const auto& entry) { return entry.second.server.endpoint == endpoint; });
+    return found == m_servers.end() ? nullptr : &found->second;
 }
 
 }
--- a/src/libserving/serverdirectory.h
+++ b/src/libserving/serverdirectory.h
@@ -81,8 +81,8 @@
     const KnownServer* findUsable(const BackendServerId& id, TimePoint now);
     const std::map<BackendServerId, KnownServer>& all() const { return m_servers; }
     std::size_t size() const { return m_servers.size(); }
-    // Whether a known server has this address.
-    bool hasAddress(const Endpoint& endpoint) const;
+    // The known server with this address, or null.
+    const KnownServer* findByAddress(const Endpoint& endpoint) const;
     // Incremented with each change of the result of usable(), except those caused by time alone.
     std::uint64_t generation() const { return m_generation; }
 
