Send nothing more to servers that say in a response that they leave

The first such response now counts as the server's draining entry, until its next start; an answer without it, or an entry that still says ready, takes nothing back.

--- a/src/gateway/serverstatements.cpp
+++ b/src/gateway/serverstatements.cpp
@@ -46,6 +46,8 @@
                     statement.brittleLimit.value ? boost::json::value(*statement.brittleLimit.value)
                                                  : boost::json::value(nullptr) } });
     recordRest(server, statement.restSeconds, now);
+    if (statement.isLeaving && m_view.servers().recordLeaving(startOf(server)))
+        writeLog(LogLevel::Info, "server_leaving", { { "server", server.id.value() }, { "started_at", server.startedAt } });
     if (response.status == statusUnavailable && Platform::readResponseMarkers(response).isNotRun)
         m_brittle.recordRefusal(server, m_view.hosts().size(), now);
 }
--- a/src/gateway/serverstatements.h
+++ b/src/gateway/serverstatements.h
@@ -19,7 +19,7 @@
     Resting,
 };
 
-// What backend servers say about themselves in their responses: limits, how brittle they are, and
+// What backend servers say about themselves in their responses: limits, how brittle they are, that they leave, and
 // the rest that they ask this host for. Reads each response once.
 class ServerStatements {
 public:
--- a/src/libserving/serverdirectory.cpp
+++ b/src/libserving/serverdirectory.cpp
@@ -83,6 +83,7 @@
     if (isNewStart)
         known = { .firstSeenAt = now };
     known.server = server;
+    known.server.isDraining = server.isDraining || known.isLeaving;
     known.isMissing = false;
     if (server.coldTimeLeft.count() > 0)
         known.coldUntil = std::max(known.coldUntil, now + server.coldTimeLeft);
@@ -232,4 +233,15 @@
     return found == m_servers.end() ? nullptr : &found->second;
 }
 
+bool ServerDirectory::recordLeaving(const ServerStart& server)
+{
+    const auto known = m_servers.find(server.server);
+    if (known == m_servers.end() || known->second.server.startedAt != server.startedAt || known->second.isLeaving)
+        return false;
+    ++m_generation;
+    known->second.isLeaving = true;
+    known->second.server.isDraining = true;
+    return true;
+}
+
 }
--- a/src/libserving/serverdirectory.h
+++ b/src/libserving/serverdirectory.h
@@ -2,6 +2,7 @@
 
 #include "libserving/poolversions.h"
 #include "libserving/serverentry.h"
+#include "libserving/serverstart.h"
 
 #include <functional>
 #include <map>
@@ -33,6 +34,8 @@
     TimePoint coldUntil {};
     // Whether the entry expired during an outage of the store or shortly after it.
     bool isMissing = false;
+    // Whether the server itself said that it leaves, whatever its entry says.
+    bool isLeaving = false;
 
     bool isCold(TimePoint now) const { return now < coldUntil; }
 };
@@ -49,6 +52,8 @@
     std::vector<BackendServerId> replaceAll(const std::vector<ServerEntry>& servers, TimePoint now);
     // Adds or updates an entry. Returns false if it was ignored because it is older than what is known.
     bool put(const ServerEntry& server, TimePoint now);
+    // Records that a server said that it leaves: until its next start it counts as draining. Returns whether that is new.
+    bool recordLeaving(const ServerStart& server);
     // Removes an entry. During an outage of the store, and for the grace time after it, the entry of a
     // server that is not draining is retained and marked as missing instead.
     void remove(const BackendServerId& id, TimePoint now);
