--- a/src/gateway/relayclient.cpp
+++ b/src/gateway/relayclient.cpp
@@ -35,7 +35,7 @@
             .fields = call.fields,
             .body = call.body,
             .headTimeout = call.timeout,
-            .readTimeout = target.timeLeft };
+            .bodyTimeout = target.timeLeft };
     }
 
 }
--- a/src/gateway/relayserver.cpp
+++ b/src/gateway/relayserver.cpp
@@ -82,7 +82,8 @@
             co_return RelayEnd::NotPermitted;
         Message head = RelayHeadMessage { response->status(), response->head().fields, response->framing() };
         co_await stream.write(std::move(head));
-        response->setTimeout(std::max(message.readTimeout, Milliseconds(1)));
+        // The host may be gone without having closed its connection.
+        response->setTotalTimeout(std::max(message.bodyTimeout, Milliseconds(1)));
         co_await relayBody(stream, *response, receiver);
         co_return RelayEnd::Complete;
     } catch (const CallNotSentError&) {
--- a/src/libnet/relaymessages.h
+++ b/src/libnet/relaymessages.h
@@ -35,15 +35,15 @@
     std::string target;
     std::vector<HttpField> fields;
     std::string body;
-    // Timeout for the header of the response, and for each later read.
+    // Timeouts for the header of the response, and for its whole body.
     Milliseconds headTimeout { 0 };
-    Milliseconds readTimeout { 0 };
+    Milliseconds bodyTimeout { 0 };
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
         archive(from, server, endpoint, startedAt, softwareVersion, check, requestId, method, target, fields, body,
-            headTimeout, readTimeout);
+            headTimeout, bodyTimeout);
     }
 };
 
--- a/tests/platform/clusterservers.cpp
+++ b/tests/platform/clusterservers.cpp
@@ -203,6 +203,7 @@
     }
     if (!recordRun(server, exchange.request().body))
         co_return;
+    exchange.setPeerDisconnectedHandler([this] { ++abandonedRuns; });
     if (server.pool == "plain") {
         co_await sleepFor(m_context.get_executor(), runTime);
         co_return co_await exchange.respond(200, "text/plain", "done", fieldsOf(server, exchange.request()));
--- a/tests/platform/gatewaycluster.cpp
+++ b/tests/platform/gatewaycluster.cpp
@@ -39,6 +39,7 @@
     std::uint16_t admin = findFreePort();
     std::unique_ptr<HostLinks> links;
     std::unique_ptr<GatewayDaemon> daemon;
+    bool isSuspended = false;
 };
 
 GatewayCluster::GatewayCluster(std::size_t hosts, ClusterRetries retries)
@@ -96,6 +97,11 @@
     });
 }
 
+void GatewayCluster::setSuspended(std::size_t host, bool isSuspended)
+{
+    m_hosts.at(host)->isSuspended = isSuspended;
+}
+
 std::size_t GatewayCluster::connectionsFrom(std::size_t host) const
 {
     return m_hosts.at(host)->links->connections();
@@ -138,7 +144,11 @@
 std::size_t GatewayCluster::startCall(std::size_t host, const ClusterRequest& request)
 {
     const std::string id = "r" + std::to_string(m_nextRequest++);
-    HttpCall call { .method = "POST", .target = request.path, .fields = request.fields, .body = request.content };
+    HttpCall call { .method = "POST",
+        .target = request.path,
+        .fields = request.fields,
+        .body = request.content,
+        .timeout = request.patience };
     const std::vector<HttpField> fields { { "Host", "h" }, { std::string(Names::requestIdField), id },
         { std::string(Names::deadlineField), "6000" }, { std::string(Names::pieceCountsField), "1" },
         { std::string(Names::pieceKeyField), request.content } };
@@ -152,7 +162,6 @@
 Asio::awaitable<void> GatewayCluster::callHost(std::uint16_t port, HttpCall call, std::size_t index)
 {
     HttpClient client(m_context, { .port = port });
-    call.timeout = Milliseconds(8000);
     try {
         const std::unique_ptr<HttpStream> stream = co_await client.open(std::move(call));
         responses[index].status = stream->status();
@@ -258,7 +267,7 @@
         m_context.restart();
         std::size_t handled = m_context.poll();
         for (const auto& host : m_hosts) {
-            if (!host->daemon)
+            if (!host->daemon || host->isSuspended)
                 continue;
             host->daemon->context().restart();
             handled += host->daemon->context().poll();
--- a/tests/platform/gatewaycluster.h
+++ b/tests/platform/gatewaycluster.h
@@ -37,7 +37,9 @@
     std::string path;
     std::string content;
     // Fields beside those that every request has.
-    std::vector<Apricot::HttpField> fields;
+    std::vector<Apricot::HttpField> fields {};
+    // Time after which the caller disconnects.
+    Apricot::Milliseconds patience { 8000 };
 };
 
 // A response to a caller of the cluster; status zero if its connection ended without one.
@@ -113,6 +115,8 @@
     void killHost(std::size_t host);
     // Cuts the links of a host to the backend servers of a pool, or to all of them, or restores them.
     void cutLinks(std::size_t host, LinkFault fault, const std::string& pool = "");
+    // Suspends the process of a host, or resumes it.
+    void setSuspended(std::size_t host, bool isSuspended);
     // Number of connections that a host opened to backend servers since its links were last cut or restored.
     std::size_t connectionsFrom(std::size_t host) const;
     // Ends one backend server of a pool, by its position, if it is up.
@@ -158,6 +162,8 @@
     // Servers that say in their responses that they leave.
     std::set<std::string> leaving;
     std::vector<ScriptedRun> runs;
+    // Number of runs whose connection was closed before their response.
+    std::size_t abandonedRuns = 0;
     std::vector<ClusterResponse> responses;
 
     // Runs whose content contains a word.
--- a/tests/platform/lostlinktest.cpp
+++ b/tests/platform/lostlinktest.cpp
@@ -111,7 +111,7 @@
         const std::size_t position = text.find("\n" + name);
         if (position == std::string::npos)
             return 0;
-        return std::stod(text.substr(text.find_first_of(" ", position)));
+        return std::stod(text.substr(text.find(' ', position)));
     }
 };
 
