Run the tests of gateway clusters beside each other

Each process now takes its ports from a block of its own, and links that refuse connections use a bound port instead of a free one, which another process might take.

--- a/tests/platform/clustersupport.cpp
+++ b/tests/platform/clustersupport.cpp
@@ -35,7 +35,10 @@
 {
     constexpr std::uint16_t firstPort = 12'000;
     constexpr std::uint16_t lastPort = 32'000;
-    static std::uint16_t next = firstPort + static_cast<std::uint16_t>(getpid() % 150) * 100;
+    // Tests of several processes run at the same time.
+    constexpr std::uint16_t portsPerProcess = 1000;
+    constexpr int processes = (lastPort - firstPort) / portsPerProcess;
+    static std::uint16_t next = firstPort + static_cast<std::uint16_t>(getpid() % processes) * portsPerProcess;
     Asio::io_context context;
     while (true) {
         const std::uint16_t port = next;
--- a/tests/platform/hostlinks.cpp
+++ b/tests/platform/hostlinks.cpp
@@ -1,7 +1,5 @@
 #include "hostlinks.h"
 
-#include "clustersupport.h"
-
 using namespace Apricot;
 namespace Asio = boost::asio;
 using Tcp = Asio::ip::tcp;
@@ -15,8 +13,10 @@
 
 HostLinks::HostLinks(Asio::io_context& context)
     : m_context(context)
+    , m_refusing(context, Tcp::v4())
     , m_unresponsive(context, Tcp::v4())
 {
+    m_refusing.bind({ Asio::ip::address_v4::loopback(), 0 });
     m_queued.reserve(queuedConnections);
     m_unresponsive.bind({ Asio::ip::address_v4::loopback(), 0 });
     m_unresponsive.listen(0);
@@ -49,7 +49,7 @@
     if (isCut(server.port) && m_fault == LinkFault::Silent)
         return { server.address, m_unresponsive.local_endpoint().port() };
     if (isCut(server.port))
-        return { server.address, findFreePort() };
+        return { server.address, m_refusing.local_endpoint().port() };
     if (!isForwarded)
         return server;
     std::shared_ptr<Link>& link = m_links[server.port];
--- a/tests/platform/hostlinks.h
+++ b/tests/platform/hostlinks.h
@@ -38,6 +38,8 @@
     LinkFault m_fault = LinkFault::None;
     std::function<bool(std::uint16_t)> m_selects;
     std::map<std::uint16_t, std::shared_ptr<Apricot::Link>> m_links;
+    // Bound, but not listening.
+    boost::asio::ip::tcp::acceptor m_refusing;
     // Accepts nothing, and its queue of connections is full.
     boost::asio::ip::tcp::acceptor m_unresponsive;
     std::vector<boost::asio::ip::tcp::socket> m_queued;
