Refuse requests that are too large to be relayed, and follow what responses to releases say

A call whose body does not fit into a message between hosts would have ended the connection to the peer, and all calls on it. Responses to releases of results named their server's rest and leaving to nobody, and those relayed for peers were recorded without a server. Found by reading; RelayedCall, isRefusedIfItIsTooLarge, guards the first and was not run against the code before.

--- a/src/gateway/backendcaller.cpp
+++ b/src/gateway/backendcaller.cpp
@@ -290,7 +290,9 @@
     Endpoint endpoint = server.endpoint;
     std::unique_ptr<HttpStream> stream
         = co_await m_calls.openDirect(std::move(endpoint), std::move(call), std::move(gate));
-    if (stream)
+    if (stream && message.check == CallCheck::None)
+        recordStatement(server.endpoint, startedAt, *stream);
+    else if (stream)
         m_statements.record(server, startedAt, stream->head());
     co_return stream;
 }
@@ -298,15 +300,23 @@
 Asio::awaitable<HttpResponse> BackendCaller::callWithoutCheck(Endpoint endpoint, HttpCall call)
 {
     const Milliseconds timeout = call.timeout;
-    CallTarget target { .server = { .endpoint = std::move(endpoint) }, .timeLeft = timeout };
+    const TimePoint startedAt = RuntimeClock::now();
+    CallTarget target { .server = { .endpoint = endpoint }, .timeLeft = timeout };
     HttpSendGate gate = [this, server = target.server] { return mayReceive(server, CallCheck::None); };
     const std::unique_ptr<HttpStream> stream
         = co_await m_calls.open(std::move(target), std::move(call), std::move(gate));
     if (!stream)
         throw boost::system::system_error(Asio::error::operation_aborted);
+    recordStatement(endpoint, startedAt, *stream);
     co_return co_await Apricot::readResponse(*stream, timeout);
 }
 
+void BackendCaller::recordStatement(const Endpoint& endpoint, TimePoint sentAt, const HttpStream& stream)
+{
+    if (const KnownServer* known = m_view.servers().findByAddress(endpoint))
+        m_statements.record(known->server, sentAt, stream.head());
+}
+
 bool BackendCaller::mayReceive(const ServerEntry& server, CallCheck check)
 {
     const bool isNewWork = check != CallCheck::None;
--- a/src/gateway/backendcaller.h
+++ b/src/gateway/backendcaller.h
@@ -118,6 +118,8 @@
 
 private:
     bool mayReceive(const ServerEntry& server, CallCheck check);
+    // Records what a response says about the server that is known at an address.
+    void recordStatement(const Endpoint& endpoint, TimePoint sentAt, const HttpStream& stream);
     void reportRun(const ServedRequest& request, const ServerEntry& server, RunEnd end, TimePoint sentAt,
         Duration respondedFor = Duration(0));
     SendResult classify(std::unique_ptr<HttpStream> stream) const;
--- a/src/gateway/relayclient.cpp
+++ b/src/gateway/relayclient.cpp
@@ -20,6 +20,8 @@
     // Number of peers that are tried for one call, and of those that may have no link to its server.
     constexpr int maxPeersPerCall = 8;
     constexpr int maxPeersWithoutLink = 3;
+    // Part of a message that is left for the header of a call.
+    constexpr std::size_t maxHeaderBytes = 131'072;
 
     RelayCallMessage makeMessage(const HostId& self, const CallTarget& target, const HttpCall& call)
     {
@@ -58,6 +60,8 @@
 Asio::awaitable<std::unique_ptr<HttpStream>> RelayClient::open(
     CallTarget target, std::shared_ptr<HttpCall> call, HttpSendGate gate)
 {
+    if (call->body.size() + maxHeaderBytes > messageLimitBytes)
+        throw CallNotSentError(Asio::error::message_size);
     int peersWithoutLink = 0;
     for (int attempt = 0; attempt < maxPeersPerCall && peersWithoutLink < maxPeersWithoutLink; ++attempt) {
         const TimePoint startedAt = RuntimeClock::now();
--- a/src/gateway/relayserver.cpp
+++ b/src/gateway/relayserver.cpp
@@ -34,8 +34,8 @@
     RelayEnd end = RelayEnd::Busy;
     if (m_inFlight < maxRelayedCalls && !m_isStopping) {
         ++m_inFlight;
+        const std::shared_ptr<void> place(nullptr, [this](void* /*unused*/) { --m_inFlight; });
         end = co_await relay(*stream, message, *receiver);
-        --m_inFlight;
     }
     m_metrics
         .counter("apricot_calls_for_peers_total", "Calls that this host sent for its peers, or refused to send.",
--- a/tests/platform/gatewaycluster.cpp
+++ b/tests/platform/gatewaycluster.cpp
@@ -27,6 +27,7 @@
 
 // Processes use their share of the slack a window after their start.
 constexpr double shortRetryWindowSeconds = 0.5;
+constexpr std::size_t maxKeyBytes = 200;
 // More than the time of a call to the store.
 constexpr Milliseconds storeCallTime { 20 };
 
@@ -151,7 +152,7 @@
         .timeout = request.patience };
     const std::vector<HttpField> fields { { "Host", "h" }, { std::string(Names::requestIdField), id },
         { std::string(Names::deadlineField), "6000" }, { std::string(Names::pieceCountsField), "1" },
-        { std::string(Names::pieceKeyField), request.content } };
+        { std::string(Names::pieceKeyField), request.content.substr(0, maxKeyBytes) } };
     call.fields.insert(call.fields.end(), fields.begin(), fields.end());
     responses.push_back({ .content = request.content, .id = id, .sentAt = RuntimeClock::now() });
     Asio::co_spawn(m_context,
--- a/tests/platform/relayedcalltest.cpp
+++ b/tests/platform/relayedcalltest.cpp
@@ -89,6 +89,21 @@
     CHECK_TRUE(response.body == body);
 }
 
+// Guards against a request that is too large for a message between hosts, and breaks the other calls of its connection.
+TEST(RelayedCall, isRefusedIfItIsTooLarge)
+{
+    cluster.runTime = Milliseconds(300);
+    cluster.addServers("plain", 2);
+    start();
+    for (int number = 0; number < 4; ++number)
+        cluster.send(0, "/once/x", "ordinary");
+    cluster.runFor(Milliseconds(50));
+    const ClusterResponse response = cluster.call(0, { .path = "/once/x", .content = std::string(3'000'000, 'x') });
+    LONGS_EQUAL(503, response.status);
+    cluster.runFor(Milliseconds(500));
+    LONGS_EQUAL(4, cluster.countResponses("ordinary", 200));
+}
+
 // A cut may concern some servers only; the others are still called directly.
 TEST(RelayedCall, isMadeForLostLinksOnly)
 {
