--- a/src/gateway/backendlinks.cpp
+++ b/src/gateway/backendlinks.cpp
@@ -22,7 +22,6 @@
     constexpr Milliseconds regainedProbeInterval { 60 };
     constexpr std::size_t lostProbes = 3;
     constexpr std::size_t regainedProbes = 8;
-    // Number of other servers that show whether this host or a server is cut off.
     constexpr std::size_t controlProbes = 3;
 
 }
@@ -153,7 +152,7 @@
         const bool isRegaining = lost < lostBefore;
         lostBefore = lost;
         std::vector<Endpoint> probed;
-        // The first round only tells a lost link from a host that is cut off.
+        // Other servers show whether this host or a server is cut off.
         if (m_table.lastReachedAt() <= lastRoundAt)
             probed = otherServers(std::nullopt, controlProbes);
         const std::vector<Endpoint> lostServers = m_table.nextToProbe(isRegaining ? regainedProbes : lostProbes);
--- a/src/gateway/relayclient.cpp
+++ b/src/gateway/relayclient.cpp
@@ -94,7 +94,7 @@
     const auto host = m_view.hosts().find(peer);
     if (host == m_view.hosts().end()) {
         m_relayPeers->recordSilence(peer, RuntimeClock::now());
-        co_return RelayEnd::Busy;
+        co_return RelayEnd::Unreachable;
     }
     m_relayPeers->onCallStarted(peer);
     const auto onEnded = [peers = m_relayPeers, peer] { peers->onCallEnded(peer); };
@@ -109,7 +109,7 @@
     if (!peerStream) {
         onEnded();
         m_relayPeers->recordSilence(peer, RuntimeClock::now());
-        co_return RelayEnd::Busy;
+        co_return RelayEnd::Unreachable;
     }
     if (call->cancel && call->cancel->isCancelled()) {
         onEnded();
--- a/src/gateway/relayedstream.cpp
+++ b/src/gateway/relayedstream.cpp
@@ -21,6 +21,8 @@
         return "peer_without_link";
     case RelayEnd::Busy:
         return "peer_busy";
+    case RelayEnd::Unreachable:
+        return "peer_unreachable";
     case RelayEnd::NotPermitted:
         return "not_permitted";
     case RelayEnd::Broken:
--- a/src/libnet/relaymessages.h
+++ b/src/libnet/relaymessages.h
@@ -83,6 +83,8 @@
     NoLink,
     // Nothing was sent: the peer relays too many calls already.
     Busy,
+    // Nothing was sent: the peer did not accept a connection.
+    Unreachable,
     // Nothing was sent: the server may not receive the call.
     NotPermitted,
     // The call may have run.
--- a/src/libserving/brittleservers.cpp
+++ b/src/libserving/brittleservers.cpp
@@ -6,8 +6,9 @@
 
 namespace {
 
-    // Requests beyond its part of the limit that a host may cause a server to turn away, as a divisor of that part.
+    // All hosts together cause at most the limit divided by this in refusals.
     constexpr double limitMargin = 2;
+    constexpr double millisecondsPerSecond = 1000;
     constexpr double pauseJitter = 0.25;
 
 }
@@ -53,7 +54,7 @@
     const double jitter = std::uniform_real_distribution<double>(1 - pauseJitter, 1 + pauseJitter)(m_random);
     const double seconds = limitMargin * static_cast<double>(std::max<std::size_t>(hosts, 1)) / std::max(*limit, 1.0);
     const Milliseconds pause = std::clamp(
-        ceilMilliseconds(seconds * jitter * 1000), m_options.minPause, m_options.maxPause); // NOLINT
+        ceilMilliseconds(seconds * jitter * millisecondsPerSecond), m_options.minPause, m_options.maxPause);
     Entry& entry = m_servers[server.id];
     if (entry.startedAt != server.startedAt)
         entry = { .startedAt = server.startedAt, .limit = limit, .sentAt = now };
