Hand stages over only while a host reaches no server at all

A group of stage servers that had ended was handed from home to home, because no host had a link to it, and each home was then avoided for other groups too. A home that has lost some of its links keeps its groups, and calls their servers through peers.

--- a/src/gateway/stagehome.cpp
+++ b/src/gateway/stagehome.cpp
@@ -65,24 +65,18 @@
     m_receivedHandles.retain(directory);
     const StageGroups groups(directory.notDraining(key.first));
     std::vector<StageServer> members;
-    group.servers.clear();
     for (const KnownServer* known : servers) {
         const ServerEntry& server = known->server;
-        if (groups.groupOf(server) != key.second)
-            continue;
-        members.push_back({ server.id, server.endpoint, server.domain, server.startedAt });
-        group.servers.push_back(server.endpoint);
+        if (groups.groupOf(server) == key.second)
+            members.push_back({ server.id, server.endpoint, server.domain, server.startedAt });
     }
     group.scheduler.setServers(members);
 }
 
 Asio::awaitable<StageWorkResult> StageHome::run(StageWork work, std::shared_ptr<HttpCancel> cancel)
 {
-    const GroupKey key { work.pool, work.group };
-    Group* group = findGroup(key.first, key.second);
-    if (group)
-        refreshServers(key, *group);
-    if (m_isStopping || (group && isUnreachable(*group)))
+    // Servers of a group that only this host does not reach are called through peers.
+    if (m_isStopping || m_backendCaller.links().isCutOff())
         co_return StageWorkResult { .outcome = StageWorkOutcome::HandedOver };
     co_return co_await runEvenIfStopping(std::move(work), std::move(cancel));
 }
@@ -132,18 +126,10 @@
 
 void StageHome::onLinksChanged()
 {
-    for (const auto& [key, group] : m_groups) {
-        if (isUnreachable(*group))
-            handOverWaiting(key, *group);
-    }
-}
-
-bool StageHome::isUnreachable(const Group& group) const
-{
-    const BackendLinks& links = m_backendCaller.links();
-    return !group.servers.empty()
-        && std::all_of(group.servers.begin(), group.servers.end(),
-            [&links](const Endpoint& server) { return links.isLost(server); });
+    if (!m_backendCaller.links().isCutOff())
+        return;
+    for (const auto& [key, group] : m_groups)
+        handOverWaiting(key, *group);
 }
 
 void StageHome::handOverWaiting(const GroupKey& key, Group& group)
--- a/src/gateway/stagehome.h
+++ b/src/gateway/stagehome.h
@@ -27,7 +27,7 @@
     // Releases results that are no longer needed.
     void release(const PoolId& pool, int group, const std::vector<std::string>& handles);
 
-    // Hands over the waiting work of groups whose servers this host does not reach.
+    // Hands over all waiting work if this host reaches no server.
     void onLinksChanged();
     // Ends the work of requests that have become poisoned.
     void onPoisonChanged();
@@ -60,7 +60,6 @@
         StageScheduler scheduler;
         RuntimeTimer timer;
         std::uint64_t serversGeneration = 0;
-        std::vector<Endpoint> servers;
         std::map<std::uint64_t, std::shared_ptr<Waiter>> waiters;
         std::vector<PendingRelease> releases;
         RuntimeTimer releaseTimer;
@@ -70,8 +69,6 @@
 
     Group* findGroup(const PoolId& pool, int group);
     void refreshServers(const GroupKey& key, Group& group);
-    // Whether this host has lost its links to all servers of a group.
-    bool isUnreachable(const Group& group) const;
     void handOverWaiting(const GroupKey& key, Group& group);
     // Starts the calls that are due, completes the tasks that have ended, and sets a timer for the next
     // change that depends on time only.
