Write shared parts of limits, rests, refusals and relayed calls once

- ServerLimits, BrittleServers and ServerRests each kept entries by start of a server, with the same rules for earlier and later starts: ServerStartTable does.
The count of limits in force is derived. startOf() stood twice.
- PlainForwarder and StreamForwarder chose refusals alike, and LimitPermits and ServerStatements each computed when a caller may return: servedoutcome does, and ServerStatements::retryAfter().
A pool whose servers are limited got the larger of two random spreads of half a second, and now gets one.
- ScopedCount replaces three classes and blocks that add one to a count.
A relayed call's place at its peer is one object instead of four calls on the ways out of a function of 70 lines.
- LinkTable was asked twice for each response when a link was lost, and each response checked whether the host is cut off, also while no link is lost.

Checked: LostLinks, RelayedCall, BrittleServer, ServerRest, PoisonedRequest, OlderStoreCopy and the tests of the decisions pass as before.

--- a/src/dispatch/coordinator.cpp
+++ b/src/dispatch/coordinator.cpp
@@ -2,6 +2,7 @@
 
 #include "dispatch/callerwatch.h"
 #include "dispatch/memberorder.h"
+#include "libapricot/scopedcount.h"
 
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/json/array.hpp>
@@ -93,23 +94,6 @@
         return {};
     }
 
-    // Counts a caller while it is being served.
-    class CallerCounter {
-    public:
-        explicit CallerCounter(std::size_t& count)
-            : m_count(count)
-        {
-            ++m_count;
-        }
-        ~CallerCounter() { --m_count; }
-
-        CallerCounter(const CallerCounter&) = delete;
-        CallerCounter& operator=(const CallerCounter&) = delete;
-
-    private:
-        std::size_t& m_count;
-    };
-
 }
 
 Coordinator::Coordinator(RunnerServices services)
@@ -138,7 +122,7 @@
 Asio::awaitable<void> Coordinator::serveSubmit(
     std::shared_ptr<PeerStream> stream, SubmitMessage submit, SubmissionSource source)
 {
-    const CallerCounter count(m_callers);
+    const ScopedCount count(m_callers);
     ++m_served;
     maintain();
     const std::shared_ptr<const ControlView> view = m_services.views.view();
--- a/src/gateway/backendcaller.cpp
+++ b/src/gateway/backendcaller.cpp
@@ -172,7 +172,7 @@
     TimePoint sentAt, Duration respondedFor)
 {
     EndedRun run { .fingerprint = request.fingerprint,
-        .server = { server.id, server.startedAt },
+        .server = startOf(server),
         .endpoint = server.endpoint,
         .end = end,
         .sentAt = sentAt,
@@ -323,7 +323,7 @@
     const KnownServer* known = isNewWork ? m_view.servers().findUsable(server.id, RuntimeClock::now())
                                          : m_view.servers().findByAddress(server.endpoint);
     if (!known || known->server.endpoint != server.endpoint
-        || m_statements.isResting({ known->server.id, known->server.startedAt }))
+        || m_statements.isResting(startOf(known->server)))
         return false;
     return check != CallCheck::Request
         || (known->server.startedAt == server.startedAt
--- a/src/gateway/backendlinks.cpp
+++ b/src/gateway/backendlinks.cpp
@@ -35,12 +35,13 @@
 void BackendLinks::recordReached(const Endpoint& server)
 {
     const TimePoint now = RuntimeClock::now();
-    const std::optional<TimePoint> lostSince = m_table.lostSince(server);
-    if (m_table.recordReached(server, now))
+    if (const std::optional<TimePoint> lostSince = m_table.recordReached(server, now))
         writeLog(LogLevel::Info, "server_link_regained",
             { { "address", toText(server) }, { "lost_ms", millisecondsBetween(*lostSince, now) },
                 { "lost_links", m_table.lostLinks() } });
-    updateCutOff();
+    // Reaching a server can only end that this host is cut off.
+    if (m_wasCutOff)
+        updateCutOff();
 }
 
 void BackendLinks::recordUnreachable(const Endpoint& server, const std::string& reason)
@@ -106,7 +107,7 @@
         std::uniform_int_distribution<std::ptrdiff_t>(0, static_cast<std::ptrdiff_t>(known.size()) - 1)(m_random));
     for (std::size_t visited = 0; visited < known.size() && servers.size() < count; ++visited) {
         const Endpoint& endpoint = next->second.server.endpoint;
-        if (endpoint != server && !m_table.lostSince(endpoint))
+        if (endpoint != server && !m_table.hasLost(endpoint))
             servers.push_back(endpoint);
         if (++next == known.end())
             next = known.begin();
--- a/src/gateway/limitpermits.cpp
+++ b/src/gateway/limitpermits.cpp
@@ -27,7 +27,6 @@
     // Hosts to which one host passes on a notice.
     constexpr std::size_t treeFanOut = 8;
     constexpr Milliseconds minRefusalTime { 20 };
-    constexpr Milliseconds retrySpread { 500 };
 
     const char* changeName(LimitChange change)
     {
@@ -44,8 +43,6 @@
         return "none";
     }
 
-    ServerStart startOf(const ServerEntry& server) { return { server.id, server.startedAt }; }
-
 }
 
 LimitPermits::LimitPermits(Asio::io_context& context, const ServingView& view, PeerClient& peers, HostId self,
@@ -190,15 +187,6 @@
     return m_limits.find(startOf(server)) != nullptr;
 }
 
-Milliseconds LimitPermits::retryAfter(const std::vector<const KnownServer*>& servers)
-{
-    const TimePoint now = RuntimeClock::now();
-    TimePoint earliest = now + silentTime;
-    for (const KnownServer* known : servers)
-        earliest = std::min(earliest, availableAt(startOf(known->server)));
-    return std::max(std::chrono::ceil<Milliseconds>(earliest - now), minRefusalTime) + jitter(retrySpread);
-}
-
 void LimitPermits::recordLimit(const ServerEntry& server, TimePoint sentAt, std::optional<double> limit)
 {
     if (limit || m_limits.latest(startOf(server)))
--- a/src/gateway/limitpermits.h
+++ b/src/gateway/limitpermits.h
@@ -27,10 +27,6 @@
     TimePoint availableAt(const ServerStart& server);
     bool mayAcquire(const ServerEntry& server);
     bool isLimited(const ServerEntry& server) const;
-    // Time after which a caller may be served by one of these servers, all of which have a limit. Spread, so that
-    // not all callers return at once.
-    Milliseconds retryAfter(const std::vector<const KnownServer*>& servers);
-
     // Records the limit that a server named in the response to a request sent at a time, or that it named none.
     void recordLimit(const ServerEntry& server, TimePoint sentAt, std::optional<double> limit);
 
@@ -42,6 +38,7 @@
     void onViewChanged();
     // Number of servers with a limit in force.
     std::size_t limitedServers() const { return m_limits.size(); }
+    bool hasLimits() const { return !m_limits.isEmpty(); }
 
 private:
     // Hosts that grant the permits of a server, in order.
--- a/src/gateway/plainforwarder.cpp
+++ b/src/gateway/plainforwarder.cpp
@@ -26,44 +26,6 @@
 
 }
 
-bool checkAvailability(ServerStatements& statements, const ServerEntry& server, ServedOutcome& outcome)
-{
-    switch (statements.availability(server)) {
-    case ServerAvailability::Available:
-        return true;
-    case ServerAvailability::Limited:
-        outcome.limited.insert(server.id);
-        return false;
-    case ServerAvailability::Full:
-        outcome.full.insert(server.id);
-        return false;
-    case ServerAvailability::Resting:
-        outcome.resting.insert(server.id);
-        return false;
-    }
-    return false;
-}
-
-RefusalWithoutRun refusalWithoutRun(const ServedOutcome& outcome, BackendCaller& backendCaller,
-    const std::vector<const KnownServer*>& servers, Milliseconds fullRetryAfter)
-{
-    ServerStatements& statements = backendCaller.statements();
-    const bool isFull = outcome.sends > 0 || !outcome.full.empty();
-    RefusalWithoutRun refusal { isFull ? GatewayRefusal::Overloaded : GatewayRefusal::NoServer, fullRetryAfter };
-    if (!isFull && !outcome.limited.empty())
-        refusal = { GatewayRefusal::Limited, backendCaller.limits().retryAfter(servers) };
-    const std::optional<Milliseconds> wait = statements.timeUntilAvailable(servers);
-    if (!wait)
-        return refusal;
-    refusal.retryAfter = std::max(refusal.retryAfter, *wait);
-    const bool isResting = std::any_of(servers.begin(), servers.end(), [&statements](const KnownServer* known) {
-        return statements.isResting({ known->server.id, known->server.startedAt });
-    });
-    if (isResting)
-        refusal.reason = GatewayRefusal::Resting;
-    return refusal;
-}
-
 std::optional<RetryPermit> tryAcquireRetry(RetryWindow& retries, const ServedRequest& request)
 {
     const TimePoint now = RuntimeClock::now();
@@ -166,28 +128,14 @@
 
 Asio::awaitable<void> PlainForwarder::respondWithRefusal(ServedRequest& request, Progress& progress)
 {
-    GatewayRefusal reason = GatewayRefusal::ServerFailed;
-    std::optional<Milliseconds> retryAfter;
-    if (progress.runs == 0) {
-        const RefusalWithoutRun refusal = refusalWithoutRun(progress.outcome, m_backendCaller,
+    RefusalChoice refusal;
+    if (progress.runs == 0)
+        refusal = refusalWithoutRun(progress.outcome, m_backendCaller,
             m_view.servers().usable(request.pool, RuntimeClock::now()), fullPoolRetryAfter);
-        reason = refusal.reason;
-        retryAfter = refusal.retryAfter;
-    } else if (request.scope->endReason() == ScopeEndReason::TimedOut) {
-        reason = GatewayRefusal::TimedOut;
-    }
-    const TimePoint now = RuntimeClock::now();
-    if (progress.runs == 0 && !m_poison.refusedOf(request.subjects, now).empty()) {
-        reason = GatewayRefusal::Poisoned;
-        retryAfter = m_poison.retryAfter(request.subjects, now);
-    }
-    if (request.scope->endReason() == ScopeEndReason::Stopping) {
-        reason = GatewayRefusal::NotReady;
-        retryAfter = Milliseconds(0);
-    }
-    progress.outcome.refusal = refusalName(reason);
-    progress.outcome.status = refusalStatus(reason);
-    co_await refuse(request.exchange, reason, retryAfter);
+    else if (request.scope->endReason() == ScopeEndReason::TimedOut)
+        refusal.reason = GatewayRefusal::TimedOut;
+    refusal = withPrecedingReasons(refusal, request, progress.runs, m_poison);
+    co_await refuseWith(request, progress.outcome, refusal);
 }
 
 const KnownServer* PlainForwarder::chooseServer(const ServedRequest& request, Progress& progress)
--- a/src/gateway/relayclient.cpp
+++ b/src/gateway/relayclient.cpp
@@ -88,31 +88,33 @@
     throw CallNotSentError(Asio::error::host_unreachable);
 }
 
-Asio::awaitable<RelayEnd> RelayClient::openThrough(HostId peer, const CallTarget& target,
-    std::shared_ptr<HttpCall> call, std::unique_ptr<HttpStream>& stream)
+Asio::awaitable<std::shared_ptr<PeerStream>> RelayClient::sendTo(HostId peer, Message message)
 {
     const auto host = m_view.hosts().find(peer);
-    if (host == m_view.hosts().end()) {
-        m_relayPeers->recordSilence(peer, RuntimeClock::now());
-        co_return RelayEnd::Unreachable;
+    if (host != m_view.hosts().end()) {
+        try {
+            Endpoint endpoint = host->second.endpoint;
+            co_return co_await m_peers.open(std::move(endpoint), std::move(message), connectTimeout);
+        } catch (const std::exception&) {
+            // Nothing was sent: the connection failed, or its stream was closed before.
+        }
     }
+    m_relayPeers->recordSilence(peer, RuntimeClock::now());
+    co_return nullptr;
+}
+
+Asio::awaitable<RelayEnd> RelayClient::openThrough(HostId peer, const CallTarget& target,
+    std::shared_ptr<HttpCall> call, std::unique_ptr<HttpStream>& stream)
+{
     m_relayPeers->onCallStarted(peer);
-    const auto onEnded = [peers = m_relayPeers, peer] { peers->onCallEnded(peer); };
-    std::shared_ptr<PeerStream> peerStream;
-    try {
-        Message message = makeMessage(m_self, target, *call);
-        Endpoint endpoint = host->second.endpoint;
-        peerStream = co_await m_peers.open(std::move(endpoint), std::move(message), connectTimeout);
-    } catch (const std::exception&) {
-        // Nothing was sent: the connection failed, or its stream was closed before.
-    }
-    if (!peerStream) {
-        onEnded();
-        m_relayPeers->recordSilence(peer, RuntimeClock::now());
+    const std::shared_ptr<void> inFlight(
+        nullptr, [peers = m_relayPeers, peer](void* /*unused*/) { peers->onCallEnded(peer); });
+    Message message = makeMessage(m_self, target, *call);
+    const std::shared_ptr<PeerStream> peerStream = co_await sendTo(peer, std::move(message));
+    if (!peerStream)
         co_return RelayEnd::Unreachable;
-    }
-    if (call->cancel && call->cancel->isCancelled()) {
-        onEnded();
+    const auto isCancelled = [&call] { return call->cancel && call->cancel->isCancelled(); };
+    if (isCancelled()) {
         peerStream->cancel();
         throw boost::system::system_error(Asio::error::operation_aborted);
     }
@@ -127,28 +129,29 @@
     }
     if (auto* head = response ? std::get_if<RelayHeadMessage>(&*response) : nullptr) {
         stream = std::make_unique<RelayedStream>(
-            m_context, peerStream, std::move(*head), call->cancel, target.timeLeft, onEnded);
+            m_context, peerStream, std::move(*head), call->cancel, target.timeLeft, inFlight);
         co_return RelayEnd::Complete;
     }
-    onEnded();
     if (call->cancel)
         call->cancel->setAction(nullptr);
-    const auto* end = response ? std::get_if<RelayEndMessage>(&*response) : nullptr;
-    const RelayEnd reported = end ? end->end : RelayEnd::Broken;
     peerStream->cancel();
-    if (reported == RelayEnd::CutOff || reported == RelayEnd::Busy)
-        m_relayPeers->recordRefusal(peer, RuntimeClock::now());
-    if (reported == RelayEnd::Broken || reported == RelayEnd::TimedOut) {
-        const bool isSilent = watchdog.hasExpired();
-        count(isSilent ? relayEndName(RelayEnd::TimedOut) : relayEndName(reported));
-        if (!end && !(call->cancel && call->cancel->isCancelled()))
+    const auto* end = response ? std::get_if<RelayEndMessage>(&*response) : nullptr;
+    if (!end) {
+        if (!isCancelled())
             m_relayPeers->recordSilence(peer, RuntimeClock::now());
-        if (end || isSilent)
-            throwRelayError(isSilent ? RelayEnd::TimedOut : reported);
+        count(relayEndName(watchdog.hasExpired() ? RelayEnd::TimedOut : RelayEnd::Broken));
+        if (watchdog.hasExpired())
+            throwRelayError(RelayEnd::TimedOut);
         // The peer's end shows nothing about the server.
         throw boost::system::system_error(Asio::error::operation_aborted);
     }
-    co_return reported;
+    if (end->end == RelayEnd::CutOff || end->end == RelayEnd::Busy)
+        m_relayPeers->recordRefusal(peer, RuntimeClock::now());
+    if (end->end == RelayEnd::Broken || end->end == RelayEnd::TimedOut) {
+        count(relayEndName(end->end));
+        throwRelayError(end->end);
+    }
+    co_return end->end;
 }
 
 void RelayClient::count(const char* outcome)
--- a/src/gateway/relayclient.h
+++ b/src/gateway/relayclient.h
@@ -37,6 +37,8 @@
     void onHostsChanged();
 
 private:
+    // Sends the first message of a stream to a peer. Returns nothing if it was not sent.
+    boost::asio::awaitable<std::shared_ptr<PeerStream>> sendTo(HostId peer, Message message);
     // Returns how a peer ended the call if it sent nothing; otherwise the stream is set.
     boost::asio::awaitable<RelayEnd> openThrough(HostId peer, const CallTarget& target,
         std::shared_ptr<HttpCall> call, std::unique_ptr<HttpStream>& stream);
--- a/src/gateway/relayedstream.cpp
+++ b/src/gateway/relayedstream.cpp
@@ -41,13 +41,13 @@
 }
 
 RelayedStream::RelayedStream(Asio::io_context& context, std::shared_ptr<PeerStream> stream, RelayHeadMessage head,
-    std::shared_ptr<HttpCancel> cancel, Milliseconds timeout, std::function<void()> onEnded)
+    std::shared_ptr<HttpCancel> cancel, Milliseconds timeout, std::shared_ptr<void> inFlight)
     : m_context(context)
     , m_stream(std::move(stream))
     , m_framing(head.framing)
     , m_cancel(std::move(cancel))
     , m_timeout(timeout)
-    , m_onEnded(std::move(onEnded))
+    , m_inFlight(std::move(inFlight))
 {
     m_head.status = head.status;
     m_head.fields = std::move(head.fields);
@@ -57,7 +57,6 @@
 {
     if (!m_isComplete)
         m_stream->cancel();
-    m_onEnded();
 }
 
 void RelayedStream::setTotalTimeout(Milliseconds timeout)
--- a/src/gateway/relayedstream.h
+++ b/src/gateway/relayedstream.h
@@ -18,10 +18,10 @@
 // A response that a peer relays.
 class RelayedStream : public HttpStream {
 public:
-    // The handler is called once the stream has ended or is destroyed.
+    // The last argument is destroyed with the stream.
     RelayedStream(boost::asio::io_context& context, std::shared_ptr<PeerStream> stream,
         RelayHeadMessage head, std::shared_ptr<HttpCancel> cancel, Milliseconds timeout,
-        std::function<void()> onEnded);
+        std::shared_ptr<void> inFlight);
     ~RelayedStream() override;
 
     RelayedStream(const RelayedStream&) = delete;
@@ -43,7 +43,7 @@
     std::shared_ptr<HttpCancel> m_cancel;
     Milliseconds m_timeout;
     std::optional<TimePoint> m_endsAt;
-    std::function<void()> m_onEnded;
+    std::shared_ptr<void> m_inFlight;
     std::uint64_t m_unreportedBytes = 0;
     bool m_isComplete = false;
 };
--- a/src/gateway/relayserver.cpp
+++ b/src/gateway/relayserver.cpp
@@ -1,6 +1,7 @@
 #include "gateway/relayserver.h"
 
 #include "gateway/relayedstream.h"
+#include "libapricot/scopedcount.h"
 #include "libnet/log.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -15,7 +16,7 @@
 namespace {
 
     // Bounds the memory and the processor time that a host spends for its peers.
-    constexpr int maxRelayedCalls = 512;
+    constexpr std::size_t maxRelayedCalls = 512;
 
 }
 
@@ -33,8 +34,7 @@
     Asio::co_spawn(m_context, watchReceiver(stream, receiver), Asio::detached);
     RelayEnd end = RelayEnd::Busy;
     if (m_inFlight < maxRelayedCalls && !m_isStopping) {
-        ++m_inFlight;
-        const std::shared_ptr<void> place(nullptr, [this](void* /*unused*/) { --m_inFlight; });
+        const ScopedCount inFlight(m_inFlight);
         end = co_await relay(*stream, message, *receiver);
     }
     m_metrics
--- a/src/gateway/relayserver.h
+++ b/src/gateway/relayserver.h
@@ -38,7 +38,7 @@
     boost::asio::io_context& m_context;
     BackendCaller& m_backendCaller;
     MetricRegistry& m_metrics;
-    int m_inFlight = 0;
+    std::size_t m_inFlight = 0;
     bool m_isStopping = false;
 };
 
--- a/src/gateway/serverendprobe.cpp
+++ b/src/gateway/serverendprobe.cpp
@@ -26,11 +26,21 @@
     // Number of peers that have to agree if none of them reaches any server.
     constexpr std::size_t minPeersAlone = 2;
 
-    constexpr const char* reached = "reached";
-    constexpr const char* refused = "refused";
-    constexpr const char* refusedAlone = "refused_alone";
-    constexpr const char* unknown = "unknown";
+}
 
+const char* ServerEndProbe::observationName(Observation observation)
+{
+    switch (observation) {
+    case Observation::Reached:
+        return "reached";
+    case Observation::Refused:
+        return "refused";
+    case Observation::RefusedAlone:
+        return "refused_alone";
+    case Observation::Unknown:
+        return "unknown";
+    }
+    return "unknown";
 }
 
 ServerEndProbe::ServerEndProbe(Asio::io_context& context, const ServingView& view, BackendLinks& links,
@@ -91,21 +101,19 @@
 
 Asio::awaitable<ServerEndProbe::Observation> ServerEndProbe::ask(Endpoint peer, Endpoint server)
 {
-    std::string result;
     try {
         Message question = TextMessage { topic, json::serialize(json::object { { "address", toText(server) } }) };
         const Message response = co_await m_peers.call(std::move(peer), std::move(question), peerTimeout);
         const json::value text = json::parse(std::get<TextMessage>(response).json);
-        result = std::string(text.at("result").as_string());
+        for (const Observation observation :
+            { Observation::Reached, Observation::Refused, Observation::RefusedAlone }) {
+            if (text.at("result").as_string() == observationName(observation))
+                co_return observation;
+        }
     } catch (const std::exception&) {
         // A peer that does not respond, or not properly, tells nothing.
-        result = unknown;
     }
-    if (result == reached)
-        co_return Observation::Reached;
-    if (result == refused)
-        co_return Observation::Refused;
-    co_return result == refusedAlone ? Observation::RefusedAlone : Observation::Unknown;
+    co_return Observation::Unknown;
 }
 
 Asio::awaitable<std::string> ServerEndProbe::respondTo(std::string question)
@@ -118,11 +126,7 @@
         Endpoint observed = *server;
         observation = co_await observe(std::move(observed));
     }
-    const char* result = observation == Observation::Reached ? reached
-        : observation == Observation::Refused                ? refused
-        : observation == Observation::RefusedAlone           ? refusedAlone
-                                                             : unknown;
-    co_return json::serialize(json::object { { "result", result } });
+    co_return json::serialize(json::object { { "result", observationName(observation) } });
 }
 
 std::vector<PeerHost> ServerEndProbe::peersToAsk(const Endpoint& server) const
--- a/src/gateway/serverendprobe.h
+++ b/src/gateway/serverendprobe.h
@@ -29,6 +29,8 @@
         Unknown,
     };
 
+    // Name in messages between peers.
+    static const char* observationName(Observation observation);
     // What this host can tell.
     boost::asio::awaitable<Observation> observe(Endpoint server);
     // What peers can tell, until one of them is certain. If none of them reaches any server, all servers have ended.
--- a/src/gateway/serverstatements.cpp
+++ b/src/gateway/serverstatements.cpp
@@ -15,8 +15,7 @@
     constexpr double maxRestSeconds = 1e6;
     // Callers return within this time after a server is available again.
     constexpr Milliseconds returnSpread { 500 };
-
-    ServerStart startOf(const ServerEntry& server) { return { server.id, server.startedAt }; }
+    constexpr Milliseconds minRetryAfter { 20 };
 
 }
 
@@ -88,16 +87,26 @@
         { m_limits.availableAt(server), m_brittle.pausedUntil(server), m_rests.restsUntil(server) });
 }
 
-std::optional<Milliseconds> ServerStatements::timeUntilAvailable(const std::vector<const KnownServer*>& servers)
+TimePoint ServerStatements::earliestAvailable(const std::vector<const KnownServer*>& servers, TimePoint now)
 {
-    const TimePoint now = RuntimeClock::now();
-    TimePoint earliest = TimePoint::max();
+    TimePoint earliest = servers.empty() ? now : TimePoint::max();
     for (const KnownServer* known : servers)
         earliest = std::min(earliest, availableAt(startOf(known->server)));
-    if (servers.empty() || earliest <= now)
-        return std::nullopt;
+    return earliest;
+}
+
+bool ServerStatements::isAnyAvailable(const std::vector<const KnownServer*>& servers)
+{
+    const TimePoint now = RuntimeClock::now();
+    return earliestAvailable(servers, now) <= now;
+}
+
+Milliseconds ServerStatements::retryAfter(const std::vector<const KnownServer*>& servers)
+{
+    const TimePoint now = RuntimeClock::now();
     std::uniform_int_distribution<Milliseconds::rep> spread(0, returnSpread.count());
-    return std::chrono::ceil<Milliseconds>(earliest - now) + Milliseconds(spread(m_random));
+    const auto wait = std::chrono::ceil<Milliseconds>(earliestAvailable(servers, now) - now);
+    return std::max(wait, minRetryAfter) + Milliseconds(spread(m_random));
 }
 
 std::shared_ptr<void> ServerStatements::takePlace(const BackendServerId& server)
--- a/src/gateway/serverstatements.h
+++ b/src/gateway/serverstatements.h
@@ -32,12 +32,13 @@
     // When a server that is paused may receive a call; a time in the past if it may now.
     TimePoint availableAt(const ServerStart& server);
     // Whether any server is restricted, so that availability() has to be asked.
-    bool hasRestrictions() const { return m_limits.limitedServers() > 0 || !m_brittle.isEmpty() || !m_rests.isEmpty(); }
+    bool hasRestrictions() const { return m_limits.hasLimits() || !m_brittle.isEmpty() || !m_rests.isEmpty(); }
     // Whether a server asked this host for rest that has not ended.
     bool isResting(const ServerStart& server) const { return RuntimeClock::now() < m_rests.restsUntil(server); }
-    // Time until one of these servers may receive a request, spread so that not all callers return at once. Not set if
-    // one of them may now, or there are none.
-    std::optional<Milliseconds> timeUntilAvailable(const std::vector<const KnownServer*>& servers);
+    // Whether one of these servers may receive a call now.
+    bool isAnyAvailable(const std::vector<const KnownServer*>& servers);
+    // Time after which a caller may be served by one of these servers, spread so that not all callers return at once.
+    Milliseconds retryAfter(const std::vector<const KnownServer*>& servers);
     // Takes a place for a request at a server until the result is destroyed.
     std::shared_ptr<void> takePlace(const BackendServerId& server);
     // Whether a request that has a place may still be sent.
@@ -48,6 +49,8 @@
     void onViewChanged();
 
 private:
+    // When the first of these servers may receive a call; now if there are none.
+    TimePoint earliestAvailable(const std::vector<const KnownServer*>& servers, TimePoint now);
     int placesTaken(const BackendServerId& server) const;
     void recordRest(const ServerEntry& server, const Platform::StatedNumber& seconds, TimePoint now);
     void logIgnored(const ServerEntry& server, std::string_view field, const std::string& text) const;
--- a/src/gateway/stagehome.cpp
+++ b/src/gateway/stagehome.cpp
@@ -288,7 +288,7 @@
     const KnownServer* known = m_view.servers().findByAddress(endpoint);
     if (!known)
         co_return true;
-    if (m_backendCaller.statements().isResting({ known->server.id, known->server.startedAt }))
+    if (m_backendCaller.statements().isResting(startOf(known->server)))
         co_return false;
     ServerEntry server = known->server;
     co_return co_await m_backendCaller.limits().acquire(std::move(server));
--- a/src/gateway/streamforwarder.cpp
+++ b/src/gateway/streamforwarder.cpp
@@ -19,8 +19,6 @@
     constexpr int successClass = 2;
     // Number of engines that are tried for one request.
     constexpr std::size_t maxEngines = 5;
-    // Number of engines whose permits are requested before the stages run.
-    constexpr std::size_t maxPermitRequests = 3;
     // An event of which more bytes have arrived does not end.
     constexpr std::size_t maxEventBytes = 262'144;
     // A full engine has a free slot again within the processing time of a few requests.
@@ -169,105 +167,6 @@
     }
 }
 
-std::vector<const KnownServer*> StreamForwarder::usableEngines(
-    const ServedRequest& request, const StreamProgress& progress) const
-{
-    std::vector<const KnownServer*> engines
-        = m_view.servers().usable(request.pool, RuntimeClock::now());
-    if (progress.version)
-        std::erase_if(engines, [&progress](const KnownServer* engine) {
-            return !canContinueStream(*progress.version, engine->server.softwareVersion);
-        });
-    return engines;
-}
-
-bool StreamForwarder::hasUntriedEngine(const ServedRequest& request, const StreamProgress& progress) const
-{
-    const auto engines = usableEngines(request, progress);
-    return std::any_of(engines.begin(), engines.end(), [&progress](const KnownServer* engine) {
-        return !progress.tried.contains(engine->server.id);
-    });
-}
-
-FailureDomainId StreamForwarder::expectedEngineDomain(
-    const ServedRequest& request, const StreamProgress& progress) const
-{
-    const auto engines = m_placement.rank(request.caller, usableEngines(request, progress), {},
-        m_backendCaller.tracker(), RuntimeClock::now());
-    return engines.empty() ? FailureDomainId() : engines.front()->server.domain;
-}
-
-Asio::awaitable<void> StreamForwarder::reservePermit(const ServedRequest& request, StreamProgress& progress)
-{
-    LimitPermits& limits = m_backendCaller.limits();
-    const auto engines = m_placement.rank(request.caller, usableEngines(request, progress), {},
-        m_backendCaller.tracker(), RuntimeClock::now());
-    const bool areResting = !engines.empty()
-        && std::all_of(engines.begin(), engines.end(), [this](const KnownServer* engine) {
-               return m_backendCaller.statements().isResting({ engine->server.id, engine->server.startedAt });
-           });
-    if (areResting) {
-        progress.refusal = GatewayRefusal::Resting;
-        co_return;
-    }
-    std::vector<ServerEntry> candidates;
-    for (const KnownServer* engine : engines) {
-        if (!limits.isLimited(engine->server))
-            co_return;
-        if (limits.mayAcquire(engine->server))
-            candidates.push_back(engine->server);
-        else
-            progress.outcome.limited.insert(engine->server.id);
-    }
-    if (engines.empty())
-        co_return;
-    candidates.resize(std::min(candidates.size(), maxPermitRequests));
-    for (const ServerEntry& engine : candidates) {
-        if (co_await limits.acquire(engine)) {
-            progress.permit = engine.id;
-            co_return;
-        }
-        progress.outcome.limited.insert(engine.id);
-    }
-    progress.refusal = GatewayRefusal::Limited;
-}
-
-Asio::awaitable<bool> StreamForwarder::acquirePermit(StreamProgress& progress, ServerEntry engine)
-{
-    if (progress.permit == engine.id) {
-        progress.permit.reset();
-        co_return true;
-    }
-    const BackendServerId id = engine.id;
-    const bool isAcquired = co_await m_backendCaller.limits().acquire(std::move(engine));
-    if (!isAcquired)
-        progress.outcome.limited.insert(id);
-    co_return isAcquired;
-}
-
-const KnownServer* StreamForwarder::chooseEngine(const ServedRequest& request, StreamProgress& progress)
-{
-    const TimePoint now = RuntimeClock::now();
-    const Pool* pool = request.config->findPool(request.pool);
-    const auto engines = m_placement.rank(request.caller, usableEngines(request, progress),
-        progress.stages.inputBytes, m_backendCaller.tracker(), now);
-    const bool isPermitUsable = std::any_of(engines.begin(), engines.end(),
-        [&progress](const KnownServer* engine) { return engine->server.id == progress.permit; });
-    for (const KnownServer* engine : engines) {
-        const BackendServerId& id = engine->server.id;
-        if (progress.tried.contains(id) || (progress.permit && progress.permit != id && isPermitUsable))
-            continue;
-        if (progress.permit != id
-            && !checkAvailability(m_backendCaller.statements(), engine->server, progress.outcome))
-            continue;
-        if (engine->isCold(now)
-            && !m_coldLimiter.tryAcquire(engine->server.id, pool ? pool->coldRate : 0, now))
-            continue;
-        return engine;
-    }
-    return nullptr;
-}
-
 Asio::awaitable<bool> StreamForwarder::forwardResponse(ServedRequest& request, StreamProgress& progress,
     HttpStream& stream, ServerEntry engine, TimePoint sentAt)
 {
@@ -396,43 +295,30 @@
         progress.outcome.refusal = "cut";
         co_return;
     }
-    GatewayRefusal reason = progress.refusal.value_or(GatewayRefusal::NoServer);
-    std::optional<Milliseconds> retryAfter;
-    const bool isTimeout = request.scope->endReason() == ScopeEndReason::TimedOut;
-    if (progress.refusal) {
-        if (progress.refusal == GatewayRefusal::Limited || progress.refusal == GatewayRefusal::Resting)
-            retryAfter = refusalWithoutRun(
-                progress.outcome, m_backendCaller, usableEngines(request, progress), fullPoolRetryAfter)
-                             .retryAfter;
-        else if (progress.version)
-            retryAfter = versionRetryAfter(request, *progress.version);
-    } else if (progress.runs > 0) {
-        reason = isTimeout ? GatewayRefusal::TimedOut : GatewayRefusal::ServerFailed;
-    } else if (progress.stages.outcome != StageWorkOutcome::Done) {
-        reason = refusalFor(progress.stages.outcome);
-        retryAfter = std::max(progress.stages.retryAfter, minStageRetryAfter);
-    } else {
-        const RefusalWithoutRun refusal = refusalWithoutRun(
+    RefusalChoice refusal = withPrecedingReasons(chooseRefusal(request, progress), request, progress.runs, m_poison);
+    if (progress.runs == 0 && request.scope->endReason() == ScopeEndReason::TimedOut)
+        refusal = { GatewayRefusal::OutOfTime, std::nullopt };
+    co_await refuseWith(request, progress.outcome, refusal);
+}
+
+RefusalChoice StreamForwarder::chooseRefusal(const ServedRequest& request, const StreamProgress& progress)
+{
+    const auto withoutRun = [&] {
+        return refusalWithoutRun(
             progress.outcome, m_backendCaller, usableEngines(request, progress), fullPoolRetryAfter);
-        reason = refusal.reason;
-        retryAfter = refusal.retryAfter;
-    }
-    const TimePoint now = RuntimeClock::now();
-    if (progress.runs == 0 && !m_poison.refusedOf(request.subjects, now).empty()) {
-        reason = GatewayRefusal::Poisoned;
-        retryAfter = m_poison.retryAfter(request.subjects, now);
-    }
-    if (isTimeout && progress.runs == 0) {
-        reason = GatewayRefusal::OutOfTime;
-        retryAfter.reset();
-    }
-    if (request.scope->endReason() == ScopeEndReason::Stopping) {
-        reason = GatewayRefusal::NotReady;
-        retryAfter = Milliseconds(0);
+    };
+    if (progress.refusal == GatewayRefusal::Limited || progress.refusal == GatewayRefusal::Resting)
+        return { *progress.refusal, withoutRun().retryAfter };
+    if (progress.refusal)
+        return { *progress.refusal,
+            progress.version ? versionRetryAfter(request, *progress.version) : std::nullopt };
+    if (progress.runs > 0) {
+        const bool isTimeout = request.scope->endReason() == ScopeEndReason::TimedOut;
+        return { isTimeout ? GatewayRefusal::TimedOut : GatewayRefusal::ServerFailed, std::nullopt };
     }
-    progress.outcome.status = refusalStatus(reason);
-    progress.outcome.refusal = refusalName(reason);
-    co_await refuse(request.exchange, reason, retryAfter);
+    if (progress.stages.outcome != StageWorkOutcome::Done)
+        return { refusalFor(progress.stages.outcome), std::max(progress.stages.retryAfter, minStageRetryAfter) };
+    return withoutRun();
 }
 
 }
--- a/src/gateway/streamforwarder.h
+++ b/src/gateway/streamforwarder.h
@@ -72,6 +72,7 @@
     // Retry-After for a stream none of whose engines may receive work; not set if none may do so later.
     std::optional<Milliseconds> versionRetryAfter(
         const ServedRequest& request, const SoftwareVersion& version) const;
+    RefusalChoice chooseRefusal(const ServedRequest& request, const StreamProgress& progress);
     boost::asio::awaitable<void> refuseOrAbort(ServedRequest& request, StreamProgress& progress);
 
     ServingView& m_view;
--- a/src/libnet/peerserver.cpp
+++ b/src/libnet/peerserver.cpp
@@ -1,3 +1,4 @@
+#include "libapricot/scopedcount.h"
 #include "libnet/http2connection.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -65,26 +66,10 @@
 
     Asio::awaitable<void> serveStream(std::shared_ptr<PeerStream> stream)
     {
-        const StreamCounter counter(m_streamsInFlight);
+        const ScopedCount inFlight(m_streamsInFlight);
         co_await m_handler(std::move(stream));
     }
 
-    // Counts a stream while its handler runs.
-    class StreamCounter {
-    public:
-        explicit StreamCounter(std::size_t& count)
-            : m_count(count)
-        {
-            ++m_count;
-        }
-        ~StreamCounter() { --m_count; }
-        StreamCounter(const StreamCounter&) = delete;
-        StreamCounter& operator=(const StreamCounter&) = delete;
-
-    private:
-        std::size_t& m_count;
-    };
-
     PeerHandler m_handler;
     Tcp::acceptor m_acceptor;
     std::uint16_t m_port;
--- a/src/libserving/brittleservers.cpp
+++ b/src/libserving/brittleservers.cpp
@@ -21,25 +21,20 @@
 bool BrittleServers::record(
     const ServerEntry& server, std::optional<double> limit, TimePoint sentAt, TimePoint now)
 {
-    auto entry = m_servers.find(server.id);
-    if (entry != m_servers.end() && entry->second.startedAt != server.startedAt) {
-        if (server.startedAt < entry->second.startedAt)
-            return false;
-        m_servers.erase(entry);
-        entry = m_servers.end();
+    const ServerStart start = startOf(server);
+    if (!limit && !m_servers.find(start)) {
+        m_servers.removeEarlier(start);
+        return false;
     }
+    Entry* entry = m_servers.findOrAdd(start);
+    if (!entry)
+        return false;
     if (limit)
         m_pools[server.pool] = { *limit, now };
-    if (entry == m_servers.end()) {
-        if (!limit)
-            return false;
-        m_servers[server.id] = { server.startedAt, limit, sentAt };
-        return true;
-    }
-    if (sentAt < entry->second.sentAt)
+    if (sentAt < entry->sentAt)
         return false;
-    entry->second.sentAt = sentAt;
-    if (std::exchange(entry->second.limit, limit) == limit)
+    entry->sentAt = sentAt;
+    if (std::exchange(entry->limit, limit) == limit)
         return false;
     if (!limit)
         m_pools.erase(server.pool);
@@ -49,16 +44,16 @@
 void BrittleServers::recordRefusal(const ServerEntry& server, std::size_t hosts, TimePoint now)
 {
     const std::optional<double> limit = limitOf(server, now);
-    if (!limit)
+    Entry* entry = limit ? m_servers.findOrAdd(startOf(server)) : nullptr;
+    if (!entry)
         return;
     const double jitter = std::uniform_real_distribution<double>(1 - pauseJitter, 1 + pauseJitter)(m_random);
     const double seconds = limitMargin * static_cast<double>(std::max<std::size_t>(hosts, 1)) / std::max(*limit, 1.0);
     const Milliseconds pause = std::clamp(
         ceilMilliseconds(seconds * jitter * millisecondsPerSecond), m_options.minPause, m_options.maxPause);
-    Entry& entry = m_servers[server.id];
-    if (entry.startedAt != server.startedAt)
-        entry = { .startedAt = server.startedAt, .limit = limit, .sentAt = now };
-    entry.pausedUntil = std::max<TimePoint>(entry.pausedUntil, now + pause);
+    if (!entry->limit)
+        *entry = { .limit = limit, .sentAt = now };
+    entry->pausedUntil = std::max<TimePoint>(entry->pausedUntil, now + pause);
 }
 
 bool BrittleServers::hasRoom(
@@ -67,30 +62,23 @@
     if (!limitOf(server, now))
         return true;
     const int share = server.slots / static_cast<int>(std::max<std::size_t>(hosts, 1));
-    return inFlight < std::max(share, 1) && pausedUntil({ server.id, server.startedAt }) <= now;
+    return inFlight < std::max(share, 1) && pausedUntil(startOf(server)) <= now;
 }
 
 TimePoint BrittleServers::pausedUntil(const ServerStart& server) const
 {
-    const Entry* entry = find(server);
+    const Entry* entry = m_servers.find(server);
     return entry && entry->limit ? entry->pausedUntil : TimePoint {};
 }
 
 std::size_t BrittleServers::size() const
 {
-    return static_cast<std::size_t>(std::count_if(
-        m_servers.begin(), m_servers.end(), [](const auto& entry) { return entry.second.limit.has_value(); }));
-}
-
-const BrittleServers::Entry* BrittleServers::find(const ServerStart& server) const
-{
-    const auto entry = m_servers.find(server.server);
-    return entry == m_servers.end() || entry->second.startedAt != server.startedAt ? nullptr : &entry->second;
+    return m_servers.count([](const Entry& entry) { return entry.limit.has_value(); });
 }
 
 std::optional<double> BrittleServers::limitOf(const ServerEntry& server, TimePoint now) const
 {
-    if (const Entry* entry = find({ server.id, server.startedAt }))
+    if (const Entry* entry = m_servers.find(startOf(server)))
         return entry->limit;
     const auto pool = m_pools.find(server.pool);
     if (pool == m_pools.end() || pool->second.recordedAt + m_options.poolStatementLifetime < now)
@@ -98,9 +86,4 @@
     return pool->second.limit;
 }
 
-void BrittleServers::retain(const std::set<BackendServerId>& listed)
-{
-    std::erase_if(m_servers, [&listed](const auto& entry) { return !listed.contains(entry.first); });
-}
-
 }
--- a/src/libserving/brittleservers.h
+++ b/src/libserving/brittleservers.h
@@ -1,12 +1,11 @@
 #pragma once
 
 #include "libserving/serverentry.h"
-#include "libserving/serverstart.h"
+#include "libserving/serverstarttable.h"
 
 #include <map>
 #include <optional>
 #include <random>
-#include <set>
 
 namespace Apricot {
 
@@ -36,15 +35,14 @@
     // Until when a server gets no requests because it turned one away.
     TimePoint pausedUntil(const ServerStart& server) const;
     // Whether no server is known to be brittle.
-    bool isEmpty() const { return m_servers.empty() && m_pools.empty(); }
+    bool isEmpty() const { return m_servers.isEmpty() && m_pools.empty(); }
     std::size_t size() const;
 
     // Removes the servers that are not listed.
-    void retain(const std::set<BackendServerId>& listed);
+    void retain(const std::set<BackendServerId>& listed) { m_servers.retain(listed); }
 
 private:
     struct Entry {
-        std::int64_t startedAt = 0;
         std::optional<double> limit;
         TimePoint sentAt {};
         TimePoint pausedUntil {};
@@ -54,12 +52,11 @@
         TimePoint recordedAt {};
     };
 
-    const Entry* find(const ServerStart& server) const;
     // The limit of a server, its own or that of its pool; not set if it is not brittle.
     std::optional<double> limitOf(const ServerEntry& server, TimePoint now) const;
 
     BrittleServersOptions m_options;
-    std::map<BackendServerId, Entry> m_servers;
+    ServerStartTable<Entry> m_servers;
     std::map<PoolId, PoolStatement> m_pools;
     std::minstd_rand m_random;
 };
--- a/src/libserving/linktable.cpp
+++ b/src/libserving/linktable.cpp
@@ -9,11 +9,12 @@
 {
 }
 
-bool LinkTable::recordReached(const Endpoint& server, TimePoint now)
+std::optional<TimePoint> LinkTable::recordReached(const Endpoint& server, TimePoint now)
 {
     m_lastReachedAt = now;
     m_reachedAt[server] = now;
-    return m_lost.erase(server) > 0;
+    const auto lost = m_lost.extract(server);
+    return lost.empty() ? std::nullopt : std::optional(lost.mapped());
 }
 
 bool LinkTable::recordUnreachable(const Endpoint& server, TimePoint now)
@@ -42,12 +43,6 @@
     return newlyLost >= m_options.minLostLinks && now >= firstLostAt + m_options.minCutTime;
 }
 
-std::optional<TimePoint> LinkTable::lostSince(const Endpoint& server) const
-{
-    const auto found = m_lost.find(server);
-    return found == m_lost.end() ? std::nullopt : std::optional(found->second);
-}
-
 std::vector<Endpoint> LinkTable::nextToProbe(std::size_t count)
 {
     std::vector<Endpoint> servers;
--- a/src/libserving/linktable.h
+++ b/src/libserving/linktable.h
@@ -26,8 +26,8 @@
 public:
     explicit LinkTable(LinkTableOptions options = {});
 
-    // Records that a server accepted a connection or responded. Returns whether its link had been lost.
-    bool recordReached(const Endpoint& server, TimePoint now);
+    // Records that a server accepted a connection or responded. Returns when its link had been lost, if it was.
+    std::optional<TimePoint> recordReached(const Endpoint& server, TimePoint now);
     // Records that a connection to a server failed or fell silent. Returns whether its link had not been lost.
     bool recordUnreachable(const Endpoint& server, TimePoint now);
 
@@ -38,8 +38,8 @@
     // When a server of this host's links was last reached.
     TimePoint lastReachedAt() const { return m_lastReachedAt; }
     std::size_t lostLinks() const { return m_lost.size(); }
-    // When the link to a server was lost, if it is.
-    std::optional<TimePoint> lostSince(const Endpoint& server) const;
+    // Whether the link to this server itself is lost.
+    bool hasLost(const Endpoint& server) const { return m_lost.contains(server); }
 
     // Up to `count` servers with lost links, in turn.
     std::vector<Endpoint> nextToProbe(std::size_t count);
--- a/src/libserving/serverentry.h
+++ b/src/libserving/serverentry.h
@@ -3,6 +3,7 @@
 #include "libapricot/clock.h"
 #include "libapricot/endpoint.h"
 #include "libapricot/identifier.h"
+#include "libserving/serverstart.h"
 
 #include <cstdint>
 
@@ -28,4 +29,6 @@
     auto operator<=>(const ServerEntry&) const = default;
 };
 
+inline ServerStart startOf(const ServerEntry& server) { return { server.id, server.startedAt }; }
+
 }
--- a/src/libserving/serverlimits.h
+++ b/src/libserving/serverlimits.h
@@ -1,11 +1,9 @@
 #pragma once
 
 #include "libapricot/tokenbucket.h"
-#include "libserving/serverstart.h"
+#include "libserving/serverstarttable.h"
 
-#include <map>
 #include <optional>
-#include <set>
 
 namespace Apricot {
 
@@ -47,7 +45,8 @@
     // The latest evidence, also of the end of a limit, or null.
     const LimitEvidence* latest(const ServerStart& server) const;
     // Number of servers with a limit in force.
-    std::size_t size() const { return m_inForce; }
+    std::size_t size() const { return m_entries.count(isInForce); }
+    bool isEmpty() const { return !m_entries.contains(isInForce); }
 
     // Acquires a permit out of a share of the limit. Always succeeds if no limit is in force.
     bool tryAcquire(const ServerStart& server, double share, TimePoint now);
@@ -60,11 +59,10 @@
     TimePoint refusedUntil(const ServerStart& server) const;
 
     // Removes the servers that are not listed.
-    void retain(const std::set<BackendServerId>& listed);
+    void retain(const std::set<BackendServerId>& listed) { m_entries.retain(listed); }
 
 private:
     struct Entry {
-        std::int64_t startedAt = 0;
         LimitEvidence evidence;
         TokenBucket permits;
         TimePoint refusedUntil {};
@@ -72,13 +70,12 @@
 
     // Removes limits that ended some time ago, at intervals.
     void removeEnded(TimePoint now);
-    const Entry* findEntry(const ServerStart& server) const;
+    static bool isInForce(const Entry& entry) { return entry.evidence.limit.has_value(); }
     // The entry of a server with a limit in force, its permits refilled at a share of it; or null.
     Entry* refill(const ServerStart& server, double share, TimePoint now);
 
     ServerLimitsOptions m_options;
-    std::map<BackendServerId, Entry> m_entries;
-    std::size_t m_inForce = 0;
+    ServerStartTable<Entry> m_entries;
     TimePoint m_nextRemovalAt {};
 };
 
--- a/src/libserving/serverrests.cpp
+++ b/src/libserving/serverrests.cpp
@@ -11,23 +11,18 @@
 
 bool ServerRests::record(const ServerStart& server, Duration rest, TimePoint now)
 {
-    const auto [entry, isNew] = m_rests.try_emplace(server.server, Rest { server.startedAt });
-    if (server.startedAt < entry->second.startedAt)
-        return false;
-    if (entry->second.startedAt != server.startedAt)
-        entry->second = { server.startedAt };
+    TimePoint* known = m_restsUntil.findOrAdd(server);
     const TimePoint until = now + std::min<Duration>(rest, m_options.maxRest);
-    if (until <= entry->second.until)
+    if (!known || until <= *known)
         return false;
-    entry->second.until = until;
+    *known = until;
     return true;
 }
 
 TimePoint ServerRests::restsUntil(const ServerStart& server) const
 {
-    const auto entry = m_rests.find(server.server);
-    return entry == m_rests.end() || entry->second.startedAt != server.startedAt ? TimePoint {}
-                                                                                 : entry->second.until;
+    const TimePoint* until = m_restsUntil.find(server);
+    return until ? *until : TimePoint {};
 }
 
 bool ServerRests::mayReceive(const ServerStart& server, int inFlight, TimePoint now) const
@@ -44,15 +39,13 @@
 
 std::size_t ServerRests::count(TimePoint now) const
 {
-    return static_cast<std::size_t>(std::count_if(
-        m_rests.begin(), m_rests.end(), [now](const auto& entry) { return now < entry.second.until; }));
+    return m_restsUntil.count([now](TimePoint until) { return now < until; });
 }
 
 void ServerRests::retain(const std::set<BackendServerId>& listed, TimePoint now)
 {
-    std::erase_if(m_rests, [&](const auto& entry) {
-        return !listed.contains(entry.first) || entry.second.until + m_options.rampTime < now;
-    });
+    m_restsUntil.retain(listed);
+    m_restsUntil.eraseIf([&](TimePoint until) { return until + m_options.rampTime < now; });
 }
 
 }
--- a/src/libserving/serverrests.h
+++ b/src/libserving/serverrests.h
@@ -1,10 +1,7 @@
 #pragma once
 
 #include "libapricot/clock.h"
-#include "libserving/serverstart.h"
-
-#include <map>
-#include <set>
+#include "libserving/serverstarttable.h"
 
 namespace Apricot {
 
@@ -28,7 +25,7 @@
     TimePoint restsUntil(const ServerStart& server) const;
     // Whether a server may get one more request, given those of this host in flight there.
     bool mayReceive(const ServerStart& server, int inFlight, TimePoint now) const;
-    bool isEmpty() const { return m_rests.empty(); }
+    bool isEmpty() const { return m_restsUntil.isEmpty(); }
     // Number of servers that rest now.
     std::size_t count(TimePoint now) const;
 
@@ -36,13 +33,8 @@
     void retain(const std::set<BackendServerId>& listed, TimePoint now);
 
 private:
-    struct Rest {
-        std::int64_t startedAt = 0;
-        TimePoint until {};
-    };
-
     ServerRestsOptions m_options;
-    std::map<BackendServerId, Rest> m_rests;
+    ServerStartTable<TimePoint> m_restsUntil;
 };
 
 }
