Refuse resumptions of unknown origin for half a minute, whatever the timeouts are now

Cause: without a record of its origin, a stream goes on if its pool is known to have had one version for twice the longest timeout of its routes. A configuration that shortens the timeouts shortens this time too, while streams that began before last for as long as their callers' deadlines allow. A host that has just started does not know the earlier timeouts. So after a kill of all hosts, or of the host that began a stream, text of two versions was joined in one response with status 200.

Change: resumptionTime() is half a minute at least, longer than callers of the deployments wait. The test of its value is replaced by one with a longer timeout, a shorter one and a pool without routes, because the values 16 s and 0 were the fault. The test of a pool with a single version waits half a minute instead of twice the timeout, for the same reason.

Cost: for the first half minute after its start, or a gap in what it knows, a host sends the origin of each resumable stream to two others; before it did so for twice the longest timeout, 12 to 40 s.

--- a/src/libserving/servingconfig.cpp
+++ b/src/libserving/servingconfig.cpp
@@ -60,6 +60,9 @@
     // A route without a timeout leaves it to its callers.
     constexpr Milliseconds unlimitedTimeout { 60'000 };
     constexpr int attempts = 2;
+    // Streams that began under an earlier configuration last for as long as their callers' deadlines allow, whatever
+    // the timeouts are now, and a host that has just started does not know the earlier ones.
+    constexpr Milliseconds minResumptionTime { 30'000 };
     Milliseconds longest { 0 };
     for (const Route& route : routes) {
         const bool usesPool = std::any_of(route.pools.begin(), route.pools.end(),
@@ -67,7 +70,7 @@
         if (route.retryRule == RetryRule::Stream && usesPool)
             longest = std::max(longest, route.timeout.count() > 0 ? route.timeout : unlimitedTimeout);
     }
-    return attempts * longest;
+    return std::max(attempts * longest, minResumptionTime);
 }
 
 }
--- a/tests/platform/streamversiontest.cpp
+++ b/tests/platform/streamversiontest.cpp
@@ -1,9 +1,14 @@
 #include "gatewaycluster.h"
 
+#include "clustersupport.h"
+
 #include "platform/names.h"
 
 #include <CppUTest/TestHarness.h>
 
+#include <boost/algorithm/string/replace.hpp>
+#include <boost/json/parse.hpp>
+
 using namespace Apricot;
 namespace Names = PlatformNames;
 
@@ -151,14 +156,82 @@
     LONGS_EQUAL(1, versionsOf["stream"].size());
 }
 
+// Guards against text joined from two versions when all hosts, and with them all records, are gone at once: they come
+// back while both versions serve, or when only the new one is left.
+TEST(StreamVersion, noStreamIsJoinedOfTwoVersionsAfterAllHostsWereKilledAtOnce)
+{
+    for (const bool isOldVersionGone : { false, true }) {
+        GatewayCluster cluster { hostCount, ClusterRetries::Never };
+        addEngines(cluster, "v1", 4);
+        cluster.waitUntilReady();
+        std::vector<std::string> begun;
+        for (int index = 0; index < streamCount; ++index) {
+            const auto host = static_cast<std::size_t>(index) % hostCount;
+            begun.push_back(cluster.call(host, { .path = "/stream/x", .content = streamName(index) }).id);
+        }
+        addEngines(cluster, "v2", 4);
+        if (isOldVersionGone)
+            cluster.removeScriptedServers("v1");
+        cluster.runFor(Milliseconds(200));
+        for (std::size_t host = 0; host < hostCount; ++host)
+            cluster.killHost(host);
+        for (std::size_t host = 0; host < hostCount; ++host)
+            cluster.restartHost(host);
+        cluster.waitUntilReady();
+        // Callers resume for as long as their deadline allows.
+        for (int round = 0; round < 4; ++round) {
+            for (int index = 0; index < streamCount; ++index) {
+                const auto host = static_cast<std::size_t>(index + round) % hostCount;
+                cluster.send(host, resumptionOf(begun[static_cast<std::size_t>(index)], streamName(index)));
+            }
+            cluster.runFor(Milliseconds(2000));
+        }
+        LONGS_EQUAL(0, countJoinedStreams());
+        versionsOf.clear();
+    }
+}
+
+// Guards against text joined from two versions when the configuration shortens the timeout meanwhile: streams that
+// began before it last for as long as their callers' deadlines allow.
+TEST(StreamVersion, noStreamIsJoinedOfTwoVersionsWhenTheTimeoutWasShortened)
+{
+    GatewayCluster cluster { hostCount, ClusterRetries::Never };
+    addEngines(cluster, "v1", 4);
+    cluster.waitUntilReady();
+    std::vector<std::string> begun;
+    for (int index = 0; index < streamCount; ++index) {
+        const auto host = static_cast<std::size_t>(index) % hostCount;
+        begun.push_back(cluster.call(host, { .path = "/stream/x", .content = streamName(index) }).id);
+    }
+    std::string shortened = clusterConfig;
+    boost::algorithm::replace_all(shortened, "\"timeoutMs\":6000", "\"timeoutMs\":500");
+    boost::algorithm::replace_all(shortened, "\"version\":1", "\"version\":2");
+    cluster.writeObject(std::string(Names::configurationKey), boost::json::parse(shortened));
+    addEngines(cluster, "v2", 4);
+    cluster.removeScriptedServers("v1");
+    cluster.runFor(Milliseconds(300));
+    for (std::size_t host = 0; host < hostCount; ++host)
+        cluster.killHost(host);
+    for (std::size_t host = 0; host < hostCount; ++host)
+        cluster.restartHost(host);
+    cluster.waitUntilReady();
+    cluster.runFor(Milliseconds(2000));
+    // These callers wait for eight seconds in all.
+    for (int index = 0; index < streamCount; ++index)
+        cluster.send(static_cast<std::size_t>(index) % hostCount,
+            resumptionOf(begun[static_cast<std::size_t>(index)], streamName(index)));
+    cluster.runFor(Milliseconds(500));
+    LONGS_EQUAL(0, countJoinedStreams());
+}
+
 // Guards against refusing every stream of a pool with one version whose host has no record.
 TEST(StreamVersion, aStreamOfAPoolWithASingleVersionGoesOnWithoutARecord)
 {
     GatewayCluster cluster { 3, ClusterRetries::Never };
     addEngines(cluster, "v1", 2);
     cluster.waitUntilReady();
-    // Twice the timeout of the route, which is how long a stream may be resumed.
-    cluster.runFor(Milliseconds(12'500));
+    // How long a stream may be resumed at least.
+    cluster.runFor(Milliseconds(30'500));
     const ClusterResponse begun = cluster.call(0, { .path = "/stream/x", .content = "stream" });
     cluster.killHost(0);
     CHECK_TRUE(cluster.call(1, resumptionOf(begun.id, "stream")).isComplete);
--- a/tests/serving/servingconfigtest.cpp
+++ b/tests/serving/servingconfigtest.cpp
@@ -78,12 +78,15 @@
     CHECK(view.routingChangedAt() > second);
 }
 
-TEST(ServingConfig, aStreamMayBeResumedForTwiceTheLongestTimeoutOfItsPool)
+// Streams that began under an earlier configuration with longer timeouts, or on a route that is gone, may be resumed too.
+TEST(ServingConfig, aStreamMayBeResumedForTwiceTheLongestTimeoutOfItsPoolAndHalfAMinute)
 {
     const ServingConfig config { .routes
-        = { { .retryRule = RetryRule::Stream, .timeout = Milliseconds(6000), .pools = { { .pool = PoolId("p") } } },
-            { .retryRule = RetryRule::Stream, .timeout = Milliseconds(8000), .pools = { { .pool = PoolId("p") } } },
-            { .timeout = Milliseconds(90'000), .pools = { { .pool = PoolId("p") } } } } };
-    LONGS_EQUAL(16'000, config.resumptionTime(PoolId("p")).count());
-    LONGS_EQUAL(0, config.resumptionTime(PoolId("q")).count());
+        = { { .retryRule = RetryRule::Stream, .timeout = Milliseconds(16'000), .pools = { { .pool = PoolId("p") } } },
+            { .retryRule = RetryRule::Stream, .timeout = Milliseconds(18'000), .pools = { { .pool = PoolId("p") } } },
+            { .timeout = Milliseconds(90'000), .pools = { { .pool = PoolId("p") } } },
+            { .retryRule = RetryRule::Stream, .timeout = Milliseconds(500), .pools = { { .pool = PoolId("q") } } } } };
+    LONGS_EQUAL(36'000, config.resumptionTime(PoolId("p")).count());
+    LONGS_EQUAL(30'000, config.resumptionTime(PoolId("q")).count());
+    LONGS_EQUAL(30'000, config.resumptionTime(PoolId("r")).count());
 }
