Let connections to peers sleep while they have no stream

Cause: each connection that a host has opened to a peer woke the process twice a second to check its liveness, with or without streams. In a large fleet a host has some 20 such connections, to homes of stage groups, parents and granting hosts.

Change: the check sleeps until a stream is opened. Seen failing first: eight idle connections, 24 wake-ups in 1.5 s, none now (idleConnectionsToPeersDoNotWakeTheirProcess).

--- a/src/libnet/http2connection.cpp
+++ b/src/libnet/http2connection.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace Apricot {
 
@@ -186,6 +187,7 @@
     auto stream = std::make_shared<Http2Stream>(m_socket.get_executor());
     m_streams.emplace(id, stream);
     m_writable.notifyAll();
+    wakeLivenessWatch();
     return std::make_shared<Http2PeerStream>(shared_from_this(), id, std::move(stream));
 }
 
@@ -333,19 +335,30 @@
     close();
 }
 
+void Http2Connection::wakeLivenessWatch()
+{
+    if (m_isLivenessWatchAsleep)
+        m_livenessTimer.cancel();
+}
+
 Asio::awaitable<void> Http2Connection::watchLiveness()
 {
     TimePoint lastCheck = RuntimeClock::now();
     m_lastReceived = lastCheck;
     while (m_open) {
-        m_livenessTimer.expires_after(pingInterval);
+        m_isLivenessWatchAsleep = m_streams.empty();
+        if (m_isLivenessWatchAsleep)
+            m_livenessTimer.expires_at(TimePoint::max());
+        else
+            m_livenessTimer.expires_after(pingInterval);
         boost::system::error_code ignored;
         co_await m_livenessTimer.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
+        const bool hadNoStream = std::exchange(m_isLivenessWatchAsleep, false);
         const TimePoint now = RuntimeClock::now();
         // After a pause of this process, responses to its pings may still be unread in the socket.
         const bool wasPaused = now - lastCheck > livenessTimeout;
         lastCheck = now;
-        if (!m_open || m_streams.empty() || wasPaused) {
+        if (!m_open || m_streams.empty() || wasPaused || hadNoStream) {
             m_lastReceived = now;
             continue;
         }
--- a/src/libnet/http2connection.h
+++ b/src/libnet/http2connection.h
@@ -74,8 +74,11 @@
     boost::asio::awaitable<void> readLoop();
     boost::asio::awaitable<void> writeLoop();
     // Closes a client's connection with open streams if the peer's process does not respond to pings.
-    // This distinguishes a frozen or unreachable peer from one that is busy with a long stage.
+    // This distinguishes a frozen or unreachable peer from one that is busy with a long stage. Sleeps while
+    // no stream is open, because a host has connections to many peers.
     boost::asio::awaitable<void> watchLiveness();
+    // Starts the liveness check of a connection that had no stream.
+    void wakeLivenessWatch();
     boost::asio::awaitable<void> runHandler(std::int32_t id, std::shared_ptr<Http2Stream> stream);
     void acceptStream(std::int32_t id);
     void receiveData(Http2Stream& stream, std::string_view data);
@@ -91,6 +94,7 @@
     AsyncEvent m_writable;
     RuntimeTimer m_livenessTimer;
     TimePoint m_lastReceived {};
+    bool m_isLivenessWatchAsleep = false;
     bool m_open = true;
 };
 
--- a/tests/unit/nettest.cpp
+++ b/tests/unit/nettest.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/co_spawn.hpp>
 
 #include <exception>
+#include <memory>
+#include <vector>
 
 using namespace Apricot;
 namespace Asio = boost::asio;
@@ -190,6 +192,33 @@
     CHECK_TRUE(failure == PeerFailure::Unreachable);
 }
 
+// Guards against processes that are woken by each of their connections although nothing is sent over them.
+TEST(Net, idleConnectionsToPeersDoNotWakeTheirProcess)
+{
+    constexpr int peers = 8;
+    Asio::io_context context;
+    const auto respond = [](std::shared_ptr<PeerStream> stream) -> Asio::awaitable<void> {
+        co_await stream->read();
+        Message response = TextMessage {};
+        co_await stream->write(std::move(response));
+    };
+    std::vector<std::unique_ptr<PeerServer>> servers;
+    for (int index = 0; index < peers; ++index)
+        servers.push_back(std::make_unique<PeerServer>(context, PeerServerOptions {}, respond));
+    PeerClient client(context);
+    runToEnd(context, [&]() -> Asio::awaitable<void> {
+        for (const auto& server : servers) {
+            const PeerEndpoint endpoint { "127.0.0.1", server->port() };
+            const Message request = TextMessage {};
+            co_await client.call(endpoint, request, Milliseconds(1000));
+        }
+    });
+    context.restart();
+    // The check that the last call has ended may still be due.
+    context.run_for(Milliseconds(700));
+    LONGS_EQUAL(0, context.run_for(Milliseconds(1500)));
+}
+
 TEST(Net, truncatedOrUnknownMessagesAreErrors)
 {
     checkProperty("no prefix of a message decodes", [](const std::string& text) {
