--- a/src/emulator/platform/platformfaults.cpp
+++ b/src/emulator/platform/platformfaults.cpp
@@ -24,6 +24,7 @@
     faults.delay = Milliseconds(memberOr<std::int64_t>(object, "delay_ms", 0));
     faults.responseLossRate = memberOr(object, "lose_answers", 0.0);
     faults.staleReads = memberOr(object, "stale_reads", false);
+    faults.staleListLag = memberOr<std::uint64_t>(object, "stale_list_lag", 0);
     faults.reorderWatch = memberOr(object, "reorder_watch", false);
     faults.cutHosts = memberOr(object, "cut_hosts", std::set<std::string>());
     faults.lostChanges = memberOr<std::uint64_t>(object, "lose_changes", 0);
--- a/src/emulator/platform/platformfaults.h
+++ b/src/emulator/platform/platformfaults.h
@@ -22,6 +22,8 @@
     double responseLossRate = 0;
     // Reads are served from a state that may be some revisions old.
     bool staleReads = false;
+    // Number of revisions by which lists are older whose callers allow that.
+    std::uint64_t staleListLag = 0;
     // Events of a watch response are shuffled together with some older events.
     bool reorderWatch = false;
     // Hosts whose calls are dropped, identified by the X-Host header field.
--- a/src/emulator/platform/platformserver.cpp
+++ b/src/emulator/platform/platformserver.cpp
@@ -230,12 +230,13 @@
         co_await pause(m_faults.delay);
     const bool isWrite = request.method != "GET";
     const bool isWatch = !request.parameter("watch").empty();
-    ++m_counts[isWrite ? "writes" : (isWatch ? "watches" : "reads")];
+    const bool isStaleRead = !request.parameter("staleOk").empty();
+    ++m_counts[isWrite ? "writes" : (isWatch ? "watches" : (isStaleRead ? "stale_reads" : "reads"))];
     if (m_faults.outage) {
         ++m_counts["unavailable"];
         co_return co_await respondError(exchange, 503, "platform unavailable");
     }
-    if (!(isWrite ? m_writeLimit : m_readLimit).tryAcquire(RuntimeClock::now())) {
+    if (!isStaleRead && !(isWrite ? m_writeLimit : m_readLimit).tryAcquire(RuntimeClock::now())) {
         ++m_counts["limited"];
         co_return co_await respondError(exchange, 429, "rate limit exceeded");
     }
@@ -261,7 +262,10 @@
 
 asio::awaitable<void> PlatformServer::handleList(HttpExchange& exchange, std::string prefix)
 {
-    const StoreList list = m_store.list(prefix, readRevision());
+    ObjectVersion revision = readRevision();
+    if (!exchange.request().parameter("staleOk").empty())
+        revision -= std::min(revision, m_faults.staleListLag);
+    const StoreList list = m_store.list(prefix, revision);
     co_await respondJson(exchange, 200, listJson(list, exchange.request().parameter("after")), shownEra());
 }
 
--- a/src/gateway/gatewaydaemon.cpp
+++ b/src/gateway/gatewaydaemon.cpp
@@ -9,6 +9,7 @@
 #include <boost/json/object.hpp>
 
 #include <csignal>
+#include <utility>
 
 namespace Apricot {
 
@@ -66,7 +67,8 @@
     , m_settingsFile(std::move(settingsFile))
     , m_retries(RetryWindowOptions {}, RuntimeClock::now())
     , m_store(m_context, storeOptionsFor(settings.store))
-    , m_viewUpdater(m_context, m_store, m_view, settings.process.host,
+    , m_storeCalls(m_metrics)
+    , m_viewUpdater(m_context, m_store, m_view, m_storeCalls, settings.process.host,
           { requireEndpoint(settings.peers), settings.process.failureDomain })
     , m_peers(m_context)
     , m_limits(m_context, m_view, m_peers, settings.process.host, m_metrics)
@@ -77,7 +79,7 @@
     , m_serverEnds(m_context, m_view, m_links, m_peers, settings.process.host)
     , m_backendCaller(m_view, m_tracker, m_limits, m_statements, m_calls, m_serverEnds)
     , m_relayServer(m_context, m_backendCaller, m_metrics)
-    , m_poisonSync(m_context, m_store, m_view, m_poison, settings.process.host)
+    , m_poisonSync(m_context, m_store, m_storeCalls, m_view, m_poison, settings.process.host)
     , m_crashMonitor(m_context, m_view, m_poison, m_poisonSync, m_serverEnds, m_metrics)
     , m_peerViewSync(m_context, m_viewUpdater, m_view, m_peers, settings.process.host,
           parseEndpoints(settings.seeds).value_or(std::vector<Endpoint>()))
@@ -122,6 +124,7 @@
 {
     applyLimits();
     m_viewUpdater.setChangeHandler([this] { onViewChanged(); });
+    m_viewUpdater.setConfirmedHandler([this] { m_peerViewSync.onConfirmed(); });
     m_viewUpdater.setPoisonHandlers([this](const PlatformList& list) { m_poisonSync.applyList(list); },
         [this](const PlatformEvent& event) { m_poisonSync.applyEvent(event); });
     m_backendCaller.setRunObserver(m_crashMonitor);
@@ -150,14 +153,23 @@
 }
 
 void GatewayDaemon::onViewChanged()
+{
+    if (m_view.hostsGeneration() != std::exchange(m_hostsGeneration, m_view.hostsGeneration()))
+        onHostsChanged();
+    if (m_view.servers().removals() != std::exchange(m_serverRemovals, m_view.servers().removals())) {
+        m_limits.onServersRemoved();
+        m_backendCaller.removeUnknownServers();
+    }
+    m_crashMonitor.onServersChanged();
+}
+
+void GatewayDaemon::onHostsChanged()
 {
     m_retries.setHosts(m_view.hostIds(), RuntimeClock::now());
     m_coldLimiter.setHosts(m_settings.process.host, m_view.hostIds());
-    m_limits.onViewChanged();
+    m_limits.onHostsChanged();
     m_peerViewSync.onHostsChanged();
     m_relays.onHostsChanged();
-    m_backendCaller.removeUnknownServers();
-    m_crashMonitor.onServersChanged();
 }
 
 HealthReport GatewayDaemon::health() const
@@ -168,6 +180,8 @@
         return { .healthy = false, .detail = "no configuration received yet" };
     if (m_view.servers().size() == 0)
         return { .healthy = false, .detail = "no backend servers known" };
+    if (!m_viewUpdater.isConfirmed())
+        return { .healthy = false, .detail = "the view has not been confirmed since the start" };
     return {};
 }
 
@@ -204,7 +218,7 @@
         co_return m_limits.applyNotice(request.json);
     std::string text;
     if (request.topic == PeerViewSync::topic)
-        text = m_peerViewSync.respondTo(request.json);
+        text = co_await m_peerViewSync.respondTo(std::move(request.json));
     else if (request.topic == StreamOriginSync::questionTopic)
         text = m_streamOrigins.respondTo(request.json);
     else if (request.topic == LimitPermits::permitTopic)
@@ -268,6 +282,7 @@
     const TimePoint endsAt = startedAt + toMilliseconds(m_settings.graceSeconds) - shutdownMargin;
     m_callerServer.closeAfterResponses();
     co_await m_viewUpdater.deregister();
+    m_peerViewSync.stop();
     m_stageHome.stop();
     m_relayServer.stop();
     const auto executor = m_context.get_executor();
--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -37,6 +37,7 @@
     boost::asio::awaitable<void> waitForReload();
     boost::asio::awaitable<void> shutDown();
     void onViewChanged();
+    void onHostsChanged();
     void reload();
     void applyLimits();
     HealthReport health() const;
@@ -52,6 +53,7 @@
     ColdLimiter m_coldLimiter;
     PoisonTable m_poison;
     PlatformClient m_store;
+    StoreCallCounter m_storeCalls;
     ServingViewUpdater m_viewUpdater;
     PeerClient m_peers;
     LimitPermits m_limits;
@@ -79,6 +81,9 @@
     AdminServer m_adminServer;
     boost::asio::signal_set m_stopSignals;
     boost::asio::signal_set m_reloadSignals;
+    // What was last applied of the view's hosts and removals of servers.
+    std::uint64_t m_hostsGeneration = 0;
+    std::uint64_t m_serverRemovals = 0;
     bool m_isStopping = false;
 };
 
--- a/src/gateway/limitpermits.cpp
+++ b/src/gateway/limitpermits.cpp
@@ -56,17 +56,18 @@
 {
 }
 
-void LimitPermits::onViewChanged()
+void LimitPermits::onServersRemoved()
 {
     std::set<BackendServerId> listed;
     for (const auto& [id, known] : m_view.servers().all())
         listed.insert(id);
     m_limits.retain(listed);
     std::erase_if(m_grantors, [&listed](const auto& entry) { return !listed.contains(entry.first); });
-    std::vector<HostId> hosts = m_view.hostIds();
-    if (hosts == m_hosts)
-        return;
-    m_hosts = std::move(hosts);
+}
+
+void LimitPermits::onHostsChanged()
+{
+    m_hosts = m_view.hostIds();
     m_grantors.clear();
     std::erase_if(m_silentUntil, [this](const auto& entry) { return !m_view.hosts().contains(entry.first); });
 }
--- a/src/gateway/limitpermits.h
+++ b/src/gateway/limitpermits.h
@@ -35,7 +35,8 @@
     // Applies a peer's notice, and passes it on.
     void applyNotice(const std::string& text);
 
-    void onViewChanged();
+    void onServersRemoved();
+    void onHostsChanged();
     // Number of servers with a limit in force.
     std::size_t limitedServers() const { return m_limits.size(); }
     bool hasLimits() const { return !m_limits.isEmpty(); }
--- a/src/gateway/peerviewsync.cpp
+++ b/src/gateway/peerviewsync.cpp
@@ -19,13 +19,29 @@
 
 namespace {
 
+    // Time between two polls without news.
     constexpr Milliseconds pollInterval { 350 };
+    // Time from news to the next poll.
+    constexpr Milliseconds minPollInterval { 100 };
     constexpr Milliseconds pollTimeout { 300 };
-    // For hosts that watch on behalf of others: the wait of a watch as a fraction of the maximum age of
-    // relayed state, and the time for which changes are batched.
-    constexpr double watcherTimeoutFraction = 0.33;
+    // Longest time for which a parent waits for news before it responds to a poll. Longer than the time between two
+    // responses of the store to a watching host.
+    constexpr Milliseconds maxWait { 1200 };
+    // Kinds of objects that are confirmed at about the same time go into one response.
+    constexpr Milliseconds gatherTime { 30 };
+    // As fractions of the maximum age of relayed state: the wait of a watch by hosts that watch on behalf of others, the
+    // gain in age that is worth a response, and the age from which the other parent is polled.
+    constexpr double watcherTimeoutFraction = 0.5;
+    constexpr double newsFraction = 0.25;
+    constexpr double behindFraction = 0.75;
+    // Time for which hosts that watch on behalf of others batch changes.
     constexpr Milliseconds watcherBatchDelay { 150 };
 
+    Milliseconds fractionOfMaxAge(const StoreFollower& follower, double fraction)
+    {
+        return std::chrono::duration_cast<Milliseconds>(fraction * follower.options().maxRelayedAge);
+    }
+
 }
 
 PeerViewSync::PeerViewSync(Asio::io_context& context, ServingViewUpdater& viewUpdater, ServingView& view,
@@ -36,6 +52,7 @@
     , m_peers(peers)
     , m_self(std::move(self))
     , m_seeds(std::move(seeds))
+    , m_pollTimer(context)
 {
 }
 
@@ -46,51 +63,109 @@
 
 void PeerViewSync::onHostsChanged()
 {
-    RelayPosition position = findRelayPosition(m_self, m_view.hostIds());
+    // A host that is not listed yet has the place that it will have.
+    std::vector<HostId> hosts = m_view.hostIds();
+    if (!m_view.hosts().contains(m_self))
+        hosts.push_back(m_self);
+    RelayPosition position = findRelayPosition(m_self, std::move(hosts));
     if (position == m_position)
         return;
     m_position = std::move(position);
+    m_nextPeer = 0;
     for (StoreFollower* follower : m_viewUpdater.followers()) {
-        follower->setRelayed(!m_position.isDirect);
-        const auto watchTimeout = std::chrono::duration_cast<Milliseconds>(
-            watcherTimeoutFraction * follower->options().maxRelayedAge);
-        follower->setWatcher(m_position.isWatcher, watchTimeout, watcherBatchDelay);
+        follower->setRelayDepth(m_position.depth);
+        follower->setWatcher(m_position.isWatcher, fractionOfMaxAge(*follower, watcherTimeoutFraction),
+            watcherBatchDelay);
     }
+    m_pollTimer.cancel();
     writeLog(LogLevel::Info, "relay_position_changed",
         { { "direct", m_position.isDirect }, { "watcher", m_position.isWatcher },
             { "hosts", m_view.hosts().size() } });
 }
 
-std::string PeerViewSync::makeRequest() const
+ViewRequest PeerViewSync::makeRequest() const
 {
-    json::object prefixes;
+    const TimePoint now = RuntimeClock::now();
+    ViewRequest request { .wait = m_position.isDirect ? Milliseconds(0) : maxWait };
     for (const StoreFollower* follower : m_viewUpdater.followers()) {
-        json::object entry { { "revision", follower->revision() } };
-        // Large objects are read from the store while it responds.
-        entry["objects"] = follower->isLost() || follower->revision() == 0
-            || !m_viewUpdater.isTooLargeToRelay(*follower);
-        prefixes[follower->prefix()] = std::move(entry);
+        request.entries[follower->prefix()] = { .revision = follower->revision(),
+            // Large objects are read from the store while it responds.
+            .withObjects = follower->isLost() || follower->revision() == 0
+                || !m_viewUpdater.isTooLargeToRelay(*follower),
+            .age = std::chrono::floor<Milliseconds>(now - follower->confirmedAt()) };
     }
-    return json::serialize(prefixes);
+    return request;
 }
 
-std::string PeerViewSync::respondTo(const std::string& request) const
+std::string PeerViewSync::makeResponse(const ViewRequest& request) const
 {
-    const json::value prefixes = json::parse(request);
     json::object response;
     for (const StoreFollower* follower : m_viewUpdater.followers()) {
-        const json::value* entry = prefixes.as_object().if_contains(follower->prefix());
-        if (!entry || follower->revision() == 0)
+        const auto entry = request.entries.find(follower->prefix());
+        // A host that has only listed objects which may be outdated relays nothing.
+        if (entry == request.entries.end() || follower->revision() == 0 || !follower->isConfirmed())
             continue;
-        const auto revision = entry->at("revision").to_number<ObjectVersion>();
-        const bool withObjects
-            = follower->revision() > revision && entry->at("objects").as_bool();
+        const ObjectVersion revision = entry->second.revision;
+        const bool withObjects = follower->revision() > revision && entry->second.withObjects;
         response[follower->prefix()]
             = toJson(follower->deltaSince(revision, RuntimeClock::now()), withObjects);
     }
     return json::serialize(response);
 }
 
+bool PeerViewSync::hasNewsFor(const ViewRequest& request, TimePoint receivedAt) const
+{
+    for (const StoreFollower* follower : m_viewUpdater.followers()) {
+        const auto entry = request.entries.find(follower->prefix());
+        if (entry == request.entries.end() || follower->revision() == 0 || !follower->isConfirmed())
+            continue;
+        if (follower->revision() > entry->second.revision)
+            return true;
+        // The peer's age grew since then, as this host's does. A peer that knows nothing has no bound of its age.
+        const auto ownAge = std::chrono::ceil<Milliseconds>(receivedAt - follower->confirmedAt());
+        if (follower->revision() == entry->second.revision
+            && ownAge + fractionOfMaxAge(*follower, newsFraction) <= entry->second.age)
+            return true;
+    }
+    return false;
+}
+
+Asio::awaitable<std::string> PeerViewSync::respondTo(std::string text)
+{
+    const ViewRequest request = readViewRequest(text);
+    const TimePoint receivedAt = RuntimeClock::now();
+    const TimePoint respondsAt = receivedAt + std::min(request.wait, maxWait);
+    bool hasWaited = false;
+    while (!m_isStopping && RuntimeClock::now() < respondsAt && !hasNewsFor(request, receivedAt)) {
+        co_await waitForNews(respondsAt);
+        hasWaited = true;
+    }
+    if (hasWaited && !m_isStopping)
+        co_await sleepFor(m_context.get_executor(), gatherTime);
+    co_return makeResponse(request);
+}
+
+Asio::awaitable<void> PeerViewSync::waitForNews(TimePoint until)
+{
+    RuntimeTimer timer(m_context, until);
+    const auto entry = m_waits.insert(m_waits.end(), &timer);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
+    m_waits.erase(entry);
+}
+
+void PeerViewSync::onConfirmed()
+{
+    for (RuntimeTimer* wait : m_waits)
+        wait->cancel();
+}
+
+void PeerViewSync::stop()
+{
+    m_isStopping = true;
+    onConfirmed();
+}
+
 void PeerViewSync::applyResponse(const std::string& response, const std::string& peer)
 {
     const TimePoint now = RuntimeClock::now();
@@ -140,27 +215,59 @@
     return peers;
 }
 
+std::vector<std::pair<ObjectVersion, TimePoint>> PeerViewSync::knowledge() const
+{
+    std::vector<std::pair<ObjectVersion, TimePoint>> known;
+    for (const StoreFollower* follower : m_viewUpdater.followers())
+        known.emplace_back(follower->revision(), follower->confirmedAt());
+    return known;
+}
+
+bool PeerViewSync::isBehind() const
+{
+    const TimePoint now = RuntimeClock::now();
+    const auto followers = m_viewUpdater.followers();
+    return std::any_of(followers.begin(), followers.end(), [now](const StoreFollower* follower) {
+        return now > follower->confirmedAt() + fractionOfMaxAge(*follower, behindFraction);
+    });
+}
+
 Asio::awaitable<void> PeerViewSync::pollPeers()
 {
     while (true) {
-        co_await sleepFor(m_context.get_executor(), pollInterval);
+        const TimePoint startedAt = RuntimeClock::now();
         const std::vector<Endpoint> peers = peersToPoll();
-        if (peers.empty())
-            continue;
-        Endpoint peer = peers[m_nextPeer++ % peers.size()];
-        try {
-            co_await requestView(std::move(peer));
-        } catch (const std::exception&) {
-            // The next peer is polled after the interval; if none responds, the followers read the store.
-        }
+        bool hasNews = false;
+        if (!peers.empty())
+            hasNews = co_await pollPeer(peers[m_nextPeer % peers.size()]);
+        m_pollTimer.expires_at(startedAt + (hasNews ? minPollInterval : pollInterval));
+        boost::system::error_code ignored;
+        co_await m_pollTimer.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
+    }
+}
+
+Asio::awaitable<bool> PeerViewSync::pollPeer(Endpoint peer)
+{
+    const auto knownBefore = knowledge();
+    try {
+        co_await requestView(std::move(peer));
+    } catch (const std::exception&) {
+        // The next peer is polled after the interval; if none responds, the followers read the store.
+        ++m_nextPeer;
+        co_return false;
     }
+    if (m_position.isDirect || isBehind())
+        ++m_nextPeer;
+    co_return knowledge() != knownBefore;
 }
 
 Asio::awaitable<void> PeerViewSync::requestView(Endpoint peer)
 {
     const std::string peerName = toText(peer);
-    Message message = TextMessage { topic, makeRequest() };
-    const Message response = co_await m_peers.call(std::move(peer), std::move(message), pollTimeout);
+    const ViewRequest request = makeRequest();
+    Message message = TextMessage { topic, toJson(request) };
+    const Message response
+        = co_await m_peers.call(std::move(peer), std::move(message), request.wait + pollTimeout);
     if (const auto* text = std::get_if<TextMessage>(&response))
         applyResponse(text->json, peerName);
 }
--- a/src/gateway/peerviewsync.h
+++ b/src/gateway/peerviewsync.h
@@ -1,9 +1,12 @@
 #pragma once
 
 #include "gateway/servingviewupdater.h"
+#include "gateway/viewrequestjson.h"
 #include "libnet/peerstream.h"
 #include "libserving/relaytree.h"
 
+#include <list>
+
 namespace Apricot {
 
 // Synchronizes the serving view with peers: always in a system of many hosts, so that only a few of them
@@ -17,19 +20,33 @@
     void start();
     // Updates this host's position among the relaying hosts after the hosts of the view have changed.
     void onHostsChanged();
-    // Response to a peer's request for the changes that it is missing.
-    std::string respondTo(const std::string& request) const;
+    // Wakes the requests of peers that wait for news.
+    void onConfirmed();
+    // Response to a peer's request for the changes that it is missing, once there are any or its wait is over.
+    boost::asio::awaitable<std::string> respondTo(std::string request);
+    // Responds to waiting requests, and to later ones without a wait.
+    void stop();
 
     // Topic of the requests and responses between peers.
     static constexpr const char* topic = "view";
 
 private:
     boost::asio::awaitable<void> pollPeers();
+    // Returns whether the response brought news.
+    boost::asio::awaitable<bool> pollPeer(Endpoint peer);
     boost::asio::awaitable<void> requestView(Endpoint peer);
     // Peers to poll in turn.
     std::vector<Endpoint> peersToPoll() const;
-    std::string makeRequest() const;
+    ViewRequest makeRequest() const;
+    std::string makeResponse(const ViewRequest& request) const;
     void applyResponse(const std::string& response, const std::string& peer);
+    // Whether this host knows something that a peer did not know when it sent a request at a time.
+    bool hasNewsFor(const ViewRequest& request, TimePoint receivedAt) const;
+    boost::asio::awaitable<void> waitForNews(TimePoint until);
+    // When each kind of objects is known to have been current, and its revision.
+    std::vector<std::pair<ObjectVersion, TimePoint>> knowledge() const;
+    // Whether what this host knows is so old that its other parent may know more.
+    bool isBehind() const;
 
     boost::asio::io_context& m_context;
     ServingViewUpdater& m_viewUpdater;
@@ -39,6 +56,10 @@
     std::vector<Endpoint> m_seeds;
     RelayPosition m_position;
     std::size_t m_nextPeer = 0;
+    RuntimeTimer m_pollTimer;
+    // Timers of the requests of peers that wait for news.
+    std::list<RuntimeTimer*> m_waits;
+    bool m_isStopping = false;
 };
 
 }
--- a/src/gateway/poisonsync.cpp
+++ b/src/gateway/poisonsync.cpp
@@ -31,10 +31,11 @@
 
 }
 
-PoisonSync::PoisonSync(Asio::io_context& context, PlatformClient& store, const ServingView& view,
-    PoisonTable& poison, HostId self)
+PoisonSync::PoisonSync(Asio::io_context& context, PlatformClient& store, StoreCallCounter& calls,
+    const ServingView& view, PoisonTable& poison, HostId self)
     : m_context(context)
     , m_store(store)
+    , m_calls(calls)
     , m_view(view)
     , m_poison(poison)
     , m_self(std::move(self))
@@ -200,6 +201,7 @@
     std::string key = m_ownKey;
     boost::json::value value = toJson(ownNotices());
     WriteResult result;
+    m_calls.record(m_ownKey, "findings");
     try {
         if (m_published.empty())
             result = co_await m_store.remove(std::move(key), std::nullopt);
@@ -240,6 +242,7 @@
             abandoned.emplace_back(key, object.version);
     }
     for (const auto& [key, version] : abandoned) {
+        m_calls.record(key, "cleanup");
         try {
             co_await m_store.remove(key, version);
         } catch (const PlatformUnavailable& error) {
--- a/src/gateway/poisonsync.h
+++ b/src/gateway/poisonsync.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/storecallcounter.h"
 #include "libapricot/poisontable.h"
 #include "libserving/servingview.h"
 #include "platform/platformclient.h"
@@ -14,8 +15,8 @@
 // writes one object and reads those of all hosts. What a process has found therefore outlives it.
 class PoisonSync {
 public:
-    PoisonSync(boost::asio::io_context& context, PlatformClient& store, const ServingView& view,
-        PoisonTable& poison, HostId self);
+    PoisonSync(boost::asio::io_context& context, PlatformClient& store, StoreCallCounter& calls,
+        const ServingView& view, PoisonTable& poison, HostId self);
 
     void start();
     // Writes what the table holds about these fingerprints to this host's object. Logs what has changed by this
@@ -49,6 +50,7 @@
 
     boost::asio::io_context& m_context;
     PlatformClient& m_store;
+    StoreCallCounter& m_calls;
     const ServingView& m_view;
     PoisonTable& m_poison;
     HostId m_self;
--- a/src/gateway/servingviewupdater.cpp
+++ b/src/gateway/servingviewupdater.cpp
@@ -20,9 +20,6 @@
 
 namespace {
 
-    // Prefix of the entries by which hosts of the system find each other.
-    constexpr std::string_view hostsPrefix = "apricot-hosts/";
-    constexpr Milliseconds registrationRetryDelay { 500 };
     // A configuration has to be in force within two seconds, and departing servers must get no new work
     // after two seconds; evacuated domains have five. Hosts are added and removed only slowly.
     StoreFollowerOptions configOptions()
@@ -32,57 +29,45 @@
     StoreFollowerOptions serversOptions()
     {
         return { .prefix = std::string(PlatformNames::serversPrefix),
-            .batchDelay = Milliseconds(800) };
+            .batchDelay = Milliseconds(800),
+            .isConfirmedByOthers = true };
     }
     StoreFollowerOptions evacuationsOptions()
     {
         return { .prefix = std::string(PlatformNames::evacuationsPrefix),
             .watchTimeout = Milliseconds(4000),
-            .maxRelayedAge = Milliseconds(4000) };
+            .maxRelayedAge = Milliseconds(4000),
+            .isConfirmedByOthers = true };
     }
     StoreFollowerOptions hostsOptions()
     {
         return { .prefix = std::string(hostsPrefix),
             .watchTimeout = Milliseconds(10'000),
             .batchDelay = Milliseconds(1500),
-            .maxRelayedAge = Milliseconds(8000) };
+            .maxRelayedAge = Milliseconds(8000),
+            .isConfirmedByOthers = true,
+            .startsFromStaleList = false };
     }
 
     StoreFollowerOptions poisonOptions()
     {
-        return { .prefix = std::string(poisonPrefix), .batchDelay = Milliseconds(150) };
+        return { .prefix = std::string(poisonPrefix),
+            .batchDelay = Milliseconds(150),
+            .isConfirmedByOthers = true };
     }
 
     std::string objectName(const std::string& key) { return key.substr(key.find('/') + 1); }
 
-    json::value toJson(const PeerHost& host)
-    {
-        return json::object { { "endpoint", toText(host.endpoint) },
-            { "failure_domain", host.domain.value() } };
-    }
-
-    std::optional<PeerHost> readHost(const json::value& value)
-    {
-        const json::object* object = value.if_object();
-        const json::value* endpoint = object ? object->if_contains("endpoint") : nullptr;
-        const json::value* domain = object ? object->if_contains("failure_domain") : nullptr;
-        if (!endpoint || !domain || !endpoint->is_string() || !domain->is_string())
-            return std::nullopt;
-        const auto parsed = parseEndpoint(endpoint->as_string());
-        if (!parsed)
-            return std::nullopt;
-        return PeerHost { *parsed, FailureDomainId(std::string(domain->as_string())) };
-    }
-
 }
 
 ServingViewUpdater::ServingViewUpdater(Asio::io_context& context, PlatformClient& store, ServingView& view,
-    HostId self, PeerHost selfEntry)
+    StoreCallCounter& calls, const HostId& self, PeerHost selfEntry)
     : m_context(context)
     , m_store(store)
     , m_view(view)
-    , m_self(std::move(self))
-    , m_selfEntry(std::move(selfEntry))
+    , m_calls(calls)
+    , m_self(self)
+    , m_registration(context, store, calls, self, std::move(selfEntry))
     , m_configFollower(makeFollower(
           configOptions(),
           [this](const PlatformList& list) {
@@ -148,6 +133,7 @@
         if (isStoreAway())
             m_view.servers().onStoreLost(RuntimeClock::now());
         writeLog(LogLevel::Warning, "store_lost", { { "kind", prefix }, { "reason", reason } });
+        startOtherFollowers();
     };
     handlers.onRegained = [this, prefix] {
         if (!isStoreAway())
@@ -158,19 +144,43 @@
         writeLog(LogLevel::Warning, "store_objects_rejected", { { "kind", prefix }, { "objects", count } });
     };
     handlers.onRestored = [this, prefix](ObjectVersion lastRevision) { onStoreRestored(prefix, lastRevision); };
-    if (prefix == PlatformNames::serversPrefix)
-        handlers.onConfirmed = [this](TimePoint confirmedAt) { m_view.servers().confirm(confirmedAt); };
+    handlers.onCall = [this, prefix](StoreCallReason reason) { m_calls.record(prefix, storeCallReasonName(reason)); };
+    handlers.onStoreRevision = [this, prefix](ObjectVersion revision) {
+        for (StoreFollower* follower : followers()) {
+            if (follower->prefix() != prefix)
+                follower->onStoreRevision(revision);
+        }
+    };
+    const bool isOfHosts = prefix == hostsPrefix;
+    handlers.onApplied = [this, isOfHosts] {
+        notifyChanged();
+        if (isOfHosts)
+            startOtherFollowers();
+    };
+    const bool isOfServers = prefix == PlatformNames::serversPrefix;
+    handlers.onConfirmed = [this, isOfServers](TimePoint confirmedAt) {
+        if (isOfServers)
+            m_view.servers().confirm(confirmedAt);
+        if (m_confirmedHandler)
+            m_confirmedHandler();
+    };
     return { m_context, m_store, m_probeState, std::move(options), std::move(handlers) };
 }
 
 void ServingViewUpdater::start()
 {
+    m_registration.start();
+    m_hostsFollower.start();
+}
+
+void ServingViewUpdater::startOtherFollowers()
+{
+    if (std::exchange(m_areOthersStarted, true))
+        return;
     m_configFollower.start();
     m_serversFollower.start();
     m_evacuationsFollower.start();
-    m_hostsFollower.start();
     m_poisonFollower.start();
-    Asio::co_spawn(m_context, registerHost(), Asio::detached);
 }
 
 std::vector<StoreFollower*> ServingViewUpdater::followers()
@@ -190,6 +200,11 @@
     return std::any_of(all.begin(), all.end(), [](const StoreFollower* follower) { return follower->isLost(); });
 }
 
+bool ServingViewUpdater::isConfirmed() const
+{
+    return isStoreLost() || (m_configFollower.isConfirmed() && m_serversFollower.isConfirmed());
+}
+
 bool ServingViewUpdater::isStoreAway() const
 {
     const auto all = allFollowers();
@@ -228,6 +243,7 @@
     for (const HostId& id : std::exchange(m_unconfirmedHosts, {}))
         m_view.removeHost(id);
     applyEvacuations();
+    notifyChanged();
 }
 
 void ServingViewUpdater::applyConfig(
@@ -247,7 +263,6 @@
         }
         writeLog(LogLevel::Info, "config_in_force",
             { { "version", version }, { "revision", revision } });
-        notifyChanged();
     } catch (const std::exception& error) {
         writeLog(LogLevel::Error, "config_rejected",
             { { "revision", revision }, { "reason", error.what() } });
@@ -269,7 +284,6 @@
             { { "server", id.value() }, { "revision", list.revision } });
     writeLog(LogLevel::Info, "servers_listed",
         { { "servers", servers.size() }, { "revision", list.revision } });
-    notifyChanged();
 }
 
 void ServingViewUpdater::applyServerEvent(const PlatformEvent& event)
@@ -290,7 +304,6 @@
         writeLog(LogLevel::Info, event.value ? "server_entry_ignored" : "server_gone",
             { { "server", name }, { "revision", event.version } });
     }
-    notifyChanged();
 }
 
 void ServingViewUpdater::applyEvacuations()
@@ -302,7 +315,6 @@
         domains.emplace_back(domain.value());
     writeLog(LogLevel::Info, "failure_domains_out_of_service", { { "domains", std::move(domains) } });
     m_view.setOutOfServiceDomains(std::move(current), now);
-    notifyChanged();
 }
 
 void ServingViewUpdater::applyHostList(const PlatformList& list)
@@ -314,7 +326,7 @@
         else
             writeLog(LogLevel::Warning, "host_entry_ignored", { { "key", object.key } });
     }
-    const bool isMissing = m_isRegistered && !m_isLeaving && !hosts.contains(m_self);
+    const bool isListed = hosts.contains(m_self);
     m_unconfirmedHosts.clear();
     // The hosts that an older copy lacks register again. Without them, the parts of this host in limits over all
     // hosts would be too large.
@@ -325,11 +337,7 @@
         }
     }
     m_view.replaceHosts(std::move(hosts));
-    notifyChanged();
-    if (isMissing) {
-        m_isRegistered = false;
-        Asio::co_spawn(m_context, registerHost(), Asio::detached);
-    }
+    m_registration.onHostsListed(isListed);
 }
 
 void ServingViewUpdater::applyHostEvent(const PlatformEvent& event)
@@ -343,7 +351,6 @@
         m_view.removeHost(id);
     const char* const gone = event.value ? "host_entry_ignored" : "peer_gone";
     writeLog(LogLevel::Info, host ? "peer_registered" : gone, { { "peer", id.value() } });
-    notifyChanged();
 }
 
 void ServingViewUpdater::notifyChanged()
@@ -352,30 +359,4 @@
         m_changeHandler();
 }
 
-Asio::awaitable<void> ServingViewUpdater::registerHost()
-{
-    const std::string key = std::string(hostsPrefix) + m_self.value();
-    while (!m_isRegistered && !m_isLeaving) {
-        try {
-            const WriteResult result = co_await m_store.put(key, toJson(m_selfEntry), std::nullopt);
-            m_isRegistered = std::holds_alternative<WriteStored>(result);
-        } catch (const PlatformUnavailable&) {
-            // The followers log that the store is unavailable.
-        }
-        if (!m_isRegistered)
-            co_await sleepFor(m_context.get_executor(), registrationRetryDelay);
-    }
-    writeLog(LogLevel::Info, "host_registered", { { "endpoint", toText(m_selfEntry.endpoint) } });
-}
-
-Asio::awaitable<void> ServingViewUpdater::deregister()
-{
-    m_isLeaving = true;
-    try {
-        co_await m_store.remove(std::string(hostsPrefix) + m_self.value(), std::nullopt);
-    } catch (const PlatformUnavailable& error) {
-        writeLog(LogLevel::Warning, "host_deregistration_failed", { { "reason", error.what() } });
-    }
-}
-
 }
--- a/src/gateway/servingviewupdater.h
+++ b/src/gateway/servingviewupdater.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/hostregistration.h"
 #include "gateway/storefollower.h"
 #include "libserving/outofservicedomains.h"
 #include "libserving/servingview.h"
@@ -12,11 +13,11 @@
 class ServingViewUpdater {
 public:
     ServingViewUpdater(boost::asio::io_context& context, PlatformClient& store, ServingView& view,
-        HostId self, PeerHost selfEntry);
+        StoreCallCounter& calls, const HostId& self, PeerHost selfEntry);
 
     void start();
     // Removes this host's entry from the store, so that other hosts stop relying on it.
-    boost::asio::awaitable<void> deregister();
+    boost::asio::awaitable<void> deregister() { return m_registration.deregister(); }
     // Sets how long what is known takes precedence over an older copy of the store.
     void setSettleTime(Milliseconds time);
     std::vector<StoreFollower*> followers();
@@ -31,8 +32,12 @@
     // Called with what the store contains about requests that crash servers.
     void setPoisonHandlers(std::function<void(const PlatformList&)> onListed,
         std::function<void(const PlatformEvent&)> onChanged);
-    // Called after each change of the view.
+    // Called after changes of the view, once for those that arrived together.
     void setChangeHandler(std::function<void()> handler) { m_changeHandler = std::move(handler); }
+    // Called when a kind of objects is known to have been current.
+    void setConfirmedHandler(std::function<void()> handler) { m_confirmedHandler = std::move(handler); }
+    // Whether configuration and servers are known to have been current since the start, or the store is lost.
+    bool isConfirmed() const;
 
 private:
     // Each host reads larger configurations from the store, whose link has more bandwidth than a host's.
@@ -57,14 +62,17 @@
     void applyHostList(const PlatformList& list);
     void applyHostEvent(const PlatformEvent& event);
     void notifyChanged();
-    boost::asio::awaitable<void> registerHost();
+    // The list of hosts shows whether peers relay the other kinds of objects, so they are read after it.
+    void startOtherFollowers();
 
     boost::asio::io_context& m_context;
     PlatformClient& m_store;
     ServingView& m_view;
+    StoreCallCounter& m_calls;
     HostId m_self;
-    PeerHost m_selfEntry;
+    HostRegistration m_registration;
     std::function<void()> m_changeHandler;
+    std::function<void()> m_confirmedHandler;
     Milliseconds m_settleTime = ServerDirectoryOptions {}.settleTime;
     TimePoint m_settledAt {};
     OutOfServiceDomains m_outOfServiceDomains { m_settleTime };
@@ -72,8 +80,7 @@
     // Hosts that an older copy of the store lacks and that have not registered again.
     std::set<HostId> m_unconfirmedHosts;
     bool m_areHostsRestored = false;
-    bool m_isRegistered = false;
-    bool m_isLeaving = false;
+    bool m_areOthersStarted = false;
     StoreProbeState m_probeState;
     StoreFollower m_configFollower;
     StoreFollower m_serversFollower;
--- a/src/gateway/stagerouter.cpp
+++ b/src/gateway/stagerouter.cpp
@@ -9,6 +9,7 @@
 #include <boost/json/object.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace Apricot {
 
@@ -48,18 +49,35 @@
         groups.pickGroup(requestId, 1, FailureDomainId(), usable) };
 }
 
-std::vector<HostId> StageRouter::candidateHomes(const PoolId& pool, int group) const
+const std::vector<HostId>& StageRouter::rankedHomes(const PoolId& pool, int group)
 {
-    const TimePoint now = RuntimeClock::now();
+    if (std::exchange(m_rankedGeneration, m_view.hostsGeneration()) != m_view.hostsGeneration())
+        m_rankedHomes.clear();
+    std::vector<HostId>& ranked = m_rankedHomes[{ pool, group }];
+    if (!ranked.empty())
+        return ranked;
     std::vector<HostId> hosts = m_view.hostIds();
-    if (std::find(hosts.begin(), hosts.end(), m_self) == hosts.end())
+    if (!m_view.hosts().contains(m_self))
         hosts.push_back(m_self);
-    std::vector<HostId> order = rankHosts(pool.value() + "#" + std::to_string(group), hosts);
-    std::stable_partition(order.begin(), order.end(), [this, now](const HostId& host) {
-        const auto avoided = m_avoidedUntil.find(host);
-        return avoided == m_avoidedUntil.end() || avoided->second <= now;
-    });
-    order.resize(std::min(order.size(), maxHomes));
+    ranked = rankHosts(pool.value() + "#" + std::to_string(group), hosts);
+    return ranked;
+}
+
+std::vector<HostId> StageRouter::candidateHomes(const PoolId& pool, int group)
+{
+    const TimePoint now = RuntimeClock::now();
+    std::vector<HostId> order;
+    const std::vector<HostId>& ranked = rankedHomes(pool, group);
+    for (const bool takesAvoided : { false, true }) {
+        for (const HostId& host : ranked) {
+            if (order.size() == maxHomes)
+                return order;
+            const auto avoided = m_avoidedUntil.find(host);
+            const bool isAvoided = avoided != m_avoidedUntil.end() && avoided->second > now;
+            if (isAvoided == takesAvoided)
+                order.push_back(host);
+        }
+    }
     return order;
 }
 
--- a/src/gateway/stagerouter.h
+++ b/src/gateway/stagerouter.h
@@ -43,7 +43,10 @@
     boost::asio::awaitable<void> serve(std::shared_ptr<PeerStream> stream, StageWork work);
 
 private:
-    std::vector<HostId> candidateHomes(const PoolId& pool, int group) const;
+    // All hosts in their order for a group.
+    const std::vector<HostId>& rankedHomes(const PoolId& pool, int group);
+    // Hosts to send work of a group to, those that are avoided last.
+    std::vector<HostId> candidateHomes(const PoolId& pool, int group);
     boost::asio::awaitable<StageWorkResult> runAtHome(
         StageWork work, std::shared_ptr<HttpCancel> cancel, HostId& ranOnHost);
     boost::asio::awaitable<std::optional<StageWorkResult>> runAtPeer(
@@ -61,6 +64,9 @@
     };
 
     std::map<HostId, TimePoint> m_avoidedUntil;
+    // Orders of the groups that were asked for since the hosts last changed.
+    std::map<std::pair<PoolId, int>, std::vector<HostId>> m_rankedHomes;
+    std::uint64_t m_rankedGeneration = 0;
     std::map<std::pair<PoolId, int>, RecordedBacklog> m_backlogs;
 };
 
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -13,11 +13,38 @@
 
     // Removals that are remembered for relaying to peers.
     constexpr std::size_t maxRemovals = 1000;
+    // Time between two attempts of a host below others: the store's return reaches it through them.
+    constexpr Milliseconds maxRelayedRetryDelay { 3000 };
+    // Wait of a watch for objects that responses about others confirm.
+    constexpr Milliseconds longWait { 10'000 };
     // Interval of checks whether the follower that probes the store has reached it again.
     constexpr Milliseconds probePollInterval { 150 };
+    // Interval of checks whether the follower that refreshes outdated state has its response.
+    constexpr Milliseconds refreshPollInterval { 20 };
 
 }
 
+const char* storeCallReasonName(StoreCallReason reason)
+{
+    switch (reason) {
+    case StoreCallReason::Start:
+        return "start";
+    case StoreCallReason::Relist:
+        return "relist";
+    case StoreCallReason::Watch:
+        return "watch";
+    case StoreCallReason::Outage:
+        return "outage";
+    case StoreCallReason::Outdated:
+        return "outdated";
+    case StoreCallReason::NewerAtPeer:
+        return "newer_at_peer";
+    case StoreCallReason::CatchUp:
+        return "catch_up";
+    }
+    return "watch";
+}
+
 StoreFollower::StoreFollower(Asio::io_context& context, PlatformClient& store, StoreProbeState& probeState,
     StoreFollowerOptions options, Handlers handlers)
     : m_context(context)
@@ -47,14 +74,21 @@
 {
     while (true) {
         const TimePoint now = RuntimeClock::now();
-        if (canRelyOnPeers(now)) {
-            co_await pause(m_evidenceAt + m_options.maxRelayedAge - now);
+        if (const TimePoint until = reliesOnPeersUntil(); now < until) {
+            co_await pause(until - now);
             continue;
         }
         if (m_probeState.prober && m_probeState.prober != this) {
             co_await pause(probePollInterval);
             continue;
         }
+        const bool isRefresh = isRelayed() && !m_mustList;
+        if (isRefresh && m_probeState.refresher) {
+            co_await pause(refreshPollInterval);
+            continue;
+        }
+        if (isRefresh)
+            m_probeState.refresher = this;
         std::optional<std::string> reason;
         bool isStoreAway = false;
         try {
@@ -69,17 +103,51 @@
         } catch (const std::exception& error) {
             reason = error.what();
         }
+        if (m_probeState.refresher == this)
+            m_probeState.refresher = nullptr;
         if (!reason)
             continue;
-        onReadFailed(*reason, isStoreAway);
-        co_await pause(m_retryDelay);
+        // A watch that the store has lost says nothing about a store that has just responded about other objects.
+        if (!isStoreAway || !isConfirmedLately())
+            onReadFailed(*reason, isStoreAway);
+        co_await pause(retryDelay());
         m_retryDelay = std::min(m_retryDelay * 2, m_options.maxRetryDelay);
     }
 }
 
-bool StoreFollower::canRelyOnPeers(TimePoint now) const
+Milliseconds StoreFollower::retryDelay() const
+{
+    if (!isRelayed())
+        return m_retryDelay;
+    return m_relayDepth == 1 ? m_options.maxRetryDelay : maxRelayedRetryDelay;
+}
+
+bool StoreFollower::isConfirmedLately() const
+{
+    return m_options.isConfirmedByOthers && isConfirmed() && !m_isLost
+        && RuntimeClock::now() < m_evidenceAt + m_watchTimeout;
+}
+
+StoreCallReason StoreFollower::nextCallReason() const
+{
+    if (m_isLost)
+        return StoreCallReason::Outage;
+    if (m_mustList)
+        return m_hasListed ? StoreCallReason::Relist : StoreCallReason::Start;
+    if (!isConfirmed())
+        return StoreCallReason::Start;
+    if (m_mustReadStore)
+        return StoreCallReason::NewerAtPeer;
+    return isRelayed() ? StoreCallReason::Outdated : StoreCallReason::Watch;
+}
+
+Milliseconds StoreFollower::watchWait() const
 {
-    return m_isRelayed && !m_mustList && !m_mustReadStore && now < m_evidenceAt + m_options.maxRelayedAge;
+    if (m_isLost || isRelayed() || !isConfirmed())
+        return Milliseconds(1);
+    if (m_options.isConfirmedByOthers)
+        return longWait;
+    return m_watchTimeout;
 }
 
 Asio::awaitable<void> StoreFollower::pause(Duration time)
@@ -91,27 +159,46 @@
 
 Asio::awaitable<void> StoreFollower::readOnce()
 {
+    if (m_handlers.onCall)
+        m_handlers.onCall(nextCallReason());
     m_mustReadStore = false;
-    if (m_mustList) {
-        const PlatformList list = co_await m_store.list(m_options.prefix);
-        // Ends an outage before the list is applied, so that entries missing from the list are handled as
-        // expired during the outage.
+    if (m_mustList)
+        co_return co_await readList();
+    const PlatformWatch watched
+        = co_await m_store.watch(m_options.prefix, m_revision, watchWait());
+    onStoreResponse();
+    if (applyWatch(watched))
+        co_await pause(m_batchDelay);
+}
+
+Asio::awaitable<void> StoreFollower::readList()
+{
+    const bool isStale = m_options.startsFromStaleList && !m_hasListed && m_revision == 0;
+    const PlatformList list = co_await m_store.list(
+        m_options.prefix, isStale ? ReadFreshness::PossiblyStale : ReadFreshness::Current);
+    // Ends an outage before the list is applied, so that entries missing from the list are handled as
+    // expired during the outage.
+    if (isStale)
+        endOutage();
+    else
         onStoreResponse();
-        reportRejected(list.rejected);
-        // The list may be older than a delta that a peer sent while it was read.
-        if (list.revision >= m_revision)
-            applyList(list);
-        m_mustList = false;
-        notifyConfirmed();
+    reportRejected(list.rejected);
+    // The list may be older than a delta that a peer sent while it was read.
+    if (list.revision >= m_revision)
+        applyList(list);
+    m_mustList = false;
+    m_hasListed = true;
+    if (isStale)
         co_return;
-    }
-    const bool isLongPoll = !m_isLost && !m_isRelayed;
-    const PlatformWatch watched = co_await m_store.watch(
-        m_options.prefix, m_revision, isLongPoll ? m_watchTimeout : Milliseconds(1));
-    onStoreResponse();
+    notifyConfirmed();
+    notifyStoreRevision(list.revision);
+}
+
+bool StoreFollower::applyWatch(const PlatformWatch& watched)
+{
     if (std::holds_alternative<PlatformHistoryExpired>(watched)) {
         m_mustList = true;
-        co_return;
+        return false;
     }
     const auto& events = std::get<PlatformEvents>(watched);
     reportRejected(events.rejected);
@@ -121,70 +208,45 @@
             recordRemoval(event.key, events.revision);
     }
     m_revision = std::max(m_revision, events.revision);
-    notifyConfirmed();
     if (!events.events.empty())
-        co_await pause(m_batchDelay);
-}
-
-StoreDelta StoreFollower::deltaSince(ObjectVersion revision, TimePoint now) const
-{
-    StoreDelta delta { .revision = m_revision,
-        .age = std::chrono::ceil<Milliseconds>(now - m_evidenceAt),
-        .isSnapshot = revision < m_removalsSince };
-    if (revision >= m_revision)
-        return delta;
-    for (const auto& [key, object] : m_objects) {
-        if (delta.isSnapshot || object.version > revision)
-            delta.objects.push_back(object);
-    }
-    for (const Removal& removal : m_removals) {
-        if (!delta.isSnapshot && removal.revision > revision && !m_objects.contains(removal.key))
-            delta.removed.push_back(removal.key);
-    }
-    return delta;
-}
-
-bool StoreFollower::applyDelta(const StoreDelta& delta, TimePoint now)
-{
-    if (delta.revision < m_revision)
-        return false;
-    const bool isNew = delta.revision > m_revision;
-    recordPeerEvidence(delta.age, now);
-    if (isNew && delta.isSnapshot) {
-        applyList({ delta.revision, delta.objects });
-    } else if (isNew) {
-        for (const PlatformObject& object : delta.objects)
-            applyEvent({ object.key, object.version, object.value });
-        for (const std::string& key : delta.removed) {
-            applyEvent({ key, delta.revision, std::nullopt });
-            recordRemoval(key, delta.revision);
-        }
-        m_revision = delta.revision;
-    }
-    if (m_revision > 0)
-        m_mustList = false;
+        notifyApplied();
     notifyConfirmed();
-    return isNew;
+    notifyStoreRevision(events.revision);
+    return !events.events.empty();
 }
 
-void StoreFollower::recordEvidence(ObjectVersion revision, Milliseconds age, TimePoint now)
+void StoreFollower::onStoreRevision(ObjectVersion revision)
 {
+    if (m_revision == 0 || m_mustList || m_isLost)
+        return;
+    const TimePoint now = RuntimeClock::now();
     if (revision == m_revision) {
-        recordPeerEvidence(age, now);
+        m_evidenceAt = now;
         notifyConfirmed();
-    } else if (revision > m_revision && m_isRelayed && !m_mustReadStore) {
-        m_mustReadStore = true;
-        m_pauseTimer.cancel();
+        return;
     }
+    const bool isOutdated = now >= m_evidenceAt + m_watchTimeout / 2;
+    if (!m_options.isConfirmedByOthers || isRelayed() || revision < m_revision || !isOutdated
+        || std::exchange(m_isCatchingUp, true))
+        return;
+    Asio::co_spawn(m_context, catchUp(), Asio::detached);
 }
 
-void StoreFollower::recordPeerEvidence(Milliseconds age, TimePoint now)
+Asio::awaitable<void> StoreFollower::catchUp()
 {
-    m_evidenceAt = std::max(m_evidenceAt, now - age);
-    // A host that relies on its peers does not call the store, so it learns only from them that the store
-    // is reachable again.
-    if (m_isRelayed && age < m_options.maxRelayedAge)
-        endOutage();
+    if (m_handlers.onCall)
+        m_handlers.onCall(StoreCallReason::CatchUp);
+    try {
+        const PlatformWatch watched
+            = co_await m_store.watch(m_options.prefix, m_revision, Milliseconds(1));
+        m_evidenceAt = RuntimeClock::now();
+        applyWatch(watched);
+        if (m_mustList)
+            co_await readList();
+    } catch (const std::exception&) {
+        // The follower that reported the revision finds out whether the store still responds.
+    }
+    m_isCatchingUp = false;
 }
 
 void StoreFollower::notifyConfirmed()
@@ -193,6 +255,12 @@
         m_handlers.onConfirmed(m_evidenceAt);
 }
 
+void StoreFollower::notifyStoreRevision(ObjectVersion revision)
+{
+    if (m_handlers.onStoreRevision)
+        m_handlers.onStoreRevision(revision);
+}
+
 void StoreFollower::applyList(const PlatformList& list)
 {
     if (m_revision > 0 && !areOfSameHistory(m_revision, list.revision) && m_handlers.onRestored)
@@ -204,6 +272,13 @@
     m_removals.clear();
     m_removalsSince = m_revision;
     m_handlers.onListed(list);
+    notifyApplied();
+}
+
+void StoreFollower::notifyApplied()
+{
+    if (m_handlers.onApplied)
+        m_handlers.onApplied();
 }
 
 void StoreFollower::applyEvent(const PlatformEvent& event)
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -23,12 +23,38 @@
     Milliseconds maxRetryDelay { 1000 };
     // The state relayed by peers replaces this host's own reads of the store up to this age.
     Milliseconds maxRelayedAge { 1500 };
+    // Whether responses about other kinds of objects confirm that these have not changed, so that a watch may wait long.
+    bool isConfirmedByOthers = false;
+    // Whether the first list after the start may be seconds old. What has changed since comes from peers or a watch.
+    bool startsFromStaleList = true;
 };
 
+// Why a follower calls the store.
+enum class StoreCallReason : std::uint8_t {
+    // Reads the objects after the start of the process.
+    Start,
+    // Lists them again: the history since the known revision is lost, or a response cannot be read.
+    Relist,
+    // Waits for changes.
+    Watch,
+    // Finds out whether the store responds again.
+    Outage,
+    // What peers relay is too old.
+    Outdated,
+    // A peer knows of a newer revision but does not relay its objects.
+    NewerAtPeer,
+    // Another object of the store has changed.
+    CatchUp,
+};
+
+const char* storeCallReasonName(StoreCallReason reason);
+
 // Shared by the followers of one store: while the store does not respond, one of them probes it and the
-// others wait.
+// others wait. The same holds while one of them refreshes what peers relay too late, because its response may confirm
+// the others.
 struct StoreProbeState {
     const void* prober = nullptr;
+    const void* refresher = nullptr;
 };
 
 // The changes of one kind of objects between the revision that this host requested and the one that a
@@ -52,6 +78,10 @@
     struct Handlers {
         std::function<void(const PlatformList&)> onListed;
         std::function<void(const PlatformEvent&)> onChanged;
+        // All changes that arrived together have been reported.
+        std::function<void()> onApplied;
+        // The store is about to be called.
+        std::function<void(StoreCallReason)> onCall;
         // The objects cannot be read, with the reason, or can be read again.
         std::function<void(const std::string&)> onLost;
         std::function<void()> onRegained;
@@ -61,6 +91,8 @@
         std::function<void(ObjectVersion)> onRestored;
         // All objects are known to have been current at a time.
         std::function<void(TimePoint)> onConfirmed;
+        // The store has responded, and has a revision.
+        std::function<void(ObjectVersion)> onStoreRevision;
     };
 
     StoreFollower(boost::asio::io_context& context, PlatformClient& store, StoreProbeState& probeState,
@@ -70,13 +102,17 @@
     void start();
     // Whether the objects cannot be read.
     bool isLost() const { return m_isLost; }
+    // Whether the objects are known to have been current at some time since the start.
+    bool isConfirmed() const { return m_evidenceAt != TimePoint {}; }
+    // Latest time at which the objects are known to have been current.
+    TimePoint confirmedAt() const { return m_evidenceAt; }
     // Whether the store does not respond; otherwise it may have responded with something malformed.
     bool isStoreAway() const { return m_isStoreAway; }
     const std::string& prefix() const { return m_options.prefix; }
     // Revision of the store up to which the objects are current.
     ObjectVersion revision() const { return m_revision; }
-    // Sets whether peers watch the store on behalf of this host.
-    void setRelayed(bool isRelayed) { m_isRelayed = isRelayed; }
+    // Sets the number of steps by which peers relay the store to this host; zero if it reads the store itself.
+    void setRelayDepth(int depth);
     // Sets whether this host watches the store on behalf of peers; if so, the times replace those of the
     // options.
     void setWatcher(bool isWatcher, Milliseconds watchTimeout, Milliseconds batchDelay);
@@ -87,6 +123,9 @@
     // Applies the changes of a peer, unless they are older than the known state. Returns whether the
     // revision advanced.
     bool applyDelta(const StoreDelta& delta, TimePoint now);
+    // Reports the revision that the store has now, as a response about other objects shows. Without a change of any object
+    // since the known revision, the objects are current; otherwise what has changed is read if it was not confirmed lately.
+    void onStoreRevision(ObjectVersion revision);
     // Records the revision and age of a peer's state. If the peer's revision is newer, a relayed host reads
     // the store at once.
     void recordEvidence(ObjectVersion revision, Milliseconds age, TimePoint now);
@@ -99,13 +138,30 @@
 
     boost::asio::awaitable<void> follow();
     boost::asio::awaitable<void> readOnce();
+    boost::asio::awaitable<void> readList();
+    // Reads what has changed beside a waiting watch, which the store may have lost.
+    boost::asio::awaitable<void> catchUp();
+    // Applies the response to a watch. Returns whether it contained changes.
+    bool applyWatch(const PlatformWatch& watched);
     boost::asio::awaitable<void> pause(Duration time);
-    bool canRelyOnPeers(TimePoint now) const;
+    // Until when what peers relay replaces this host's own reads of the store.
+    TimePoint reliesOnPeersUntil() const;
+    // Why the store is called next.
+    StoreCallReason nextCallReason() const;
+    // How long the next watch waits.
+    Milliseconds watchWait() const;
+    // Whether responses about other objects have shown lately that the store responds.
+    bool isConfirmedLately() const;
+    bool isRelayed() const { return m_relayDepth > 0; }
+    // Time until the next attempt after a failure.
+    Milliseconds retryDelay() const;
     void applyList(const PlatformList& list);
     void applyEvent(const PlatformEvent& event);
     void recordRemoval(const std::string& key, ObjectVersion revision);
     void recordPeerEvidence(Milliseconds age, TimePoint now);
+    void notifyApplied();
     void notifyConfirmed();
+    void notifyStoreRevision(ObjectVersion revision);
     void onReadFailed(const std::string& reason, bool isStoreAway);
     void reportRejected(std::size_t count);
     void onStoreResponse();
@@ -125,11 +181,15 @@
     // Latest time at which the objects are known to have been current.
     TimePoint m_evidenceAt {};
     Milliseconds m_retryDelay;
+    // Until when a host that has just listed the objects waits for its peers to relay what has changed since.
+    TimePoint m_peersExpectedBy {};
     bool m_mustList = true;
+    bool m_hasListed = false;
     bool m_mustReadStore = false;
     bool m_isLost = false;
     bool m_isStoreAway = false;
-    bool m_isRelayed = false;
+    int m_relayDepth = 0;
+    bool m_isCatchingUp = false;
     Milliseconds m_watchTimeout;
     Milliseconds m_batchDelay;
 };
--- a/src/libserving/relaytree.cpp
+++ b/src/libserving/relaytree.cpp
@@ -18,8 +18,11 @@
     const auto index = static_cast<std::size_t>(ownPosition - ranked.begin());
     if (index < options.watcherCount)
         return { .isDirect = true, .isWatcher = true };
-    RelayPosition position { .isDirect = false };
-    const std::size_t parent = (index - options.watcherCount) / options.fanOut;
+    RelayPosition position { .isDirect = false, .depth = 1 };
+    const auto parentOf = [&options](std::size_t child) { return (child - options.watcherCount) / options.fanOut; };
+    const std::size_t parent = parentOf(index);
+    for (std::size_t ancestor = parent; ancestor >= options.watcherCount; ancestor = parentOf(ancestor))
+        ++position.depth;
     position.parents.push_back(ranked[parent]);
     if (parent + 1 < index)
         position.parents.push_back(ranked[parent + 1]);
--- a/src/libserving/relaytree.h
+++ b/src/libserving/relaytree.h
@@ -23,6 +23,8 @@
     bool isWatcher = false;
     // Hosts to query in turn when the host does not read the store.
     std::vector<HostId> parents;
+    // Number of steps to a host that reads the store on behalf of others.
+    int depth = 0;
 
     auto operator<=>(const RelayPosition&) const = default;
 };
--- a/src/libserving/serverdirectory.cpp
+++ b/src/libserving/serverdirectory.cpp
@@ -80,6 +80,8 @@
     const bool isNewStart = known.server.id.empty() || known.server.startedAt != server.startedAt
         || known.server.endpoint != server.endpoint
         || known.server.softwareVersion != server.softwareVersion;
+    if (!known.server.id.empty() && known.server.endpoint != server.endpoint)
+        ++m_removals;
     if (isNewStart)
         known = { .firstSeenAt = now };
     known.server = server;
@@ -218,6 +220,7 @@
 std::map<BackendServerId, KnownServer>::iterator ServerDirectory::erase(
     std::map<BackendServerId, KnownServer>::iterator entry, TimePoint now)
 {
+    ++m_removals;
     const ServerEntry& server = entry->second.server;
     m_versions.onServerRemoved(server.pool, server.softwareVersion, now);
     std::erase_if(m_removed,
--- a/src/libserving/serverdirectory.h
+++ b/src/libserving/serverdirectory.h
@@ -90,6 +90,8 @@
     const KnownServer* findByAddress(const Endpoint& endpoint) const;
     // Incremented with each change of the result of usable(), except those caused by time alone.
     std::uint64_t generation() const { return m_generation; }
+    // Incremented when a server is removed or gets another address, so that what is known of it is of no use any more.
+    std::uint64_t removals() const { return m_removals; }
 
 private:
     // The last report of a server before its removal.
@@ -128,6 +130,7 @@
     TimePoint m_peerEvidenceAt {};
     std::optional<TimePoint> m_storeRegainedAt;
     std::uint64_t m_generation = 0;
+    std::uint64_t m_removals = 0;
 };
 
 }
--- a/src/libserving/servingview.cpp
+++ b/src/libserving/servingview.cpp
@@ -38,6 +38,29 @@
     m_servers.setOutOfServiceDomains(std::move(domains), coldTimeOf, now);
 }
 
+void ServingView::putHost(const HostId& id, const PeerHost& host)
+{
+    const auto [entry, isNew] = m_hosts.try_emplace(id, host);
+    if (!isNew && entry->second == host)
+        return;
+    entry->second = host;
+    ++m_hostsGeneration;
+}
+
+void ServingView::removeHost(const HostId& id)
+{
+    if (m_hosts.erase(id) > 0)
+        ++m_hostsGeneration;
+}
+
+void ServingView::replaceHosts(std::map<HostId, PeerHost> hosts)
+{
+    if (hosts == m_hosts)
+        return;
+    m_hosts = std::move(hosts);
+    ++m_hostsGeneration;
+}
+
 std::vector<HostId> ServingView::hostIds() const
 {
     std::vector<HostId> ids;
--- a/src/libserving/servingview.h
+++ b/src/libserving/servingview.h
@@ -36,11 +36,13 @@
 
     void setOutOfServiceDomains(std::set<FailureDomainId> domains, TimePoint now);
 
-    void putHost(const HostId& id, const PeerHost& host) { m_hosts[id] = host; }
-    void removeHost(const HostId& id) { m_hosts.erase(id); }
-    void replaceHosts(std::map<HostId, PeerHost> hosts) { m_hosts = std::move(hosts); }
+    void putHost(const HostId& id, const PeerHost& host);
+    void removeHost(const HostId& id);
+    void replaceHosts(std::map<HostId, PeerHost> hosts);
     const std::map<HostId, PeerHost>& hosts() const { return m_hosts; }
     std::vector<HostId> hostIds() const;
+    // Incremented with each change of the hosts.
+    std::uint64_t hostsGeneration() const { return m_hostsGeneration; }
 
 private:
     std::shared_ptr<const ServingConfig> m_config;
@@ -48,6 +50,7 @@
     TimePoint m_routingChangedAt {};
     ServerDirectory m_servers;
     std::map<HostId, PeerHost> m_hosts;
+    std::uint64_t m_hostsGeneration = 0;
 };
 
 }
--- a/tests/platform/gatewaycluster.cpp
+++ b/tests/platform/gatewaycluster.cpp
@@ -214,14 +214,26 @@
 }
 
 std::string GatewayCluster::metricsOf(std::size_t host)
+{
+    return textAt(m_hosts.at(host)->admin, "/metrics");
+}
+
+std::size_t GatewayCluster::storeCalls(const std::string& kind)
+{
+    const json::value counts = json::parse(textAt(m_platform.port(), "/counts"));
+    const json::value* count = counts.as_object().if_contains(kind);
+    return count ? count->to_number<std::size_t>() : 0;
+}
+
+std::string GatewayCluster::textAt(std::uint16_t port, const std::string& target)
 {
     std::string text;
     bool isDone = false;
     Asio::co_spawn(
         m_context,
         [&]() -> Asio::awaitable<void> {
-            HttpClient client(m_context, { .port = m_hosts.at(host)->admin });
-            HttpCall call { .target = "/metrics" };
+            HttpClient client(m_context, { .port = port });
+            HttpCall call { .target = target };
             const HttpResponse response = co_await client.send(std::move(call));
             text = response.body;
             isDone = true;
--- a/tests/platform/gatewaycluster.h
+++ b/tests/platform/gatewaycluster.h
@@ -102,6 +102,8 @@
     // Runs until the hosts are ready to serve callers. Fails the test after ten seconds.
     void waitUntilReady();
     void runFor(Apricot::Milliseconds time);
+    // Runs until a condition holds, or for a time at most.
+    void runUntil(const std::function<bool()>& isDone, Apricot::Milliseconds timeout);
     // Sends a caller's request to a host, without waiting for the response.
     void send(std::size_t host, const std::string& path, const std::string& content);
     void send(std::size_t host, const ClusterRequest& request);
@@ -136,6 +138,8 @@
     void removeObject(const std::string& key);
     // Sets the faults of the store; takes the JSON body of POST /faults.
     void setStoreFaults(const std::string& faults);
+    // Number of calls that the store has received: "reads", "stale_reads", "watches" or "writes".
+    std::size_t storeCalls(const std::string& kind);
     // Text of a host's metrics.
     std::string metricsOf(std::size_t host);
     // Sum of a metric of a host over all its labels; not set if the host has none of this name.
@@ -184,7 +188,8 @@
     struct BackendServer;
     struct Host;
 
-    void runUntil(const std::function<bool()>& isDone, Apricot::Milliseconds timeout);
+    // Body of the response to GET.
+    std::string textAt(std::uint16_t port, const std::string& target);
     void startServer(BackendServer& server);
     void endServer(BackendServer& server);
     boost::asio::awaitable<void> serve(BackendServer& server, Apricot::HttpExchange& exchange);
--- a/tests/platform/storefollowertest.cpp
+++ b/tests/platform/storefollowertest.cpp
@@ -5,6 +5,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <set>
 
 using namespace Apricot;
 namespace asio = boost::asio;
@@ -58,6 +59,139 @@
     });
 }
 
+// Guards against handling each change by itself what depends on all objects, such as the place in the relay tree.
+TEST(StoreFollower, changesThatArriveTogetherAreHandledTogether)
+{
+    int applied = 0;
+    StoreFollower gathering { context, client, probeState,
+        { .prefix = "servers/", .watchTimeout = shortWatchTimeout, .batchDelay = Milliseconds(100) },
+        { .onListed = [](const PlatformList&) {},
+            .onChanged = [this](const PlatformEvent& event) { seen.push_back("put " + event.key); },
+            .onApplied = [&applied] { ++applied; } } };
+    runToEnd([&]() -> asio::awaitable<void> {
+        gathering.start();
+        co_await sleepFor(context.get_executor(), Milliseconds(30));
+        for (int index = 0; index < 20; ++index)
+            co_await client.put("servers/s" + std::to_string(index), 1, 0);
+        co_await waitFor("put servers/s19");
+    });
+    // The list, the first change, and those that came while changes were gathered.
+    CHECK_COMPARE(applied, <=, 3);
+}
+
+// Guards against a follower that counts an old list as current, or does not learn what changed since.
+TEST(StoreFollower, theFirstListMayBeOldAndIsNotTakenForCurrent)
+{
+    std::vector<std::string> confirmedAfter;
+    StoreFollower starting { context, client, probeState,
+        { .prefix = "servers/", .watchTimeout = shortWatchTimeout, .batchDelay = Milliseconds(1) },
+        { .onListed = [this](const PlatformList& list) { seen.push_back("list " + std::to_string(list.objects.size())); },
+            .onChanged = [this](const PlatformEvent& event) { seen.push_back("put " + event.key); },
+            .onConfirmed = [&](TimePoint) { confirmedAfter.push_back(seen.back()); } } };
+    runToEnd([&]() -> asio::awaitable<void> {
+        for (const char* key : { "servers/s1", "servers/s2", "servers/s3" })
+            co_await client.put(key, 1, 0);
+        co_await setFaults(R"({"stale_list_lag":2})");
+        CHECK_FALSE(starting.isConfirmed());
+        starting.start();
+        co_await waitFor("put servers/s3");
+    });
+    CHECK(hasSeen("list 1"));
+    CHECK_TRUE(starting.isConfirmed());
+    CHECK_EQUAL(std::string("put servers/s3"), confirmedAfter.front());
+}
+
+namespace {
+
+// A follower with short watches, whose responses confirm another one with long watches.
+struct ConfirmingPair {
+    ConfirmingPair(asio::io_context& context, PlatformClient& client)
+        : confirming(context, client, probeState, options("config/"),
+            { .onListed = [](const PlatformList&) {},
+                .onChanged = [](const PlatformEvent&) {},
+                .onCall = [this](StoreCallReason) { ++calls; },
+                .onLost = [this](const std::string&) { ++losses; },
+                .onRegained = [] {},
+                .onStoreRevision = [this](ObjectVersion revision) { confirmed.onStoreRevision(revision); } })
+        , confirmed(context, client, probeState, options("servers/", true),
+              { .onListed = [](const PlatformList&) {},
+                  .onChanged = [this](const PlatformEvent& event) { seen.insert(event.key); },
+                  .onCall = [this](StoreCallReason) { ++confirmedCalls; },
+                  .onLost = [this](const std::string&) { ++losses; },
+                  .onRegained = [] {} })
+    {
+    }
+
+    static StoreFollowerOptions options(const std::string& prefix, bool isConfirmedByOthers = false)
+    {
+        return { .prefix = prefix,
+            .watchTimeout = shortWatchTimeout,
+            .batchDelay = Milliseconds(1),
+            .retryDelay = Milliseconds(10),
+            .maxRetryDelay = Milliseconds(20),
+            .isConfirmedByOthers = isConfirmedByOthers };
+    }
+    void start()
+    {
+        confirming.start();
+        confirmed.start();
+    }
+
+    StoreProbeState probeState;
+    std::set<std::string> seen;
+    int calls = 0;
+    int confirmedCalls = 0;
+    int losses = 0;
+    StoreFollower confirming;
+    StoreFollower confirmed;
+};
+
+}
+
+// Guards against a short watch for each kind of objects, which all show that the store has not changed.
+TEST(StoreFollower, responsesAboutOtherObjectsConfirmThoseThatHaveNotChanged)
+{
+    ConfirmingPair pair(context, client);
+    runToEnd([&]() -> asio::awaitable<void> {
+        co_await client.put("servers/s1", 1, 0);
+        pair.start();
+        co_await sleepFor(context.get_executor(), Milliseconds(1500));
+        CHECK(RuntimeClock::now() - pair.confirmed.confirmedAt() < Milliseconds(250));
+        // A list and the watch that waits, and a read of what changed before.
+        CHECK_COMPARE(pair.confirmedCalls, <=, 3);
+        // Changes of a third kind of objects, which confirm neither.
+        for (int index = 0; index < 20; ++index) {
+            co_await client.put("hosts/h" + std::to_string(index), 1, 0);
+            co_await sleepFor(context.get_executor(), Milliseconds(30));
+            CHECK(RuntimeClock::now() - pair.confirmed.confirmedAt() < Milliseconds(250));
+        }
+        // Changes of its own come at once.
+        co_await client.put("servers/s2", 1, 0);
+        co_await sleepFor(context.get_executor(), Milliseconds(30));
+        CHECK(pair.seen.contains("servers/s2"));
+    });
+    LONGS_EQUAL(0, pair.losses);
+}
+
+// Guards against changes that wait for the end of a long watch that the store has lost in an outage.
+TEST(StoreFollower, changesAfterAWatchWasLostAreReadOnceTheStoreResponds)
+{
+    ConfirmingPair pair(context, client);
+    runToEnd([&]() -> asio::awaitable<void> {
+        co_await client.put("servers/s1", 1, 0);
+        pair.start();
+        co_await sleepFor(context.get_executor(), Milliseconds(300));
+        // Watches that wait now get no response, even after this fault has ended.
+        co_await setFaults(R"({"silent":true})");
+        co_await setFaults("{}");
+        co_await client.put("servers/s2", 1, 0);
+        const TimePoint end = RuntimeClock::now() + Milliseconds(3000);
+        while (!pair.seen.contains("servers/s2") && RuntimeClock::now() < end)
+            co_await sleepFor(context.get_executor(), Milliseconds(10));
+        CHECK(pair.seen.contains("servers/s2"));
+    });
+}
+
 // Guards against reading the store without a pause after an error that has no text.
 TEST(StoreFollower, anErrorWithoutTextIsAnError)
 {
@@ -145,7 +279,7 @@
         co_await waitFor("list 0");
         co_await setFaults(R"({"outage":true})");
         co_await waitFor("lost");
-        follower.setRelayed(true);
+        follower.setRelayDepth(1);
         const StoreDelta delta { .revision = 50, .age = Milliseconds(300), .isSnapshot = true };
         CHECK(follower.applyDelta(delta, RuntimeClock::now()));
         CHECK(hasSeen("regained"));
--- a/tests/processes/gatewayfleet.py
+++ b/tests/processes/gatewayfleet.py
@@ -25,7 +25,7 @@
 [store]
 endpoint = 127.0.0.1:{store}
 [bounds]
-grace_seconds = 3
+grace_seconds = {grace_s}
 retry_ratio = {ratio}
 retry_slack = {slack}
 retry_window_seconds = {window_s}
@@ -66,7 +66,7 @@
         try:
             while await self._serve_request(reader, writer):
                 pass
-        except (OSError, asyncio.IncompleteReadError):
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
@@ -95,10 +95,11 @@
 class GatewayFleet:
     """Hosts with one gateway process each."""
 
-    def __init__(self, hosts, ratio, slack, window_s):
+    def __init__(self, hosts, ratio, slack, window_s, grace_s=3):
         self.fleet = Fleet()
         self.fleet.start_platform()
-        self.bounds = {"ratio": ratio, "slack": slack, "window_s": window_s}
+        self.bounds = {"ratio": ratio, "slack": slack, "window_s": window_s,
+                       "grace_s": grace_s}
         ports = [{key: free_port() for key in ("callers", "readiness", "peers", "admin")}
                  for _ in range(hosts)]
         self.seeds = f"127.0.0.1:{ports[0]['peers']}"
--- a/tests/serving/relaytreetest.cpp
+++ b/tests/serving/relaytreetest.cpp
@@ -7,6 +7,17 @@
 
 using namespace Apricot;
 
+namespace {
+
+// Counts the steps over the first parents.
+int stepsToWatcher(const HostId& host, const std::vector<HostId>& hosts)
+{
+    const RelayPosition position = findRelayPosition(host, hosts);
+    return position.isDirect ? 0 : 1 + stepsToWatcher(position.parents.front(), hosts);
+}
+
+}
+
 TEST_GROUP(RelayTree) {};
 
 TEST(RelayTree, everyHostReachesAWatcherInFewStepsAndNoHostHasManyChildren)
@@ -24,6 +35,7 @@
             RelayPosition position = findRelayPosition(host, hosts);
             for (const HostId& parent : position.parents)
                 ++children[parent];
+            RC_ASSERT(position.depth == stepsToWatcher(host, hosts));
             int depth = 0;
             while (!position.isDirect) {
                 RC_ASSERT(++depth <= 4);
--- a/tests/serving/serverdirectorytest.cpp
+++ b/tests/serving/serverdirectorytest.cpp
@@ -36,6 +36,25 @@
     CHECK(directory.findUsable(BackendServerId("s1"), now) == nullptr);
 }
 
+// Guards against a pass over all that is known of all servers for each report of one.
+TEST(ServerDirectory, tellsWhenAServerIsRemovedOrGetsAnotherAddress)
+{
+    directory.replaceAll({ makeEntry("s1"), makeEntry("s2") }, now);
+    LONGS_EQUAL(0, directory.removals());
+    ServerEntry changed = makeEntry("s1");
+    changed.startedAt = 7;
+    changed.isDraining = true;
+    directory.put(changed, now);
+    LONGS_EQUAL(0, directory.removals());
+    changed.endpoint.port = 81;
+    directory.put(changed, now);
+    LONGS_EQUAL(1, directory.removals());
+    directory.remove(BackendServerId("s2"), now);
+    LONGS_EQUAL(2, directory.removals());
+    directory.remove(BackendServerId("s2"), now);
+    LONGS_EQUAL(2, directory.removals());
+}
+
 TEST(ServerDirectory, retainsEntriesThatExpireDuringAStoreOutageForAGracePeriod)
 {
     directory.replaceAll({ makeEntry("s1"), makeEntry("s2") }, now);
--- a/tests/unit/nettest.cpp
+++ b/tests/unit/nettest.cpp
@@ -203,6 +203,7 @@
         co_await stream->write(std::move(response));
     };
     std::vector<std::unique_ptr<PeerServer>> servers;
+    servers.reserve(peers);
     for (int index = 0; index < peers; ++index)
         servers.push_back(std::make_unique<PeerServer>(context, PeerServerOptions {}, respond));
     PeerClient client(context);
