Ping only peers that are silent, and let no pause after a refresh hold up the others

A request for the view waits at its parent for up to 1.2 s, so its connection had a ping every half second although the parent responds more often than once a second. A ping is sent after a second without data now; a silent peer still counts as gone after two seconds.

Relayed hosts do not gather changes that way.

--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -167,7 +167,7 @@
     const PlatformWatch watched
         = co_await m_store.watch(m_options.prefix, m_revision, watchWait());
     onStoreResponse();
-    if (applyWatch(watched))
+    if (applyWatch(watched) && !isRelayed())
         co_await pause(m_batchDelay);
 }
 
--- a/src/libnet/http2connection.cpp
+++ b/src/libnet/http2connection.cpp
@@ -23,7 +23,9 @@
     constexpr std::int32_t connectionWindowBytes = 1 << 24;
     constexpr std::uint32_t streamsPerConnection = 10000;
     constexpr std::size_t ioBufferBytes = 65536;
-    constexpr Milliseconds pingInterval { 500 };
+    constexpr Milliseconds livenessCheckInterval { 500 };
+    // Time without data after which a peer is sent a ping; hosts that wait for news exchange data more often.
+    constexpr Milliseconds pingDelay { 1000 };
     // Longest time without data from a peer that has been sent a ping.
     constexpr Milliseconds livenessTimeout { 2000 };
 
@@ -347,10 +349,8 @@
     m_lastReceived = lastCheck;
     while (m_open) {
         m_isLivenessWatchAsleep = m_streams.empty();
-        if (m_isLivenessWatchAsleep)
-            m_livenessTimer.expires_at(TimePoint::max());
-        else
-            m_livenessTimer.expires_after(pingInterval);
+        m_livenessTimer.expires_at(
+            m_isLivenessWatchAsleep ? TimePoint::max() : RuntimeClock::now() + livenessCheckInterval);
         boost::system::error_code ignored;
         co_await m_livenessTimer.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
         const bool hadNoStream = std::exchange(m_isLivenessWatchAsleep, false);
@@ -362,8 +362,11 @@
             m_lastReceived = now;
             continue;
         }
-        if (now - m_lastReceived > livenessTimeout)
+        const Duration silence = now - m_lastReceived;
+        if (silence > livenessTimeout)
             break;
+        if (silence < pingDelay)
+            continue;
         nghttp2_submit_ping(m_session, NGHTTP2_FLAG_NONE, nullptr);
         m_writable.notifyAll();
     }
