--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -14,9 +14,9 @@
     // Removals that are remembered for relaying to peers.
     constexpr std::size_t maxRemovals = 1000;
     // Time between two attempts of a host below others: the store's return reaches it through them.
-    constexpr Milliseconds maxRelayedRetryDelay { 3000 };
+    constexpr Milliseconds relayedRetryDelay { 3000 };
     // Wait of a watch for objects that responses about others confirm.
-    constexpr Milliseconds longWait { 10'000 };
+    constexpr Milliseconds longWatchTimeout { 10'000 };
     // Interval of checks whether the follower that probes the store has reached it again.
     constexpr Milliseconds probePollInterval { 150 };
     // Interval of checks whether the follower that refreshes outdated state has its response.
@@ -119,7 +119,7 @@
 {
     if (!isRelayed())
         return m_retryDelay;
-    return m_relayDepth == 1 ? m_options.maxRetryDelay : maxRelayedRetryDelay;
+    return m_relayDepth == 1 ? m_options.maxRetryDelay : relayedRetryDelay;
 }
 
 bool StoreFollower::isConfirmedLately() const
@@ -146,7 +146,7 @@
     if (m_isLost || isRelayed() || !isConfirmed())
         return Milliseconds(1);
     if (m_options.isConfirmedByOthers)
-        return longWait;
+        return longWatchTimeout;
     return m_watchTimeout;
 }
 
--- a/tests/platform/streamversiontest.cpp
+++ b/tests/platform/streamversiontest.cpp
@@ -61,6 +61,33 @@
     }
 
     static std::string streamName(int index) { return "stream " + std::to_string(index); }
+
+    // Begins a number of streams over all hosts. Returns the IDs of the attempts.
+    static std::vector<std::string> beginStreams(GatewayCluster & cluster)
+    {
+        std::vector<std::string> begun;
+        for (int index = 0; index < streamCount; ++index) {
+            const auto host = static_cast<std::size_t>(index) % hostCount;
+            begun.push_back(cluster.call(host, { .path = "/stream/x", .content = streamName(index) }).id);
+        }
+        return begun;
+    }
+    // Sends a resumption of each stream, to a host that did not begin it if `shift` is not zero.
+    static void resumeStreams(GatewayCluster & cluster, const std::vector<std::string>& begun, int shift)
+    {
+        for (int index = 0; index < streamCount; ++index) {
+            const auto host = static_cast<std::size_t>(index + shift) % hostCount;
+            cluster.send(host, resumptionOf(begun[static_cast<std::size_t>(index)], streamName(index)));
+        }
+    }
+    static void restartAllHosts(GatewayCluster & cluster)
+    {
+        for (std::size_t host = 0; host < hostCount; ++host)
+            cluster.killHost(host);
+        for (std::size_t host = 0; host < hostCount; ++host)
+            cluster.restartHost(host);
+        cluster.waitUntilReady();
+    }
 };
 
 TEST(StreamVersion, aStreamGoesOnAtTheVersionThatBeganItWithinOneResponse)
@@ -164,26 +191,15 @@
         GatewayCluster cluster { hostCount, ClusterRetries::Never };
         addEngines(cluster, "v1", 4);
         cluster.waitUntilReady();
-        std::vector<std::string> begun;
-        for (int index = 0; index < streamCount; ++index) {
-            const auto host = static_cast<std::size_t>(index) % hostCount;
-            begun.push_back(cluster.call(host, { .path = "/stream/x", .content = streamName(index) }).id);
-        }
+        const std::vector<std::string> begun = beginStreams(cluster);
         addEngines(cluster, "v2", 4);
         if (isOldVersionGone)
             cluster.removeScriptedServers("v1");
         cluster.runFor(Milliseconds(200));
-        for (std::size_t host = 0; host < hostCount; ++host)
-            cluster.killHost(host);
-        for (std::size_t host = 0; host < hostCount; ++host)
-            cluster.restartHost(host);
-        cluster.waitUntilReady();
+        restartAllHosts(cluster);
         // Callers resume for as long as their deadline allows.
         for (int round = 0; round < 4; ++round) {
-            for (int index = 0; index < streamCount; ++index) {
-                const auto host = static_cast<std::size_t>(index + round) % hostCount;
-                cluster.send(host, resumptionOf(begun[static_cast<std::size_t>(index)], streamName(index)));
-            }
+            resumeStreams(cluster, begun, round);
             cluster.runFor(Milliseconds(2000));
         }
         LONGS_EQUAL(0, countJoinedStreams());
@@ -198,11 +214,7 @@
     GatewayCluster cluster { hostCount, ClusterRetries::Never };
     addEngines(cluster, "v1", 4);
     cluster.waitUntilReady();
-    std::vector<std::string> begun;
-    for (int index = 0; index < streamCount; ++index) {
-        const auto host = static_cast<std::size_t>(index) % hostCount;
-        begun.push_back(cluster.call(host, { .path = "/stream/x", .content = streamName(index) }).id);
-    }
+    const std::vector<std::string> begun = beginStreams(cluster);
     std::string shortened = clusterConfig;
     boost::algorithm::replace_all(shortened, "\"timeoutMs\":6000", "\"timeoutMs\":500");
     boost::algorithm::replace_all(shortened, "\"version\":1", "\"version\":2");
@@ -210,16 +222,10 @@
     addEngines(cluster, "v2", 4);
     cluster.removeScriptedServers("v1");
     cluster.runFor(Milliseconds(300));
-    for (std::size_t host = 0; host < hostCount; ++host)
-        cluster.killHost(host);
-    for (std::size_t host = 0; host < hostCount; ++host)
-        cluster.restartHost(host);
-    cluster.waitUntilReady();
+    restartAllHosts(cluster);
     cluster.runFor(Milliseconds(2000));
     // These callers wait for eight seconds in all.
-    for (int index = 0; index < streamCount; ++index)
-        cluster.send(static_cast<std::size_t>(index) % hostCount,
-            resumptionOf(begun[static_cast<std::size_t>(index)], streamName(index)));
+    resumeStreams(cluster, begun, 0);
     cluster.runFor(Milliseconds(500));
     LONGS_EQUAL(0, countJoinedStreams());
 }
--- a/tests/platform/viewrelaytest.cpp
+++ b/tests/platform/viewrelaytest.cpp
@@ -13,11 +13,28 @@
 constexpr Milliseconds settleTime { 3000 };
 constexpr Milliseconds observedTime { 6000 };
 
+constexpr int firstServers = 3;
+
+// Adds servers to a fleet that starts, and runs until its hosts have found their places in the relay tree.
+void settle(GatewayCluster& cluster)
+{
+    cluster.addServers("plain", firstServers);
+    cluster.waitUntilReady();
+    cluster.runFor(settleTime);
+}
+
 double serversKnownTo(GatewayCluster& cluster, std::size_t host)
 {
     return cluster.metricOf(host, "apricot_backend_servers").value_or(0);
 }
 
+// Checks that the hosts from a position on know of one more server.
+void checkHostsKnowTheNewServer(GatewayCluster& cluster, std::size_t firstHost = 0)
+{
+    for (std::size_t host = firstHost; host < hostCount; ++host)
+        DOUBLES_EQUAL(firstServers + 1, serversKnownTo(cluster, host), 0);
+}
+
 }
 
 // How what the store contains reaches the hosts of a larger fleet, of which few call the store.
@@ -33,12 +50,10 @@
 TEST(ViewRelay, fewHostsCallTheStoreOfAFleetAtRest)
 {
     GatewayCluster cluster { hostCount };
-    cluster.addServers("plain", 3);
-    cluster.waitUntilReady();
-    cluster.runFor(settleTime);
+    settle(cluster);
     const std::size_t before = callsToStore(cluster);
     cluster.runFor(observedTime);
-    // Two watching hosts confirm five kinds of objects, at most five times a second each.
+    // Two watching hosts, with at most one call a second for each of five kinds of objects.
     const std::size_t calls = callsToStore(cluster) - before;
     CHECK_COMPARE(calls, <=, 10 * observedTime.count() / 1000);
     for (std::size_t host = 0; host < hostCount; ++host)
@@ -50,9 +65,7 @@
 TEST(ViewRelay, aHostThatStartsCallsTheStoreAFewTimes)
 {
     GatewayCluster cluster { hostCount };
-    cluster.addServers("plain", 3);
-    cluster.waitUntilReady();
-    cluster.runFor(settleTime);
+    settle(cluster);
     const std::size_t restarted = hostCount / 2;
     const std::size_t before = callsToStore(cluster);
     for (std::size_t host = 0; host < restarted; ++host)
@@ -67,23 +80,18 @@
 TEST(ViewRelay, aChangeReachesAllHostsAtOnce)
 {
     GatewayCluster cluster { hostCount };
-    cluster.addServers("plain", 3);
-    cluster.waitUntilReady();
-    cluster.runFor(settleTime);
+    settle(cluster);
     cluster.addServers("plain", 1);
     // A batch of changes at the watching host, and the way through the tree.
     cluster.runFor(Milliseconds(700));
-    for (std::size_t host = 0; host < hostCount; ++host)
-        DOUBLES_EQUAL(4, serversKnownTo(cluster, host), 0);
+    checkHostsKnowTheNewServer(cluster);
 }
 
 // Guards against hosts that stay with a parent that does not respond.
 TEST(ViewRelay, aChangeReachesHostsWhoseParentsAreSuspended)
 {
     GatewayCluster cluster { hostCount };
-    cluster.addServers("plain", 3);
-    cluster.waitUntilReady();
-    cluster.runFor(settleTime);
+    settle(cluster);
     const std::size_t suspended = hostCount / 4;
     for (std::size_t host = 0; host < suspended; ++host)
         cluster.setSuspended(host, true);
@@ -91,8 +99,7 @@
     cluster.addServers("plain", 1);
     // The configuration has to be in force, and departing servers must get no new work, within two seconds.
     cluster.runFor(Milliseconds(2000));
-    for (std::size_t host = suspended; host < hostCount; ++host)
-        DOUBLES_EQUAL(4, serversKnownTo(cluster, host), 0);
+    checkHostsKnowTheNewServer(cluster, suspended);
 }
 
 // Guards against all hosts calling a store that does not respond, again and again, although they learn of its return
@@ -100,9 +107,7 @@
 TEST(ViewRelay, mostHostsLeaveItToOthersToFindOutThatTheStoreIsBack)
 {
     GatewayCluster cluster { hostCount };
-    cluster.addServers("plain", 3);
-    cluster.waitUntilReady();
-    cluster.runFor(settleTime);
+    settle(cluster);
     cluster.setStoreFaults(R"({"outage":true})");
     const std::size_t before = callsToStore(cluster);
     cluster.runFor(observedTime);
@@ -115,8 +120,7 @@
     cluster.setStoreFaults("{}");
     cluster.addServers("plain", 1);
     cluster.runFor(Milliseconds(1500));
-    for (std::size_t host = 0; host < hostCount; ++host)
-        DOUBLES_EQUAL(4, serversKnownTo(cluster, host), 0);
+    checkHostsKnowTheNewServer(cluster);
 }
 
 // Guards against hosts that serve as they did seconds ago, because the list that they start from is allowed to be old.
