--- a/src/gateway/peerviewsync.cpp
+++ b/src/gateway/peerviewsync.cpp
@@ -42,6 +42,15 @@
         return std::chrono::duration_cast<Milliseconds>(fraction * follower.options().maxRelayedAge);
     }
 
+    // What a peer knows of a follower's objects, or null if it does not ask for them or this host cannot relay them: it
+    // has none, or has only listed objects that may be outdated.
+    const ViewRequest::Entry* findRelayable(const ViewRequest& request, const StoreFollower& follower)
+    {
+        const auto entry = request.entries.find(follower.prefix());
+        const bool isKnown = follower.revision() > 0 && follower.isConfirmed();
+        return isKnown && entry != request.entries.end() ? &entry->second : nullptr;
+    }
+
 }
 
 PeerViewSync::PeerViewSync(Asio::io_context& context, ServingViewUpdater& viewUpdater, ServingView& view,
@@ -101,12 +110,11 @@
 {
     json::object response;
     for (const StoreFollower* follower : m_viewUpdater.followers()) {
-        const auto entry = request.entries.find(follower->prefix());
-        // A host that has only listed objects which may be outdated relays nothing.
-        if (entry == request.entries.end() || follower->revision() == 0 || !follower->isConfirmed())
+        const ViewRequest::Entry* entry = findRelayable(request, *follower);
+        if (!entry)
             continue;
-        const ObjectVersion revision = entry->second.revision;
-        const bool withObjects = follower->revision() > revision && entry->second.withObjects;
+        const ObjectVersion revision = entry->revision;
+        const bool withObjects = follower->revision() > revision && entry->withObjects;
         response[follower->prefix()]
             = toJson(follower->deltaSince(revision, RuntimeClock::now()), withObjects);
     }
@@ -116,15 +124,15 @@
 bool PeerViewSync::hasNewsFor(const ViewRequest& request, TimePoint receivedAt) const
 {
     for (const StoreFollower* follower : m_viewUpdater.followers()) {
-        const auto entry = request.entries.find(follower->prefix());
-        if (entry == request.entries.end() || follower->revision() == 0 || !follower->isConfirmed())
+        const ViewRequest::Entry* entry = findRelayable(request, *follower);
+        if (!entry)
             continue;
-        if (follower->revision() > entry->second.revision)
+        if (follower->revision() > entry->revision)
             return true;
         // The peer's age grew since then, as this host's does. A peer that knows nothing has no bound of its age.
         const auto ownAge = std::chrono::ceil<Milliseconds>(receivedAt - follower->confirmedAt());
-        if (follower->revision() == entry->second.revision
-            && ownAge + fractionOfMaxAge(*follower, newsFraction) <= entry->second.age)
+        if (follower->revision() == entry->revision
+            && ownAge + fractionOfMaxAge(*follower, newsFraction) <= entry->age)
             return true;
     }
     return false;
