Relay findings about crashes a part at a time

Change: a response contains at most 16 KB of findings, the oldest ones first, and at least one object; the rest comes in the next responses, each with what is new of the other kinds. A part confirms nothing, so the age of what a host knows is not made younger by it; a host whose parent is sending parts does not read the store meanwhile. Older builds read a part as a delta with the age that they gave.

--- a/src/gateway/peerviewsync.cpp
+++ b/src/gateway/peerviewsync.cpp
@@ -106,8 +106,9 @@
     return request;
 }
 
-std::string PeerViewSync::makeResponse(const ViewRequest& request) const
+std::string PeerViewSync::makeResponse(const ViewRequest& request, TimePoint receivedAt) const
 {
+    const TimePoint now = RuntimeClock::now();
     json::object response;
     for (const StoreFollower* follower : m_viewUpdater.followers()) {
         const ViewRequest::Entry* entry = findRelayable(request, *follower);
@@ -115,8 +116,13 @@
             continue;
         const ObjectVersion revision = entry->revision;
         const bool withObjects = follower->revision() > revision && entry->withObjects;
-        response[follower->prefix()]
-            = toJson(follower->deltaSince(revision, RuntimeClock::now()), withObjects);
+        // Builds that give no age take the age of what they get for their own.
+        const bool mayBePartial = withObjects && entry->age != Milliseconds::max();
+        const Milliseconds peerAge
+            = mayBePartial ? entry->age + std::chrono::ceil<Milliseconds>(now - receivedAt) : entry->age;
+        response[follower->prefix()] = toJson(mayBePartial ? follower->limitedDeltaSince(revision, peerAge, now)
+                                                           : follower->deltaSince(revision, now),
+            withObjects);
     }
     return json::serialize(response);
 }
@@ -150,7 +156,7 @@
     }
     if (hasWaited && !m_isStopping)
         co_await sleepFor(m_context.get_executor(), gatherTime);
-    co_return makeResponse(request);
+    co_return makeResponse(request, receivedAt);
 }
 
 Asio::awaitable<void> PeerViewSync::waitForNews(TimePoint until)
@@ -186,7 +192,8 @@
         if (entry == deltas.entries.end())
             continue;
         const StoreDelta& delta = entry->second.delta;
-        m_view.servers().recordPeerEvidence(now - delta.age, now);
+        if (!delta.isPartial)
+            m_view.servers().recordPeerEvidence(now - delta.age, now);
         if (!entry->second.hasObjects)
             follower->recordEvidence(delta.revision, delta.age, now);
         else if (follower->applyDelta(delta, now))
--- a/src/gateway/peerviewsync.h
+++ b/src/gateway/peerviewsync.h
@@ -38,7 +38,7 @@
     // Peers to poll in turn.
     std::vector<Endpoint> peersToPoll() const;
     ViewRequest makeRequest() const;
-    std::string makeResponse(const ViewRequest& request) const;
+    std::string makeResponse(const ViewRequest& request, TimePoint receivedAt) const;
     void applyResponse(const std::string& response, const std::string& peer);
     // Whether this host knows something that a peer did not know when it sent a request at a time.
     bool hasNewsFor(const ViewRequest& request, TimePoint receivedAt) const;
--- a/src/gateway/servingviewupdater.cpp
+++ b/src/gateway/servingviewupdater.cpp
@@ -49,11 +49,14 @@
             .startsFromStaleList = false };
     }
 
+    // Many servers that end together give hundreds of findings, which must not hold up news of other servers that leave.
     StoreFollowerOptions poisonOptions()
     {
+        constexpr std::size_t maxRelayedBytes = 16'384;
         return { .prefix = std::string(poisonPrefix),
             .batchDelay = Milliseconds(150),
-            .isConfirmedByOthers = true };
+            .isConfirmedByOthers = true,
+            .maxRelayedBytes = maxRelayedBytes };
     }
 
     std::string objectName(const std::string& key) { return key.substr(key.find('/') + 1); }
--- a/src/gateway/storedeltajson.cpp
+++ b/src/gateway/storedeltajson.cpp
@@ -16,6 +16,8 @@
         if (!value.as_object().contains("objects"))
             return delta;
         delta.isSnapshot = value.at("whole").as_bool();
+        if (const json::value* more = value.as_object().if_contains("more"))
+            delta.isPartial = more->as_bool();
         for (const json::value& entry : value.at("objects").as_array())
             delta.objects.push_back({ .key = std::string(entry.at("key").as_string()),
                 .version = entry.at("version").to_number<ObjectVersion>(),
@@ -40,6 +42,8 @@
     for (const std::string& key : delta.removed)
         removed.emplace_back(key);
     body["whole"] = delta.isSnapshot;
+    if (delta.isPartial)
+        body["more"] = true;
     body["objects"] = std::move(objects);
     body["removed"] = std::move(removed);
     return body;
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -5,6 +5,7 @@
 
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 
 namespace Apricot {
@@ -27,6 +28,9 @@
     bool isConfirmedByOthers = false;
     // Whether the first list after the start may be seconds old. What has changed since comes from peers or a watch.
     bool startsFromStaleList = true;
+    // Size of the objects in one response to a peer. Smaller for objects that come in bulk and may be late, so that they do
+    // not hold up news of the other kinds.
+    std::size_t maxRelayedBytes = std::numeric_limits<std::size_t>::max();
 };
 
 // Why a follower calls the store.
@@ -66,6 +70,8 @@
     Milliseconds age { 0 };
     // Whether the objects are a complete snapshot; otherwise they are the changed ones.
     bool isSnapshot = false;
+    // Whether the peer has later changes too, which follow in its next response.
+    bool isPartial = false;
     std::vector<PlatformObject> objects;
     std::vector<std::string> removed;
 };
@@ -120,6 +126,9 @@
 
     // The changes that a peer with this revision is missing.
     StoreDelta deltaSince(ObjectVersion revision, TimePoint now) const;
+    // The same, or the oldest of these changes if their objects are larger than the limit of a response. A partial delta
+    // confirms nothing: its age is the one that the peer gave for what it knows.
+    StoreDelta limitedDeltaSince(ObjectVersion revision, Milliseconds peerAge, TimePoint now) const;
     // Applies the changes of a peer, unless they are older than the known state. Returns whether the
     // revision advanced.
     bool applyDelta(const StoreDelta& delta, TimePoint now);
--- a/src/gateway/storefollowerrelay.cpp
+++ b/src/gateway/storefollowerrelay.cpp
@@ -1,5 +1,7 @@
 #include "gateway/storefollower.h"
 
+#include <boost/json/serialize.hpp>
+
 #include <algorithm>
 
 // What a follower exchanges with peers.
@@ -50,12 +52,45 @@
     return delta;
 }
 
+StoreDelta StoreFollower::limitedDeltaSince(ObjectVersion revision, Milliseconds peerAge, TimePoint now) const
+{
+    StoreDelta delta = deltaSince(revision, now);
+    if (delta.isSnapshot)
+        return delta;
+    std::vector<PlatformObject>& objects = delta.objects;
+    std::sort(objects.begin(), objects.end(),
+        [](const auto& left, const auto& right) { return left.version < right.version; });
+    std::size_t bytes = 0;
+    const auto firstLater = std::find_if(objects.begin(), objects.end(), [&](const PlatformObject& object) {
+        // One object is sent whatever its size is.
+        const bool isFirst = bytes == 0;
+        bytes += object.key.size() + boost::json::serialize(object.value).size();
+        return !isFirst && bytes > m_options.maxRelayedBytes;
+    });
+    if (firstLater == objects.end())
+        return delta;
+    objects.erase(firstLater, objects.end());
+    delta.revision = objects.back().version;
+    delta.age = peerAge;
+    delta.isPartial = true;
+    // Removals after the last of these objects belong to a later delta.
+    delta.removed.clear();
+    for (const Removal& removal : m_removals) {
+        if (removal.revision > revision && removal.revision <= delta.revision && !m_objects.contains(removal.key))
+            delta.removed.push_back(removal.key);
+    }
+    return delta;
+}
+
 bool StoreFollower::applyDelta(const StoreDelta& delta, TimePoint now)
 {
     if (delta.revision < m_revision)
         return false;
     const bool isNew = delta.revision > m_revision;
-    recordPeerEvidence(delta.age, now);
+    if (!delta.isPartial)
+        recordPeerEvidence(delta.age, now);
+    else if (isConfirmed())
+        m_peersExpectedBy = now + m_options.maxRelayedAge;
     if (isNew && delta.isSnapshot) {
         applyList({ delta.revision, delta.objects });
     } else if (isNew) {
@@ -72,6 +107,7 @@
     }
     if (m_revision > 0)
         m_mustList = false;
+    // Wakes the requests of peers, whether the objects are confirmed or only newer.
     notifyConfirmed();
     return isNew;
 }
--- a/tests/platform/storedeltajsontest.cpp
+++ b/tests/platform/storedeltajsontest.cpp
@@ -28,6 +28,11 @@
     CHECK(servers.delta.objects == delta.objects);
     CHECK(servers.delta.removed == delta.removed);
     CHECK(!deltas.entries.at("config/").hasObjects);
+    CHECK(!servers.delta.isPartial);
+    StoreDelta partial = delta;
+    partial.isPartial = true;
+    const PeerDeltas parts = readPeerDeltas(json::serialize(json::object { { "servers/", toJson(partial, true) } }));
+    CHECK(parts.entries.at("servers/").delta.isPartial);
 }
 
 // Guards against a configuration that is not in force in time, because a peer's changes of another kind are malformed.
--- a/tests/platform/storefollowertest.cpp
+++ b/tests/platform/storefollowertest.cpp
@@ -1,9 +1,11 @@
-#include "gateway/storefollower.h"
+#include "gateway/storedeltajson.h"
 
 #include "unit/platformfixture.h"
 
 #include <CppUTest/TestHarness.h>
 
+#include <boost/json/serialize.hpp>
+
 #include <algorithm>
 #include <set>
 
@@ -314,3 +316,95 @@
     LONGS_EQUAL(1, delta.objects.size());
     CHECK(follower.deltaSince(30, now).objects.empty());
 }
+
+namespace {
+
+constexpr std::size_t maxRelayedBytes = 4000;
+constexpr Milliseconds knownAge { 700 };
+
+// Objects of 1,000 bytes that changed one after the other since a revision.
+std::vector<PlatformObject> bulkyChanges(ObjectVersion since, int count)
+{
+    std::vector<PlatformObject> objects;
+    for (int index = 1; index <= count; ++index)
+        objects.push_back({ "servers/bulky" + std::to_string(index), since + index, boost::json::string(1000, 'x') });
+    return objects;
+}
+
+}
+
+// Guards against news of leaving servers that waits behind hundreds of findings about crashes: what comes in bulk is relayed
+// a part at a time, and the parts together are everything.
+TEST(StoreFollower, relaysABoundedSizeAtATime)
+{
+    constexpr ObjectVersion firstRevision = 10;
+    constexpr int changeCount = 40;
+    const StoreFollowerOptions options { .prefix = "servers/", .maxRelayedBytes = maxRelayedBytes };
+    std::set<std::string> received;
+    StoreFollower parent { context, client, probeState, options,
+        { .onListed = [](const PlatformList&) {}, .onChanged = [](const PlatformEvent&) {}, .onRegained = [] {} } };
+    StoreFollower child { context, client, probeState, options,
+        { .onListed = [](const PlatformList&) {},
+            .onChanged = [&](const PlatformEvent& event) { event.value ? received.insert(event.key).second : received.erase(event.key) > 0; },
+            .onRegained = [] {} } };
+    const TimePoint now = RuntimeClock::now();
+    for (StoreFollower* follower : { &parent, &child })
+        follower->applyDelta({ .revision = firstRevision, .isSnapshot = true }, now - knownAge);
+    parent.applyDelta({ .revision = firstRevision + changeCount, .objects = bulkyChanges(firstRevision, changeCount) }, now);
+    parent.applyDelta({ .revision = firstRevision + changeCount + 1, .removed = { "servers/bulky3" } }, now);
+
+    int responses = 0;
+    bool isPartial = true;
+    while (isPartial && ++responses <= changeCount) {
+        const StoreDelta delta = parent.limitedDeltaSince(child.revision(), knownAge, now);
+        CHECK_COMPARE(boost::json::serialize(toJson(delta, true)).size(), <=, maxRelayedBytes + 1000);
+        CHECK(child.applyDelta(delta, now));
+        // A part of the changes shows nothing about the age of what is known.
+        CHECK((child.confirmedAt() == now - knownAge) == delta.isPartial);
+        isPartial = delta.isPartial;
+    }
+    LONGS_EQUAL(parent.revision(), child.revision());
+    LONGS_EQUAL(changeCount - 1, received.size());
+    CHECK_COMPARE(responses, >=, changeCount / 4);
+}
+
+// Guards against an object that is larger than a response may be and is never relayed.
+TEST(StoreFollower, relaysAnObjectOfAnySize)
+{
+    StoreFollower parent { context, client, probeState, { .prefix = "servers/", .maxRelayedBytes = 10 },
+        { .onListed = [](const PlatformList&) {}, .onChanged = [](const PlatformEvent&) {}, .onRegained = [] {} } };
+    const TimePoint now = RuntimeClock::now();
+    parent.applyDelta({ .revision = 10, .isSnapshot = true }, now);
+    parent.applyDelta({ .revision = 12, .objects = bulkyChanges(10, 2) }, now);
+    const StoreDelta first = parent.limitedDeltaSince(10, knownAge, now);
+    CHECK(first.isPartial);
+    LONGS_EQUAL(1, first.objects.size());
+    LONGS_EQUAL(11, first.revision);
+    CHECK_FALSE(parent.limitedDeltaSince(11, knownAge, now).isPartial);
+}
+
+// Guards against hosts that all read from the store what their parents are sending them a part at a time.
+TEST(StoreFollower, waitsForTheRestOfWhatItsParentSends)
+{
+    int calls = 0;
+    StoreFollower child { context, client, probeState,
+        { .prefix = "servers/", .maxRelayedAge = Milliseconds(300) },
+        { .onListed = [](const PlatformList&) {},
+            .onChanged = [](const PlatformEvent&) {},
+            .onCall = [&calls](StoreCallReason) { ++calls; },
+            .onRegained = [] {} } };
+    runToEnd([&]() -> asio::awaitable<void> {
+        child.applyDelta({ .revision = 10, .isSnapshot = true }, RuntimeClock::now());
+        child.setRelayDepth(1);
+        child.start();
+        for (int part = 1; part <= 10; ++part) {
+            co_await sleepFor(context.get_executor(), Milliseconds(150));
+            StoreDelta delta { .revision = ObjectVersion(10 + part), .age = Milliseconds(150 * part), .isPartial = true };
+            delta.objects = bulkyChanges(9 + part, 1);
+            child.applyDelta(delta, RuntimeClock::now());
+        }
+        CHECK_EQUAL(0, calls);
+        co_await sleepFor(context.get_executor(), Milliseconds(600));
+        CHECK_COMPARE(calls, >, 0);
+    });
+}
