Serialize objects of unlimited kinds only once for a peer

Found in the last read: since a response measured the objects of every kind by serializing them, servers and the configuration included, although only findings have a limit. Kinds without one are no longer measured; what is relayed stays the same.

--- a/src/gateway/storefollowerrelay.cpp
+++ b/src/gateway/storefollowerrelay.cpp
@@ -55,7 +55,8 @@
 StoreDelta StoreFollower::limitedDeltaSince(ObjectVersion revision, Milliseconds peerAge, TimePoint now) const
 {
     StoreDelta delta = deltaSince(revision, now);
-    if (delta.isSnapshot)
+    // Kinds without a limit are not serialized only to be measured.
+    if (delta.isSnapshot || m_options.maxRelayedBytes == std::numeric_limits<std::size_t>::max())
         return delta;
     std::vector<PlatformObject>& objects = delta.objects;
     std::sort(objects.begin(), objects.end(),
