Review: each case names and writes its record, also if it cannot run

The record was written by the shared stand-ins alone, and not at all if a case could not run. An unexpected error of a case now ends it with 2 instead of 1.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -58,4 +58,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(play, FOLDER))
+    sys.exit(run_case(play, FOLDER / "record.txt"))
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -35,17 +35,18 @@
 
 
 class Record:
-    """What was sent, answered and run, in the order of time."""
+    """Writes what was sent, answered and run to a file, line by line as it happens, and the verdict at its end."""
 
-    def __init__(self):
-        self.lines = []
+    def __init__(self, path):
+        self.file = open(path, "w", buffering=1)
 
     def add(self, what, **fields):
         text = " ".join(f"{key}={value}" for key, value in fields.items())
-        self.lines.append(f"{now():9.3f} {what} {text}".rstrip())
+        self.file.write(f"{now():9.3f} {what} {text}".rstrip() + "\n")
 
-    def write(self, folder, verdict):
-        (pathlib.Path(folder) / "record.txt").write_text("\n".join([*verdict, "", *self.lines, ""]))
+    def close(self, verdict):
+        self.file.write("\n".join(["", *verdict, ""]))
+        self.file.close()
 
 
 _given_ports = set()
@@ -506,9 +507,12 @@
     return status, body, True
 
 
-def run_case(play, folder):
-    """Plays a case and returns its exit status. play(record, temporary folder) returns (is broken, lines of the verdict)."""
-    record = Record()
+def run_case(play, record_path):
+    """Plays a case, writes its record and returns its exit status.
+
+    play(record, temporary folder, gateways) returns (is broken, lines of the verdict).
+    """
+    record = Record(record_path)
     temporary = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
     gateways = []
     status = 2
@@ -516,12 +520,12 @@
     try:
         is_broken, verdict = asyncio.run(asyncio.wait_for(play(record, temporary, gateways), 115))
         status = 1 if is_broken else 0
-    except (CannotRun, OSError, asyncio.TimeoutError, TimeoutError) as error:
+    except Exception as error:  # An error of the case itself must not count as a broken rule.
         verdict = [f"the case could not run: {type(error).__name__} {error}"]
     finally:
         for gateway in gateways:
             gateway.kill()
         shutil.rmtree(temporary, ignore_errors=True)
-    record.write(folder, [f"result: {status}", *verdict])
+    record.close([f"result: {status}", *verdict])
     print("\n".join([f"result: {status}", *verdict]))
     return status
