Keep a connection to a backend server only while every byte belonged to a call

Cause: calls of stages and releases carry no ID. A response that came a second time, late, was taken for the response to the next call on its connection, and the connection was kept although that call's own response was still to come; from then on each call got the response to the one before. Over a relaying peer the same held for refusals: the peer kept the connection of a refused attempt, and a repeated refusal counted as that of the request's next attempt, which the server ran. A refusal without an ID was taken for that of any request.

Change: HttpStream::holdConnection() keeps a connection from later calls until the response is known to be the call's own. A response to a call of stages is its own if it has as many results as the call has pieces and no handle that was received before; if it would not be recognized when it came again (no handle, another status), the connection ends with it. The same holds for unreadable responses, for a connection on which a response to another request was skipped, for relayed calls without an ID and for relayed refusals. A response without an ID on a connection that has carried other calls proves nothing about this one. Responses are now recognized by their first handle, 256 responses back instead of 256 handles (three calls of the largest batch).

--- a/src/gateway/backendcaller.cpp
+++ b/src/gateway/backendcaller.cpp
@@ -109,8 +109,8 @@
         .body = original.body,
         .timeout = timeout,
         .cancel = request.scope->addCall() };
-    call.isOwnResponse = [id = request.caller.id](const HttpResponseHead& head) {
-        return Platform::isResponseTo(head, id);
+    call.ownerOf = [id = request.caller.id](const HttpResponseHead& head) {
+        return Platform::ownerOfResponse(head, id);
     };
     auto sent = std::make_shared<bool>(false);
     HttpSendGate gate = [this, sent, server, scope = request.scope] {
@@ -242,6 +242,7 @@
         return { .outcome = SendOutcome::NotSent };
     const Platform::ResponseMarkers markers = Platform::readResponseMarkers(stream->head());
     const int status = stream->status();
+    // Destroying the stream closes its connection: a refusal that comes again would look like that of the next attempt.
     if (markers.isNotRun || status == statusMisdirected)
         return { .outcome = SendOutcome::NotRun, .status = status };
     const bool isSuccess = status / statusesPerClass == successClass;
@@ -250,7 +251,18 @@
     return { .outcome = SendOutcome::Responded, .stream = std::move(stream), .status = status };
 }
 
-Asio::awaitable<HttpResponse> BackendCaller::call(ServerEntry server, HttpCall call, bool& isSent)
+Asio::awaitable<HttpResponse> BackendCaller::readOwnResponse(
+    HttpStream& stream, Milliseconds timeout, const ResponseCheck& isOwn)
+{
+    stream.holdConnection();
+    HttpResponse response = co_await Apricot::readResponse(stream, timeout);
+    if (isOwn(response))
+        stream.releaseConnection();
+    co_return response;
+}
+
+Asio::awaitable<HttpResponse> BackendCaller::call(
+    ServerEntry server, HttpCall call, bool& isSent, const ResponseCheck& isOwn)
 {
     const Milliseconds timeout = call.timeout;
     const TimePoint startedAt = RuntimeClock::now();
@@ -266,7 +278,7 @@
     if (!stream)
         throw boost::system::system_error(Asio::error::operation_aborted);
     m_statements.record(server, startedAt, stream->head());
-    co_return co_await Apricot::readResponse(*stream, timeout);
+    co_return co_await readOwnResponse(*stream, timeout, isOwn);
 }
 
 Asio::awaitable<std::unique_ptr<HttpStream>> BackendCaller::openForPeer(
@@ -283,8 +295,8 @@
         .body = message.body,
         .timeout = message.headTimeout,
         .cancel = std::move(cancel) });
-    call->isOwnResponse = [id = message.requestId](const HttpResponseHead& head) {
-        return Platform::isResponseTo(head, id);
+    call->ownerOf = [id = message.requestId](const HttpResponseHead& head) {
+        return Platform::ownerOfResponse(head, id);
     };
     HttpSendGate gate = [this, server, check = message.check] { return mayReceive(server, check); };
     Endpoint endpoint = server.endpoint;
@@ -294,10 +306,15 @@
         recordStatement(server.endpoint, startedAt, *stream);
     else if (stream)
         m_statements.record(server, startedAt, stream->head());
+    // Only the peer can tell whether a response without an ID is the call's own, and a refusal that comes again would be
+    // taken for that of the request's next attempt.
+    if (stream && (message.requestId.empty() || Platform::readResponseMarkers(stream->head()).isNotRun))
+        stream->holdConnection();
     co_return stream;
 }
 
-Asio::awaitable<HttpResponse> BackendCaller::callWithoutCheck(Endpoint endpoint, HttpCall call)
+Asio::awaitable<HttpResponse> BackendCaller::callWithoutCheck(
+    Endpoint endpoint, HttpCall call, const ResponseCheck& isOwn)
 {
     const Milliseconds timeout = call.timeout;
     const TimePoint startedAt = RuntimeClock::now();
@@ -308,7 +325,7 @@
     if (!stream)
         throw boost::system::system_error(Asio::error::operation_aborted);
     recordStatement(endpoint, startedAt, *stream);
-    co_return co_await Apricot::readResponse(*stream, timeout);
+    co_return co_await readOwnResponse(*stream, timeout, isOwn);
 }
 
 void BackendCaller::recordStatement(const Endpoint& endpoint, TimePoint sentAt, const HttpStream& stream)
--- a/src/gateway/backendcaller.h
+++ b/src/gateway/backendcaller.h
@@ -62,6 +62,10 @@
 // How a run ended whose call failed with an error.
 RunEnd runEndOf(const boost::system::error_code& error);
 
+// Whether a whole response shows that it belongs to its call, and would be recognized if it came again. Its connection
+// carries later calls only then.
+using ResponseCheck = std::function<bool(const HttpResponse&)>;
+
 // Sends requests and pieces to backend servers over persistent connections. Servers that may receive no
 // new work, such as draining ones, are sent none.
 class BackendCaller {
@@ -76,13 +80,15 @@
         std::vector<std::string> inputs, std::string lastEventId, Milliseconds timeout);
     // Makes a call of the gateway itself, and sets isSent once the server may have received it. Throws like
     // HttpClient, and if the server may receive no work.
-    boost::asio::awaitable<HttpResponse> call(ServerEntry server, HttpCall call, bool& isSent);
+    boost::asio::awaitable<HttpResponse> call(
+        ServerEntry server, HttpCall call, bool& isSent, const ResponseCheck& isOwn);
     // Sends a call for a peer that has lost its link to the server. Returns nothing if the server may not receive the
     // call, and throws CallNotSentError if this host does not reach the server either.
     boost::asio::awaitable<std::unique_ptr<HttpStream>> openForPeer(
         const RelayCallMessage& message, std::shared_ptr<HttpCancel> cancel);
     // Makes a call that assigns no new work, such as the release of results, to any server.
-    boost::asio::awaitable<HttpResponse> callWithoutCheck(Endpoint endpoint, HttpCall call);
+    boost::asio::awaitable<HttpResponse> callWithoutCheck(
+        Endpoint endpoint, HttpCall call, const ResponseCheck& isOwn);
 
     // Closes the idle connections to a server, on which responses to earlier calls may still arrive.
     void closeIdleConnections(const Endpoint& endpoint) { m_calls.closeIdleConnections(endpoint); }
@@ -117,6 +123,8 @@
     void removeUnknownServers();
 
 private:
+    boost::asio::awaitable<HttpResponse> readOwnResponse(
+        HttpStream& stream, Milliseconds timeout, const ResponseCheck& isOwn);
     bool mayReceive(const ServerEntry& server, CallCheck check);
     // Records what a response says about the server that is known at an address.
     void recordStatement(const Endpoint& endpoint, TimePoint sentAt, const HttpStream& stream);
--- a/src/gateway/relayedstream.h
+++ b/src/gateway/relayedstream.h
@@ -32,6 +32,9 @@
     void setTimeout(Milliseconds timeout) override { m_timeout = timeout; }
     void setTotalTimeout(Milliseconds timeout) override;
     boost::asio::awaitable<std::optional<std::string>> read() override;
+    // The peer decides about its connection.
+    void holdConnection() override { }
+    void releaseConnection() override { }
 
 private:
     boost::asio::awaitable<std::optional<Message>> readMessage();
--- a/src/gateway/stagehome.cpp
+++ b/src/gateway/stagehome.cpp
@@ -3,6 +3,7 @@
 #include "gateway/stagelogs.h"
 #include "libnet/log.h"
 #include "libserving/stagegroups.h"
+#include "libserving/stageresponse.h"
 #include "platform/stagetranslation.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -23,7 +24,17 @@
     constexpr Milliseconds releaseBatchDelay { 20 };
     // Time after which releases that their server did not permit are tried again.
     constexpr Milliseconds delayedReleaseDelay { 400 };
-    constexpr int statusOk = 200;
+
+    // Returns nothing if the body of the response cannot be read.
+    std::optional<std::vector<PieceResult>> tryReadPieceResults(const HttpResponse& response)
+    {
+        try {
+            return Platform::readPieceResults(response.body);
+        } catch (const std::exception&) {
+            // The kind of the response says so, in the log too.
+            return std::nullopt;
+        }
+    }
 
     // The endpoint of the server that holds a result: the part of its handle before the slash.
     std::optional<Endpoint> endpointOfHandle(const std::string& handle)
@@ -223,16 +234,22 @@
     try {
         HttpCall call
             = Platform::makeStageCall(planned.server.id, planned.pieces, planned.timeout);
-        const HttpResponse response = co_await m_backendCaller.call(server, std::move(call), isSent);
-        if (response.status == statusOk)
-            results = Platform::readPieceResults(response.body);
-        else
-            failure = StageCallFailure::Refused;
-        if (results && !m_receivedHandles.record({ planned.server.id, planned.server.startedAt }, *results)) {
-            reason = "a response to an earlier call arrived again";
+        StageResponse own;
+        const ResponseCheck isOwn = [&](const HttpResponse& response) {
+            results = tryReadPieceResults(response);
+            own = classifyStageResponse(response.status, results, planned.pieces.size(),
+                { planned.server.id, planned.server.startedAt }, m_receivedHandles);
+            return own.isRecognizable;
+        };
+        co_await m_backendCaller.call(server, std::move(call), isSent, isOwn);
+        if (own.kind != StageResponseKind::Results)
             results.reset();
+        if (own.kind == StageResponseKind::Refused)
+            failure = StageCallFailure::Refused;
+        // The other connections to this server may be one response behind as well.
+        if (own.kind == StageResponseKind::Foreign)
             m_backendCaller.closeIdleConnections(planned.server.endpoint);
-        }
+        reason = std::move(own.reason);
     } catch (const boost::system::system_error& error) {
         reason = error.code().message();
         end = runEndOf(error.code());
@@ -318,7 +335,9 @@
         for (PendingRelease& release : releases)
             handles.push_back(std::move(release.handle));
         try {
-            co_await m_backendCaller.callWithoutCheck(endpoint, Platform::makeReleaseCall(handles));
+            const ResponseCheck isOwn = Platform::isReleaseResponse;
+            HttpCall call = Platform::makeReleaseCall(handles);
+            co_await m_backendCaller.callWithoutCheck(endpoint, std::move(call), isOwn);
         } catch (const std::exception&) {
             // The server drops the results when their lifetime expires, or has already stopped.
         }
--- a/src/libnet/httpclient.cpp
+++ b/src/libnet/httpclient.cpp
@@ -76,13 +76,17 @@
     {
     }
 
-    // Returns an idle connection, or opens a new one.
-    Asio::awaitable<std::shared_ptr<HttpConnection>> acquireConnection(const HttpCall& call)
+    // Returns an idle connection, or nothing if there is none.
+    std::shared_ptr<HttpConnection> acquireIdleConnection(const HttpCall& call)
     {
-        if (auto idle = popIdleConnection()) {
+        auto idle = popIdleConnection();
+        if (idle)
             setCancelAction(call, idle);
-            co_return idle;
-        }
+        return idle;
+    }
+
+    Asio::awaitable<std::shared_ptr<HttpConnection>> openConnection(const HttpCall& call)
+    {
         auto connection = std::make_shared<HttpConnection>(m_context);
         setCancelAction(call, connection);
         connection->expires_after(m_options.connectTimeout);
@@ -233,9 +237,12 @@
 {
     // Keeps the pool alive only while this call runs.
     const std::shared_ptr<Impl> impl = m_impl;
-    std::shared_ptr<HttpConnection> connection = co_await impl->acquireConnection(*call);
+    std::shared_ptr<HttpConnection> connection = impl->acquireIdleConnection(*call);
+    const bool isReused = connection != nullptr;
+    if (!isReused)
+        connection = co_await impl->openConnection(*call);
     throwIfCancelled(*call);
-    auto stream = std::make_unique<HttpStreamImpl>(std::move(connection), call->timeout,
+    auto stream = std::make_unique<HttpStreamImpl>(std::move(connection), isReused, call->timeout,
         [weak = std::weak_ptr<Impl>(impl), cancel = call->cancel](
             std::shared_ptr<HttpConnection> released, Milliseconds idleTimeout) {
             if (cancel)
@@ -248,7 +255,7 @@
         co_return nullptr;
     }
     Http::request<Http::string_body> message = impl->toMessage(*call);
-    co_await stream->exchange(std::move(message), std::move(call->isOwnResponse));
+    co_await stream->exchange(std::move(message), std::move(call->ownerOf));
     co_return stream;
 }
 
--- a/src/libnet/httpclient.h
+++ b/src/libnet/httpclient.h
@@ -32,6 +32,14 @@
     std::string_view field(std::string_view name) const;
 };
 
+// Which call on a connection a response belongs to, as far as its header shows.
+enum class ResponseOwner {
+    ThisCall,
+    OtherCall,
+    // On a connection that has carried other calls, it may be a response to one of these.
+    Unidentified,
+};
+
 // One call to an HTTP/1.1 server.
 // Store it in a variable before passing it in a co_await expression: g++ 12 destroys a braced
 // temporary there twice.
@@ -45,9 +53,9 @@
     // Timeout for the response header, whatever precedes it, and for each later read.
     Milliseconds timeout { 5000 };
     std::shared_ptr<HttpCancel> cancel;
-    // Whether a response belongs to this call. One that does not is read and discarded, and the call
-    // waits for the next one on the connection. If unset, every response is accepted.
-    std::function<bool(const HttpResponseHead&)> isOwnResponse;
+    // Which call a response belongs to. One to another call is read and discarded, and this call waits for the next one
+    // on the connection, which carries no later calls. If unset, every response is accepted.
+    std::function<ResponseOwner(const HttpResponseHead&)> ownerOf;
 };
 
 struct HttpResponse : HttpResponseHead {
@@ -71,6 +79,10 @@
     // Returns the next part of the body, or nothing at its regular end. Throws
     // boost::system::system_error if the connection breaks before the end.
     virtual boost::asio::awaitable<std::optional<std::string>> read() = 0;
+    // Keeps the connection from later calls, also after the regular end of the response, until releaseConnection() is
+    // called: what follows on the connection can be attributed only if this response is the call's own.
+    virtual void holdConnection() = 0;
+    virtual void releaseConnection() = 0;
 };
 
 // A response body that was read to its end, and its part of the memory for all of them.
--- a/src/libnet/httpstreamimpl.cpp
+++ b/src/libnet/httpstreamimpl.cpp
@@ -37,9 +37,10 @@
 
 }
 
-HttpStreamImpl::HttpStreamImpl(
-    std::shared_ptr<HttpConnection> connection, Milliseconds timeout, ReleaseHandler releaseHandler)
+HttpStreamImpl::HttpStreamImpl(std::shared_ptr<HttpConnection> connection, bool isReused, Milliseconds timeout,
+    ReleaseHandler releaseHandler)
     : m_connection(std::move(connection))
+    , m_isReused(isReused)
     , m_timeout(timeout)
     , m_releaseHandler(std::move(releaseHandler))
 {
@@ -53,7 +54,7 @@
 }
 
 Asio::awaitable<void> HttpStreamImpl::exchange(Http::request<Http::string_body> message,
-    std::function<bool(const HttpResponseHead&)> isOwnResponse)
+    std::function<ResponseOwner(const HttpResponseHead&)> ownerOf)
 {
     // The request is written concurrently with the read: a server may respond before it has read a
     // long body.
@@ -63,8 +64,9 @@
         Asio::detached);
     setTotalTimeout(m_timeout);
     co_await readHeader();
-    while (isOwnResponse && !isOwnResponse(m_head)) {
+    while (isForeign(ownerOf)) {
         recordSkippedResponse();
+        m_hasSkippedForeign = true;
         while (!m_parser->is_done())
             co_await readSome();
         co_await readHeader();
@@ -79,6 +81,14 @@
         m_connection->expires_after(timeout);
 }
 
+bool HttpStreamImpl::isForeign(const std::function<ResponseOwner(const HttpResponseHead&)>& ownerOf) const
+{
+    const ResponseOwner owner = ownerOf ? ownerOf(m_head) : ResponseOwner::ThisCall;
+    if (owner == ResponseOwner::Unidentified && m_isReused)
+        throw boost::system::system_error(make_error_code(boost::system::errc::protocol_error));
+    return owner == ResponseOwner::OtherCall;
+}
+
 void HttpStreamImpl::recordSkippedResponse()
 {
     constexpr int maxSkippedResponses = 16;
@@ -123,7 +133,7 @@
 
 Asio::awaitable<std::optional<std::string>> HttpStreamImpl::read()
 {
-    while (m_connection) {
+    while (m_connection && !m_hasEnded) {
         if (m_parser->is_done()) {
             finish();
             break;
@@ -151,10 +161,21 @@
 
 void HttpStreamImpl::finish()
 {
-    // Data after the response belongs to no call, so the connection is not reused.
-    if (m_parser->keep_alive() && m_buffer.size() == 0 && m_pendingWrite->isComplete)
-        m_releaseHandler(std::move(m_connection), parseKeepAliveTimeout(m_head));
-    m_connection.reset();
+    // Data that belongs to no call, before or after the response, may be followed by more.
+    const bool isReusable = m_parser->keep_alive() && m_buffer.size() == 0 && m_pendingWrite->isComplete
+        && !m_hasSkippedForeign;
+    if (!isReusable)
+        m_connection.reset();
+    m_hasEnded = true;
+    if (!m_isHeld)
+        releaseConnection();
+}
+
+void HttpStreamImpl::releaseConnection()
+{
+    m_isHeld = false;
+    if (m_hasEnded && m_connection)
+        m_releaseHandler(std::exchange(m_connection, nullptr), parseKeepAliveTimeout(m_head));
 }
 
 }
--- a/src/libnet/httpstreamimpl.h
+++ b/src/libnet/httpstreamimpl.h
@@ -18,7 +18,8 @@
     // Receives a connection that can be reused, with the idle time that the server allows.
     using ReleaseHandler = std::function<void(std::shared_ptr<HttpConnection>, Milliseconds)>;
 
-    HttpStreamImpl(std::shared_ptr<HttpConnection> connection, Milliseconds timeout,
+    // `isReused` tells whether the connection has carried other calls.
+    HttpStreamImpl(std::shared_ptr<HttpConnection> connection, bool isReused, Milliseconds timeout,
         ReleaseHandler releaseHandler);
 
     ~HttpStreamImpl() override;
@@ -29,7 +30,7 @@
     // Sends a request and reads the header of its response.
     boost::asio::awaitable<void> exchange(
         boost::beast::http::request<boost::beast::http::string_body> message,
-        std::function<bool(const HttpResponseHead&)> isOwnResponse);
+        std::function<ResponseOwner(const HttpResponseHead&)> ownerOf);
     // Returns the connection to the pool before anything was sent on it.
     void releaseUnused();
 
@@ -38,6 +39,8 @@
     void setTimeout(Milliseconds timeout) override { m_timeout = timeout; }
     void setTotalTimeout(Milliseconds timeout) override;
     boost::asio::awaitable<std::optional<std::string>> read() override;
+    void holdConnection() override { m_isHeld = true; }
+    void releaseConnection() override;
 
 private:
     static constexpr std::size_t maxBufferedBytes = 65'536;
@@ -52,11 +55,14 @@
         std::shared_ptr<HttpConnection> connection, std::shared_ptr<PendingWrite> pendingWrite);
     boost::asio::awaitable<void> readHeader();
     boost::asio::awaitable<std::string> readSome();
-    // Counts a response that does not belong to the call. Throws if there are too many.
+    // Whether the response belongs to another call. Throws if the connection does not show which call it belongs to.
+    bool isForeign(const std::function<ResponseOwner(const HttpResponseHead&)>& ownerOf) const;
+    // Counts an informational response or one to another call. Throws if there are too many.
     void recordSkippedResponse();
     void finish();
 
     std::shared_ptr<HttpConnection> m_connection;
+    bool m_isReused;
     Milliseconds m_timeout;
     // Whether the time until the current expiry is for all later reads.
     bool m_hasTotalTimeout = false;
@@ -67,6 +73,10 @@
     std::optional<Parser> m_parser;
     HttpResponseHead m_head;
     int m_skippedResponses = 0;
+    bool m_hasSkippedForeign = false;
+    bool m_isHeld = false;
+    // Whether the response was read to its regular end.
+    bool m_hasEnded = false;
     BodyFraming m_framing = BodyFraming::ConnectionEnd;
     std::array<char, 16384> m_bodyBuffer {};
 };
--- a/src/libserving/receivedhandles.cpp
+++ b/src/libserving/receivedhandles.cpp
@@ -6,18 +6,18 @@
 
 bool ReceivedHandles::record(const ServerStart& server, const std::vector<PieceResult>& results)
 {
-    constexpr std::size_t maxHandles = 256;
-    std::deque<std::string>& known = m_handles[server];
+    constexpr std::size_t maxResponses = 256;
+    std::deque<std::string>& known = m_firstHandles[server];
     const bool isRepeated = std::any_of(results.begin(), results.end(), [&known](const PieceResult& result) {
         return !result.handle.empty() && std::find(known.begin(), known.end(), result.handle) != known.end();
     });
     if (isRepeated)
         return false;
-    for (const PieceResult& result : results) {
-        if (!result.handle.empty())
-            known.push_back(result.handle);
-    }
-    while (known.size() > maxHandles)
+    const auto first = std::find_if(
+        results.begin(), results.end(), [](const PieceResult& result) { return !result.handle.empty(); });
+    if (first != results.end())
+        known.push_back(first->handle);
+    if (known.size() > maxResponses)
         known.pop_front();
     return true;
 }
@@ -25,7 +25,7 @@
 void ReceivedHandles::retain(const ServerDirectory& servers)
 {
     std::erase_if(
-        m_handles, [&servers](const auto& entry) { return !servers.all().contains(entry.first.server); });
+        m_firstHandles, [&servers](const auto& entry) { return !servers.all().contains(entry.first.server); });
 }
 
 }
--- a/src/libserving/receivedhandles.h
+++ b/src/libserving/receivedhandles.h
@@ -14,14 +14,14 @@
 // response would name, but a server gives out each handle of a result once.
 class ReceivedHandles {
 public:
-    // Records the handles of a response. Returns false if the server had given out one of them before.
+    // Records a response by its first handle. Returns false if the same response was recorded before.
     bool record(const ServerStart& server, const std::vector<PieceResult>& results);
     // Removes the servers that are not registered.
     void retain(const ServerDirectory& servers);
 
 private:
-    // The last handles of each server, the newest at the end.
-    std::map<ServerStart, std::deque<std::string>> m_handles;
+    // First handles of the last responses of each server, the newest at the end.
+    std::map<ServerStart, std::deque<std::string>> m_firstHandles;
 };
 
 }
--- a/tests/clusters/relayedcalltest.cpp
+++ b/tests/clusters/relayedcalltest.cpp
@@ -143,3 +143,29 @@
     CHECK_TRUE(ended.find("apricot_calls_for_peers_total{sent=\"yes\"} 1") != std::string::npos);
     cluster.setSuspended(0, false);
 }
+
+// Guards against a refusal that a server sends again on a connection which a peer has kept: it was taken for that of the
+// request's next attempt, which the server ran, and the request ran once more.
+TEST(RelayedCall, runsOnceThoughItsServerRepeatsARefusal)
+{
+    GatewayCluster pair { 2, ClusterRetries::Allowed };
+    pair.forwardsLinks = true;
+    pair.addServers("stages", 1);
+    int runs = 0;
+    int refusals = 0;
+    pair.addScriptedServer("engines", "v1", [&](const HttpRequest& request) -> ScriptedResponse {
+        if (refusals++ == 0) {
+            const std::string refusal = "HTTP/1.1 409 Conflict\r\nApricotpier-Not-Executed: 1\r\nApricotpier-Request-Id: "
+                + std::string(request.field("Apricotpier-Request-Id")) + "\r\nContent-Length: 0\r\n\r\n";
+            return { .rawBytes = refusal, .extraBytes = refusal };
+        }
+        ++runs;
+        return { .parts = { "id: 1\ndata: a\n\n" } };
+    });
+    pair.waitUntilReady();
+    pair.cutLinks(0, LinkFault::Resets);
+    pair.runFor(Milliseconds(500));
+    const ClusterResponse response = pair.call(0, { .path = "/staged/x", .content = "request" });
+    LONGS_EQUAL(200, response.status);
+    LONGS_EQUAL(1, runs);
+}
--- a/tests/platform/requesttranslationtest.cpp
+++ b/tests/platform/requesttranslationtest.cpp
@@ -80,8 +80,8 @@
         .fields = { { "Apricotpier-Server-Stamp", "3e" }, { "Apricotpier-Request-Id", "9c41" } } };
     CHECK(Platform::readResponseMarkers(valid).isSigned);
     CHECK(!Platform::readResponseMarkers(valid).isNotRun);
-    CHECK(Platform::isResponseTo(valid, "9c41"));
-    CHECK(!Platform::isResponseTo(valid, "other"));
+    CHECK_TRUE(Platform::ownerOfResponse(valid, "9c41") == ResponseOwner::ThisCall);
+    CHECK_TRUE(Platform::ownerOfResponse(valid, "other") == ResponseOwner::OtherCall);
     const HttpResponseHead notRun { .status = 503, .fields = { { "Apricotpier-Not-Executed", "1" } } };
     CHECK(Platform::readResponseMarkers(notRun).isNotRun);
     CHECK(Platform::readResponseMarkers({ .status = 421 }).isNotRun);
--- a/tests/platform/scriptedserver.cpp
+++ b/tests/platform/scriptedserver.cpp
@@ -20,6 +20,8 @@
 namespace {
 
 constexpr Milliseconds partInterval { 10 };
+// Time from extra bytes to the response of the request that they precede.
+constexpr Milliseconds extraLead { 400 };
 // Bytes by which an incomplete body falls short of its declared length.
 constexpr std::size_t missingBytes = 10;
 
@@ -71,6 +73,7 @@
     static Asio::awaitable<void> serve(std::shared_ptr<Impl> self, Tcp::socket socket)
     {
         boost::beast::flat_buffer buffer;
+        std::string extraBytes;
         while (true) {
             Http::request<Http::string_body> message;
             boost::system::error_code error;
@@ -80,6 +83,11 @@
                 co_return;
             const HttpRequest request = toRequest(message);
             const ScriptedResponse response = self->m_script(request);
+            if (!extraBytes.empty())
+                co_await writeExtra(socket, extraBytes);
+            extraBytes = response.extraBytes;
+            if (response.delay.count() > 0)
+                co_await sleepFor(socket.get_executor(), response.delay);
             if (!response.endlessHead.empty())
                 co_return co_await writeEndless(socket, response);
             co_await write(socket, response, request);
@@ -95,6 +103,14 @@
         }
     }
 
+    static Asio::awaitable<void> writeExtra(Tcp::socket& socket, const std::string& bytes)
+    {
+        boost::system::error_code ignored;
+        co_await Asio::async_write(
+            socket, Asio::buffer(bytes), Asio::redirect_error(Asio::use_awaitable, ignored));
+        co_await sleepFor(socket.get_executor(), extraLead);
+    }
+
     // Writes until the other side closes the connection.
     static Asio::awaitable<void> writeEndless(Tcp::socket& socket, const ScriptedResponse& response)
     {
--- a/tests/platform/scriptedserver.h
+++ b/tests/platform/scriptedserver.h
@@ -28,6 +28,10 @@
     bool endsServer = false;
     // If not empty, this text is written instead of the response.
     std::string rawBytes {};
+    // Time from the request to the response.
+    Apricot::Milliseconds delay { 0 };
+    // If not empty, this text precedes the next response on the same connection, which then takes longer.
+    std::string extraBytes {};
     // If not empty, the response is this text instead, followed by the last part without end.
     std::string endlessHead {};
 };
