Register a host again as soon as any word of the store lacks its entry

Cause: the removal of a leaving host's entry had no condition. Done late, it removed the entry that the host's next process had found and taken for its own, and only a list made a process register again, not the event of the removal. All hosts then divided the bounds over all hosts by too few, for good.

Change: an event or a peer's change without the entry makes the host register again, unless it leaves on purpose, and is logged (host_entry_missing). A removal names the revision that this process wrote or found; if another write of the same entry came between, the removal is made once more with that revision. Changes of hosts are batched for 0.8 s instead of 1.5 s, so that the others see the entry sooner.

--- a/src/gateway/hostregistration.cpp
+++ b/src/gateway/hostregistration.cpp
@@ -52,10 +52,11 @@
     Asio::co_spawn(m_context, registerHost(), Asio::detached);
 }
 
-void HostRegistration::onHostsListed(bool isListed)
+void HostRegistration::onEntryShown(bool isListed)
 {
     if (isListed || !m_isRegistered || m_isLeaving)
         return;
+    writeLog(LogLevel::Warning, "host_entry_missing", { { "endpoint", toText(m_entry.endpoint) } });
     m_isRegistered = false;
     start();
 }
@@ -81,13 +82,23 @@
     const WriteResult created = co_await m_store.put(m_key, entry, ObjectVersion(0));
     const auto* conflict = std::get_if<WriteConflict>(&created);
     if (!conflict)
-        co_return std::holds_alternative<WriteStored>(created);
+        co_return recordWrite(created);
     // An earlier process of this host has left its entry.
-    if (conflict->current && conflict->current->value == entry)
+    if (conflict->current && conflict->current->value == entry) {
+        m_revision = conflict->current->version;
         co_return true;
+    }
     m_calls.record(m_key, "registration");
     const WriteResult replaced = co_await m_store.put(m_key, entry, std::nullopt);
-    co_return std::holds_alternative<WriteStored>(replaced);
+    co_return recordWrite(replaced);
+}
+
+bool HostRegistration::recordWrite(const WriteResult& result)
+{
+    const auto* stored = std::get_if<WriteStored>(&result);
+    if (stored)
+        m_revision = stored->version;
+    return stored != nullptr;
 }
 
 Asio::awaitable<void> HostRegistration::deregister()
@@ -95,7 +106,13 @@
     m_isLeaving = true;
     m_calls.record(m_key, "deregistration");
     try {
-        co_await m_store.remove(m_key, std::nullopt);
+        // A removal that is done late does not apply to what the next process of this host has written.
+        const WriteResult removed = co_await m_store.remove(m_key, m_revision);
+        const auto* conflict = std::get_if<WriteConflict>(&removed);
+        if (conflict && conflict->current && conflict->current->value == toJson(m_entry)) {
+            m_calls.record(m_key, "deregistration");
+            co_await m_store.remove(m_key, conflict->current->version);
+        }
     } catch (const PlatformUnavailable& error) {
         writeLog(LogLevel::Warning, "host_deregistration_failed", { { "reason", error.what() } });
     }
--- a/src/gateway/servingviewupdater.cpp
+++ b/src/gateway/servingviewupdater.cpp
@@ -43,7 +43,7 @@
     {
         return { .prefix = std::string(hostsPrefix),
             .watchTimeout = Milliseconds(10'000),
-            .batchDelay = Milliseconds(1500),
+            .batchDelay = Milliseconds(800),
             .maxRelayedAge = Milliseconds(8000),
             .isConfirmedByOthers = true,
             .startsFromStaleList = false };
@@ -340,7 +340,7 @@
         }
     }
     m_view.replaceHosts(std::move(hosts));
-    m_registration.onHostsListed(isListed);
+    m_registration.onEntryShown(isListed);
 }
 
 void ServingViewUpdater::applyHostEvent(const PlatformEvent& event)
@@ -352,6 +352,8 @@
         m_view.putHost(id, *host);
     else
         m_view.removeHost(id);
+    if (id == m_self)
+        m_registration.onEntryShown(host.has_value());
     const char* const gone = event.value ? "host_entry_ignored" : "peer_gone";
     writeLog(LogLevel::Info, host ? "peer_registered" : gone, { { "peer", id.value() } });
 }
