Let hosts that have left the list count in the bound of cold servers

Cause: a stopping host leaves the list at once but serves until the end of its grace time. All hosts, the leaving one too, divided the bound of cold servers by the hosts that were still listed.

Change: SharingHosts holds the one rule for who shares a bound over all hosts: those that are listed, and those that left less than the grace time and the counted time ago. ColdLimiter and RetryWindow use it; RetryWindow had the rule for itself before.

Evidence: two tests of ServingLimits.

Limits of servers are granted by one host for each server and owners' limits are not divided by hosts, so they need no such rule; the room of brittle servers is still divided by the listed hosts (ServerStatements).

--- a/src/gateway/gatewaydaemon.cpp
+++ b/src/gateway/gatewaydaemon.cpp
@@ -66,6 +66,7 @@
     : m_settings(settings)
     , m_settingsFile(std::move(settingsFile))
     , m_retries(RetryWindowOptions {}, RuntimeClock::now())
+    , m_coldLimiter(ColdLimiterOptions {}, RuntimeClock::now())
     , m_store(m_context, storeOptionsFor(settings.store))
     , m_storeCalls(m_metrics)
     , m_viewUpdater(m_context, m_store, m_view, m_storeCalls, settings.process.host,
@@ -166,7 +167,7 @@
 void GatewayDaemon::onHostsChanged()
 {
     m_retries.setHosts(m_view.hostIds(), RuntimeClock::now());
-    m_coldLimiter.setHosts(m_settings.process.host, m_view.hostIds());
+    m_coldLimiter.setHosts(m_settings.process.host, m_view.hostIds(), RuntimeClock::now());
     m_limits.onHostsChanged();
     m_peerViewSync.onHostsChanged();
     m_relays.onHostsChanged();
@@ -270,8 +271,9 @@
         .leavingTime = toMilliseconds(m_settings.graceSeconds) });
     m_viewUpdater.setSettleTime(
         missedHeartbeats * toMilliseconds(m_settings.serverHeartbeatSeconds) + storeDelayMargin);
-    m_coldLimiter.setOptions(
-        { .overshoot = m_settings.coldOvershoot, .tolerance = m_settings.coldTolerance });
+    m_coldLimiter.setOptions({ .overshoot = m_settings.coldOvershoot,
+        .tolerance = m_settings.coldTolerance,
+        .leavingTime = toMilliseconds(m_settings.graceSeconds) });
 }
 
 Asio::awaitable<void> GatewayDaemon::shutDown()
--- a/src/libserving/coldlimiter.cpp
+++ b/src/libserving/coldlimiter.cpp
@@ -18,37 +18,52 @@
 
 }
 
-ColdLimiter::ColdLimiter(ColdLimiterOptions options)
-    : m_options(options)
+ColdLimiter::ColdLimiter(ColdLimiterOptions options, TimePoint startedAt)
+    : m_startedAt(startedAt)
 {
+    setOptions(options);
 }
 
-void ColdLimiter::setHosts(HostId self, std::vector<HostId> hosts)
+void ColdLimiter::setOptions(const ColdLimiterOptions& options)
+{
+    m_options = options;
+    m_hosts.setOptions({ .leavingTime = options.leavingTime, .countedTime = rateWindow });
+}
+
+void ColdLimiter::setHosts(HostId self, const std::vector<HostId>& hosts, TimePoint now)
 {
     m_self = std::move(self);
-    m_hosts = std::move(hosts);
+    m_hosts.setListed(hosts, now);
 }
 
-bool ColdLimiter::tryAcquire(const BackendServerId& server, double coldRate, TimePoint now)
+bool ColdLimiter::mayAcquire(const BackendServerId& server, double coldRate, TimePoint now)
 {
+    if (now < m_startedAt + rateWindow)
+        return false;
     std::deque<TimePoint>& sendTimes = m_sendTimes[server];
     while (!sendTimes.empty() && sendTimes.front() + rateWindow <= now)
         sendTimes.pop_front();
-    if (static_cast<int>(sendTimes.size()) >= hostShare(server, coldRate))
+    return static_cast<int>(sendTimes.size()) < hostShare(server, coldRate, now);
+}
+
+bool ColdLimiter::tryAcquire(const BackendServerId& server, double coldRate, TimePoint now)
+{
+    if (!mayAcquire(server, coldRate, now))
         return false;
-    sendTimes.push_back(now);
+    m_sendTimes[server].push_back(now);
     return true;
 }
 
-int ColdLimiter::hostShare(const BackendServerId& server, double coldRate) const
+int ColdLimiter::hostShare(const BackendServerId& server, double coldRate, TimePoint now) const
 {
-    if (m_hosts.empty())
+    if (!m_hosts.isListed(m_self))
         return 0;
+    const std::vector<HostId> hosts = m_hosts.all(now);
     const double bound = usedShare * (coldRate * m_options.overshoot + m_options.tolerance);
-    const int share = static_cast<int>(std::floor(bound / static_cast<double>(m_hosts.size())));
+    const int share = static_cast<int>(std::floor(bound / static_cast<double>(hosts.size())));
     if (share >= 1)
         return share;
-    const std::vector<HostId> ranked = rankHosts(server.value(), m_hosts);
+    const std::vector<HostId> ranked = rankHosts(server.value(), hosts);
     const auto position = std::find(ranked.begin(), ranked.end(), m_self) - ranked.begin();
     return position < static_cast<std::ptrdiff_t>(bound) ? 1 : 0;
 }
--- a/src/libserving/coldlimiter.h
+++ b/src/libserving/coldlimiter.h
@@ -1,7 +1,6 @@
 #pragma once
 
-#include "libapricot/clock.h"
-#include "libapricot/identifier.h"
+#include "libserving/sharinghosts.h"
 
 #include <deque>
 #include <map>
@@ -14,6 +13,8 @@
     // requests per second.
     double overshoot = 1.5;
     double tolerance = 5;
+    // Longest time for which a host that has left the list of hosts still serves.
+    Milliseconds leavingTime { 8000 };
 };
 
 // Limits the requests that this host sends to a cold backend server to its share of a bound over all
@@ -21,22 +22,25 @@
 // for the server may send one request each and the others none.
 class ColdLimiter {
 public:
-    explicit ColdLimiter(ColdLimiterOptions options = {});
-
-    void setOptions(const ColdLimiterOptions& options) { m_options = options; }
-    // Sets this host's own ID and the IDs of all hosts, including this one. Until it is called, no request
-    // is permitted.
-    void setHosts(HostId self, std::vector<HostId> hosts);
+    // An earlier process of this host may have used its share, so this one uses none until that no longer counts.
+    explicit ColdLimiter(ColdLimiterOptions options = {}, TimePoint startedAt = TimePoint::min());
+
+    void setOptions(const ColdLimiterOptions& options);
+    // Sets this host's own ID and the IDs of all listed hosts. While this host is not among them, no request is permitted.
+    void setHosts(HostId self, const std::vector<HostId>& hosts, TimePoint now);
+    // Whether a permit would be acquired.
+    bool mayAcquire(const BackendServerId& server, double coldRate, TimePoint now);
     // Acquires a permit to send one request to a cold server. Returns false when this host's share is used
     // up and the request must go to another server.
     bool tryAcquire(const BackendServerId& server, double coldRate, TimePoint now);
 
 private:
-    int hostShare(const BackendServerId& server, double coldRate) const;
+    int hostShare(const BackendServerId& server, double coldRate, TimePoint now) const;
 
     ColdLimiterOptions m_options;
+    TimePoint m_startedAt;
     HostId m_self;
-    std::vector<HostId> m_hosts;
+    SharingHosts m_hosts;
     std::map<BackendServerId, std::deque<TimePoint>> m_sendTimes;
 };
 
--- a/src/libserving/retrywindow.cpp
+++ b/src/libserving/retrywindow.cpp
@@ -43,35 +43,15 @@
 }
 
 RetryWindow::RetryWindow(RetryWindowOptions options, TimePoint startedAt)
-    : m_options(options)
-    , m_startedAt(startedAt)
+    : m_startedAt(startedAt)
 {
+    setOptions(options);
 }
 
-void RetryWindow::setHosts(const std::vector<HostId>& hosts, TimePoint now)
+void RetryWindow::setOptions(const RetryWindowOptions& options)
 {
-    if (hosts == m_listedHosts)
-        return;
-    for (const HostId& host : m_listedHosts)
-        m_leftHosts[host] = now;
-    for (const HostId& host : hosts)
-        m_leftHosts.erase(host);
-    std::erase_if(m_leftHosts, [&](const auto& host) { return !isCounted(host.second, now); });
-    m_listedHosts = hosts;
-}
-
-bool RetryWindow::isCounted(TimePoint leftAt, TimePoint now) const
-{
-    return now < leftAt + m_options.leavingTime + m_options.window;
-}
-
-std::size_t RetryWindow::hostCount(TimePoint now) const
-{
-    if (m_listedHosts.empty())
-        return 0;
-    const auto left = std::count_if(m_leftHosts.begin(), m_leftHosts.end(),
-        [&](const auto& host) { return isCounted(host.second, now); });
-    return m_listedHosts.size() + static_cast<std::size_t>(left);
+    m_options = options;
+    m_hosts.setOptions({ .leavingTime = options.leavingTime, .countedTime = options.window });
 }
 
 void RetryWindow::recordRequest(const PoolId& pool, TimePoint now)
@@ -113,7 +93,7 @@
         = std::upper_bound(requests.begin(), requests.end(), now - m_options.window);
     const double earlier = m_options.ratio * static_cast<double>(windowBegin - requests.begin());
     const double current = m_options.ratio * static_cast<double>(requests.end() - windowBegin);
-    const std::size_t hosts = hostCount(now);
+    const std::size_t hosts = m_hosts.count(now);
     const double slackShare = hosts == 0 ? 0 : m_options.slack / static_cast<double>(hosts);
     const double earned = std::min(current, earlier + growthSlackShare * slackShare);
     const bool isFirstWindow = now < m_startedAt + m_options.window;
--- a/src/libserving/retrywindow.h
+++ b/src/libserving/retrywindow.h
@@ -1,7 +1,6 @@
 #pragma once
 
-#include "libapricot/clock.h"
-#include "libapricot/identifier.h"
+#include "libserving/sharinghosts.h"
 
 #include <deque>
 #include <map>
@@ -58,10 +57,10 @@
     // window has passed since it started.
     explicit RetryWindow(RetryWindowOptions options = {}, TimePoint startedAt = TimePoint::min());
 
-    void setOptions(const RetryWindowOptions& options) { m_options = options; }
+    void setOptions(const RetryWindowOptions& options);
     // Sets the hosts that share the bound, none if they are not known, in which case no slack is used. A host
     // that has left keeps its share until its retries no longer count.
-    void setHosts(const std::vector<HostId>& hosts, TimePoint now);
+    void setHosts(const std::vector<HostId>& hosts, TimePoint now) { m_hosts.setListed(hosts, now); }
     // Records a caller's request to a pool.
     void recordRequest(const PoolId& pool, TimePoint now);
     // Returns nothing when this host's share of the bound is used up.
@@ -81,17 +80,11 @@
     };
 
     void releasePermit(const PoolId& pool, TimePoint now);
-    // Whether retries of a host that left the list may count now.
-    bool isCounted(TimePoint leftAt, TimePoint now) const;
-    // Number of hosts that may have sent retries within the window.
-    std::size_t hostCount(TimePoint now) const;
     double allowedRetries(const SendTimes& sendTimes, TimePoint now) const;
 
     RetryWindowOptions m_options;
     TimePoint m_startedAt;
-    // Hosts that are listed, and when the others were last listed.
-    std::vector<HostId> m_listedHosts;
-    std::map<HostId, TimePoint> m_leftHosts;
+    SharingHosts m_hosts;
     std::map<PoolId, SendTimes> m_sendTimes;
 };
 
--- a/tests/platform/gatewayfixture.cpp
+++ b/tests/platform/gatewayfixture.cpp
@@ -57,7 +57,7 @@
 {
     view.applyConfig(makeConfig(), 1);
     retries.setHosts({ HostId("h1") }, RuntimeClock::now());
-    coldLimiter.setHosts(HostId("h1"), { HostId("h1") });
+    coldLimiter.setHosts(HostId("h1"), { HostId("h1") }, RuntimeClock::now());
 }
 
 std::uint16_t GatewayFixture::addServer(const char* id, const char* pool, Handler handler)
--- a/tests/serving/limitstest.cpp
+++ b/tests/serving/limitstest.cpp
@@ -4,6 +4,8 @@
 
 #include "unit/property.h"
 
+#include <algorithm>
+
 using namespace Apricot;
 
 namespace {
@@ -46,7 +48,7 @@
         const TimePoint start {};
         for (const HostId& host : hosts) {
             ColdLimiter limiter({ .overshoot = 1.5, .tolerance = 5 });
-            limiter.setHosts(host, hosts);
+            limiter.setHosts(host, hosts, start);
             for (int attempt = 0; attempt < 100; ++attempt)
                 sentCount
                     += limiter.tryAcquire(coldServer, coldRate, start + Milliseconds(10 * attempt))
@@ -58,6 +60,56 @@
     });
 }
 
+// Guards against hosts that divide the bound by those that are listed, while others that stop still send.
+TEST(ServingLimits, hostsThatLeaveOneAfterTheOtherStayWithinTheColdRate)
+{
+    checkProperty("requests to a cold server within a second, while hosts leave", [] {
+        const int count = *rc::gen::inRange(2, 40);
+        const int leaving = *rc::gen::inRange(1, count);
+        const double coldRate = *rc::gen::inRange(1, 60);
+        const Milliseconds leaveInterval(*rc::gen::inRange(0, 2000));
+        const BackendServerId coldServer("s1");
+        const TimePoint start { std::chrono::hours(1) };
+        std::vector<ColdLimiter> limiters(static_cast<std::size_t>(count), ColdLimiter({}, start - Milliseconds(5000)));
+        std::vector<HostId> listed = makeHosts(count);
+        const std::vector<HostId> all = listed;
+        std::vector<TimePoint> sends;
+        for (int step = 0; step <= leaving; ++step) {
+            const TimePoint now = start + step * leaveInterval;
+            for (std::size_t host = 0; host < all.size(); ++host) {
+                limiters[host].setHosts(all[host], listed, now);
+                while (limiters[host].tryAcquire(coldServer, coldRate, now))
+                    sends.push_back(now);
+            }
+            listed.pop_back();
+        }
+        for (const TimePoint from : sends) {
+            const auto within = std::count_if(sends.begin(), sends.end(),
+                [from](TimePoint at) { return from <= at && at < from + Milliseconds(1000); });
+            RC_ASSERT(static_cast<double>(within) <= coldRate * 1.5 + 5);
+        }
+    });
+}
+
+// Guards against a process that starts again within a second and has forgotten what it sent.
+TEST(ServingLimits, hostsThatAreKilledAndStartAgainStayWithinTheColdRate)
+{
+    const std::vector<HostId> hosts = makeHosts(3);
+    const TimePoint start { std::chrono::hours(1) };
+    const double coldRate = 8.8;
+    int sent = 0;
+    for (const HostId& host : hosts) {
+        for (const Milliseconds startedAt : { Milliseconds(-5000), Milliseconds(300), Milliseconds(700) }) {
+            ColdLimiter limiter({}, start + startedAt);
+            limiter.setHosts(host, hosts, start + startedAt);
+            for (Milliseconds time = std::max(startedAt, Milliseconds(0)); time < Milliseconds(1000); time += Milliseconds(50))
+                sent += limiter.tryAcquire(server, coldRate, start + time) ? 1 : 0;
+        }
+    }
+    CHECK_COMPARE(sent, <=, coldRate * 1.5 + 5);
+    CHECK_COMPARE(sent, >, 0);
+}
+
 TEST(ServingLimits, aHostWithoutAHostListSendsNothingToAColdServer)
 {
     ColdLimiter limiter;
