Ask one place whether a cold server may get a request

Cause: only StreamForwarder asked ColdLimiter. PlainForwarder preferred the new server, which has the lowest cost.

Change: BackendCaller keeps the limiter. Both forwarders choose only among servers that may get one more request, and send() acquires the permit on the open connection, just before the first byte, also for calls that a peer relays. A server that gets no request for want of a permit does not count as unresponsive.

--- a/src/gateway/backendcaller.cpp
+++ b/src/gateway/backendcaller.cpp
@@ -82,16 +82,37 @@
 
 BackendCaller::BackendCaller(
     ServingView& view, ServerTracker& tracker, LimitPermits& limits,
-    ServerStatements& statements, ServerCalls& calls, ServerEndProbe& serverEnds)
+    ServerStatements& statements, ColdLimiter& coldLimiter, ServerCalls& calls, ServerEndProbe& serverEnds)
     : m_view(view)
     , m_tracker(tracker)
     , m_limits(limits)
     , m_statements(statements)
+    , m_coldLimiter(coldLimiter)
     , m_calls(calls)
     , m_serverEnds(serverEnds)
 {
 }
 
+double BackendCaller::coldRateOf(const PoolId& id) const
+{
+    const auto config = m_view.config();
+    const Pool* pool = config ? config->findPool(id) : nullptr;
+    return pool ? pool->coldRate : 0;
+}
+
+bool BackendCaller::mayReceiveWhileCold(const KnownServer& server, TimePoint now)
+{
+    return !server.isCold(now)
+        || m_coldLimiter.mayAcquire(server.server.id, coldRateOf(server.server.pool), now);
+}
+
+bool BackendCaller::acquireColdPermit(const ServerEntry& server, TimePoint now)
+{
+    const KnownServer* known = m_view.servers().findUsable(server.id, now);
+    return !known || !known->isCold(now)
+        || m_coldLimiter.tryAcquire(server.id, coldRateOf(server.pool), now);
+}
+
 Asio::awaitable<SendResult> BackendCaller::send(const ServedRequest& request,
     ServerEntry server, std::vector<std::string> inputs, std::string lastEventId,
     Milliseconds timeout)
@@ -114,7 +135,8 @@
     };
     auto sent = std::make_shared<bool>(false);
     HttpSendGate gate = [this, sent, server, scope = request.scope] {
-        *sent = mayReceive(server, CallCheck::Request) && m_statements.mayUsePlace(server);
+        *sent = mayReceive(server, CallCheck::Request) && m_statements.mayUsePlace(server)
+            && acquireColdPermit(server, RuntimeClock::now());
         if (*sent)
             scope->markSent();
         return *sent;
@@ -127,8 +149,10 @@
     const std::shared_ptr<void> place = m_statements.takePlace(server.id);
     SendResult result;
     std::string reason;
+    bool isWithheld = false;
     try {
         auto stream = co_await m_calls.open(std::move(target), std::move(call), std::move(gate));
+        isWithheld = !stream;
         if (stream)
             m_statements.record(server, startedAt, stream->head());
         result = classify(std::move(stream));
@@ -149,7 +173,7 @@
     result.place = place;
     const TimePoint now = RuntimeClock::now();
     logFailedSend(request, server, result, reason, now - startedAt);
-    const bool isInconclusive = request.scope->isOver()
+    const bool isInconclusive = request.scope->isOver() || isWithheld
         || (!*sent && !mayReceive(server, CallCheck::Request));
     m_tracker.onCallEnded(server.id,
         isInconclusive ? CallOutcome::Abandoned : callOutcomeOf(result.outcome), now - startedAt, now);
--- a/src/gateway/backendcaller.h
+++ b/src/gateway/backendcaller.h
@@ -4,6 +4,7 @@
 #include "gateway/servercalls.h"
 #include "gateway/serverendprobe.h"
 #include "gateway/serverstatements.h"
+#include "libserving/coldlimiter.h"
 #include "libserving/runobserver.h"
 #include "libserving/servertracker.h"
 #include "libserving/servingview.h"
@@ -71,9 +72,11 @@
 class BackendCaller {
 public:
     BackendCaller(ServingView& view, ServerTracker& tracker, LimitPermits& limits,
-        ServerStatements& statements, ServerCalls& calls,
+        ServerStatements& statements, ColdLimiter& coldLimiter, ServerCalls& calls,
         ServerEndProbe& serverEnds);
 
+    // Whether a server is warm, or cold and may get one more request of this host now. send() acquires the permit.
+    bool mayReceiveWhileCold(const KnownServer& server, TimePoint now);
     // Sends a caller's request. The timeout bounds the wait for the response header; the server is sent
     // the time left until the caller's deadline.
     boost::asio::awaitable<SendResult> send(const ServedRequest& request, ServerEntry server,
@@ -126,6 +129,9 @@
     boost::asio::awaitable<HttpResponse> readOwnResponse(
         HttpStream& stream, Milliseconds timeout, const ResponseCheck& isOwn);
     bool mayReceive(const ServerEntry& server, CallCheck check);
+    // Acquires a permit to send a request to a server that is cold.
+    bool acquireColdPermit(const ServerEntry& server, TimePoint now);
+    double coldRateOf(const PoolId& id) const;
     // Records what a response says about the server that is known at an address.
     void recordStatement(const Endpoint& endpoint, TimePoint sentAt, const HttpStream& stream);
     void reportRun(const ServedRequest& request, const ServerEntry& server, RunEnd end, TimePoint sentAt,
@@ -136,6 +142,7 @@
     ServerTracker& m_tracker;
     LimitPermits& m_limits;
     ServerStatements& m_statements;
+    ColdLimiter& m_coldLimiter;
     ServerCalls& m_calls;
     ServerEndProbe& m_serverEnds;
     RunObserver* m_runObserver = nullptr;
--- a/src/gateway/gatewaydaemon.cpp
+++ b/src/gateway/gatewaydaemon.cpp
@@ -78,7 +78,7 @@
     , m_relays(m_context, m_view, m_peers, settings.process.host, m_metrics)
     , m_calls(m_context, m_links, m_relays)
     , m_serverEnds(m_context, m_view, m_links, m_peers, settings.process.host)
-    , m_backendCaller(m_view, m_tracker, m_limits, m_statements, m_calls, m_serverEnds)
+    , m_backendCaller(m_view, m_tracker, m_limits, m_statements, m_coldLimiter, m_calls, m_serverEnds)
     , m_relayServer(m_context, m_backendCaller, m_metrics)
     , m_poisonSync(m_context, m_store, m_storeCalls, m_view, m_poison, settings.process.host)
     , m_crashMonitor(m_context, m_view, m_poison, m_poisonSync, m_serverEnds, m_metrics)
@@ -89,8 +89,7 @@
     , m_stageRunner(m_context, m_stageRouter)
     , m_streamOrigins(m_context, m_view, m_peers, settings.process.host, m_metrics)
     , m_plainForwarder(m_view, m_backendCaller, m_retries, m_poison)
-    , m_streamForwarder(m_view, m_backendCaller, m_retries, m_coldLimiter, m_stageRunner,
-          m_streamOrigins, m_poison)
+    , m_streamForwarder(m_view, m_backendCaller, m_retries, m_stageRunner, m_streamOrigins, m_poison)
     , m_gatewayMetrics(m_metrics)
     , m_requests(m_context, m_view, m_plainForwarder, m_streamForwarder, m_poison, m_gatewayMetrics)
     , m_callerServer(
--- a/src/gateway/plainforwarder.cpp
+++ b/src/gateway/plainforwarder.cpp
@@ -150,6 +150,8 @@
             continue;
         if (!checkAvailability(m_backendCaller.statements(), known->server, progress.outcome))
             continue;
+        if (!m_backendCaller.mayReceiveWhileCold(*known, now))
+            continue;
         const std::tuple sortKey(tracker.isAvoided(id, now), tracker.cost(id));
         if (!best || sortKey < bestSortKey) {
             best = known;
--- a/src/gateway/streamforwarder.cpp
+++ b/src/gateway/streamforwarder.cpp
@@ -45,11 +45,10 @@
 }
 
 StreamForwarder::StreamForwarder(ServingView& view, BackendCaller& backendCaller, RetryWindow& retries,
-    ColdLimiter& coldLimiter, StageRunner& stages, StreamOriginSync& origins, const PoisonTable& poison)
+    StageRunner& stages, StreamOriginSync& origins, const PoisonTable& poison)
     : m_view(view)
     , m_backendCaller(backendCaller)
     , m_retries(retries)
-    , m_coldLimiter(coldLimiter)
     , m_stages(stages)
     , m_origins(origins)
     , m_poison(poison)
--- a/src/gateway/streamforwarder.h
+++ b/src/gateway/streamforwarder.h
@@ -3,7 +3,6 @@
 #include "gateway/plainforwarder.h"
 #include "gateway/stagerunner.h"
 #include "gateway/streamoriginsync.h"
-#include "libserving/coldlimiter.h"
 #include "libserving/engineplacement.h"
 #include "libserving/eventsplitter.h"
 #include "libserving/firsteventestimator.h"
@@ -15,8 +14,7 @@
 class StreamForwarder {
 public:
     StreamForwarder(ServingView& view, BackendCaller& backendCaller, RetryWindow& retries,
-        ColdLimiter& coldLimiter, StageRunner& stages, StreamOriginSync& origins,
-        const PoisonTable& poison);
+        StageRunner& stages, StreamOriginSync& origins, const PoisonTable& poison);
 
     boost::asio::awaitable<ServedOutcome> serve(ServedRequest& request);
 
@@ -78,7 +76,6 @@
     ServingView& m_view;
     BackendCaller& m_backendCaller;
     RetryWindow& m_retries;
-    ColdLimiter& m_coldLimiter;
     StageRunner& m_stages;
     StreamOriginSync& m_origins;
     const PoisonTable& m_poison;
--- a/src/gateway/streamforwarderengines.cpp
+++ b/src/gateway/streamforwarderengines.cpp
@@ -94,7 +94,6 @@
 const KnownServer* StreamForwarder::chooseEngine(const ServedRequest& request, StreamProgress& progress)
 {
     const TimePoint now = RuntimeClock::now();
-    const Pool* pool = request.config->findPool(request.pool);
     const auto engines = m_placement.rank(request.caller, usableEngines(request, progress),
         progress.stages.inputBytes, m_backendCaller.tracker(), now);
     const bool isPermitUsable = std::any_of(engines.begin(), engines.end(),
@@ -106,8 +105,7 @@
         if (progress.permit != id
             && !checkAvailability(m_backendCaller.statements(), engine->server, progress.outcome))
             continue;
-        if (engine->isCold(now)
-            && !m_coldLimiter.tryAcquire(engine->server.id, pool ? pool->coldRate : 0, now))
+        if (!m_backendCaller.mayReceiveWhileCold(*engine, now))
             continue;
         return engine;
     }
--- a/tests/platform/gatewayfixture.h
+++ b/tests/platform/gatewayfixture.h
@@ -43,14 +43,14 @@
     Apricot::RelayClient relays { context, view, peers, Apricot::HostId("h1"), registry };
     Apricot::ServerCalls calls { context, links, relays };
     Apricot::ServerEndProbe serverEnds { context, view, links, peers, Apricot::HostId("h1") };
-    Apricot::BackendCaller backendCaller { view, tracker, limits, statements, calls, serverEnds };
+    Apricot::BackendCaller backendCaller { view, tracker, limits, statements, coldLimiter, calls, serverEnds };
     Apricot::StageHome home { context, view, backendCaller, poison };
     Apricot::StageRouter router { context, Apricot::HostId("h1"), view, home, peers };
     Apricot::StageRunner stages { context, router };
     Apricot::StreamOriginSync origins { context, view, peers, Apricot::HostId("h1"), registry };
     Apricot::PlainForwarder plainForwarder { view, backendCaller, retries, poison };
     Apricot::StreamForwarder streamForwarder {
-        view, backendCaller, retries, coldLimiter, stages, origins, poison
+        view, backendCaller, retries, stages, origins, poison
     };
     Apricot::GatewayMetrics metrics { registry };
     Apricot::RequestService requests {
