Count a server as cold when it is back after it refused connections

Cause: only the store's entry told a gateway that a server is cold.

Change: a refused connection shows that no process listens, so the first connection after one is to a new start: from then on the server counts as cold for its pool's cold time, or until its entry names another start. Weighed: connections that all broke (also when only the link was reset: sound servers would be used sparingly), health answers (a call for each return and host, priced), the stamp of the start in a response (the first response comes too late). A sound server whose link was cut gives no response instead of a refusal, so it is not held back.

--- a/src/gateway/backendlinks.cpp
+++ b/src/gateway/backendlinks.cpp
@@ -26,7 +26,7 @@
 
 }
 
-BackendLinks::BackendLinks(Asio::io_context& context, const ServingView& view)
+BackendLinks::BackendLinks(Asio::io_context& context, ServingView& view)
     : m_context(context)
     , m_view(view)
 {
@@ -44,18 +44,30 @@
         updateCutOff();
 }
 
-void BackendLinks::recordUnreachable(const Endpoint& server, const std::string& reason)
+void BackendLinks::recordUnreachable(const Endpoint& server, const boost::system::error_code& error)
 {
     const TimePoint now = RuntimeClock::now();
     if (m_table.recordUnreachable(server, now))
         writeLog(LogLevel::Info, "server_link_lost",
-            { { "address", toText(server) }, { "reason", reason }, { "lost_links", m_table.lostLinks() },
+            { { "address", toText(server) }, { "reason", error.message() }, { "lost_links", m_table.lostLinks() },
                 { "reached_ms_ago", millisecondsBetween(m_table.lastReachedAt(), now) } });
     updateCutOff();
+    // A cut link gives no response; a refusal shows that no process listens.
+    if (error == Asio::error::connection_refused)
+        m_refusing.insert(server);
     if (!std::exchange(m_isProbing, true))
         Asio::co_spawn(m_context, probeLostLinks(), Asio::detached);
 }
 
+void BackendLinks::recordConnected(const Endpoint& server)
+{
+    if (m_refusing.erase(server) == 0)
+        return;
+    const Milliseconds coldTime = m_view.markServerRestarted(server, RuntimeClock::now());
+    writeLog(LogLevel::Info, "server_counts_as_restarted",
+        { { "address", toText(server) }, { "cold_ms", coldTime.count() } });
+}
+
 bool BackendLinks::isCutOff() const
 {
     return m_table.isCutOff(RuntimeClock::now())
@@ -78,10 +90,12 @@
 {
     Endpoint target = m_translation ? m_translation(server) : server;
     const boost::system::error_code error = co_await tryConnect(m_context, std::move(target), probeTimeout);
-    if (error)
-        recordUnreachable(server, error.message());
-    else
+    if (error) {
+        recordUnreachable(server, error);
+    } else {
+        recordConnected(server);
         recordReached(server);
+    }
     co_return error;
 }
 
@@ -174,6 +188,7 @@
     for (const auto& [id, known] : m_view.servers().all())
         listed.insert(known.server.endpoint);
     m_table.retain(listed);
+    std::erase_if(m_refusing, [&listed](const Endpoint& server) { return !listed.contains(server); });
     updateCutOff();
 }
 
--- a/src/gateway/backendlinks.h
+++ b/src/gateway/backendlinks.h
@@ -5,13 +5,14 @@
 #include "libserving/servingview.h"
 
 #include <random>
+#include <set>
 
 namespace Apricot {
 
 // The links from this host to the backend servers: which are lost, and whether lost ones are back.
 class BackendLinks {
 public:
-    BackendLinks(boost::asio::io_context& context, const ServingView& view);
+    BackendLinks(boost::asio::io_context& context, ServingView& view);
 
     // Sets a translation for networks in which this host reaches servers at other addresses than listed.
     void setTranslation(AddressTranslation translation) { m_translation = std::move(translation); }
@@ -20,7 +21,10 @@
     void setChangeHandler(std::function<void()> handler) { m_changeHandler = std::move(handler); }
 
     void recordReached(const Endpoint& server);
-    void recordUnreachable(const Endpoint& server, const std::string& reason);
+    void recordUnreachable(const Endpoint& server, const boost::system::error_code& error);
+    // Records that a connection to a server was opened, before anything is sent on it. A server that refused connections
+    // before has started again, and counts as cold also while the store cannot say so.
+    void recordConnected(const Endpoint& server);
     // Whether calls to a server had better take another path.
     bool isLost(const Endpoint& server) const { return m_table.isLost(server, RuntimeClock::now()); }
     // Whether this host reaches no server.
@@ -46,10 +50,12 @@
     void updateCutOff();
 
     boost::asio::io_context& m_context;
-    const ServingView& m_view;
+    ServingView& m_view;
     AddressTranslation m_translation;
     std::function<void()> m_changeHandler;
     LinkTable m_table;
+    // Servers whose hosts refused a connection because no process listened.
+    std::set<Endpoint> m_refusing;
     bool m_isProbing = false;
     bool m_wasCutOff = false;
     std::minstd_rand m_random;
--- a/src/gateway/servercalls.cpp
+++ b/src/gateway/servercalls.cpp
@@ -48,6 +48,7 @@
     try {
         std::optional<Watchdog> silence;
         HttpSendGate watched = [&] {
+            m_links.recordConnected(server);
             isSent = !gate || gate();
             silence.emplace(m_context, silenceTime,
                 [this, server, sentAt = RuntimeClock::now()] { m_links.probeIfSilent(server, sentAt); });
@@ -63,7 +64,7 @@
     if (isSent)
         throw boost::system::system_error(failure);
     if (!cancel || !cancel->isCancelled())
-        m_links.recordUnreachable(server, failure.message());
+        m_links.recordUnreachable(server, failure);
     throw CallNotSentError(failure);
 }
 
--- a/src/libserving/serverdirectory.cpp
+++ b/src/libserving/serverdirectory.cpp
@@ -236,6 +236,13 @@
     return found == m_servers.end() ? nullptr : &found->second;
 }
 
+void ServerDirectory::markCold(const BackendServerId& id, TimePoint until)
+{
+    const auto known = m_servers.find(id);
+    if (known != m_servers.end())
+        known->second.coldUntil = std::max(known->second.coldUntil, until);
+}
+
 bool ServerDirectory::recordLeaving(const ServerStart& server)
 {
     const auto known = m_servers.find(server.server);
--- a/src/libserving/serverdirectory.h
+++ b/src/libserving/serverdirectory.h
@@ -54,6 +54,8 @@
     bool put(const ServerEntry& server, TimePoint now);
     // Records that a server said that it leaves: until its next start it counts as draining. Returns whether that is new.
     bool recordLeaving(const ServerStart& server);
+    // Counts a server as cold until a time at least, or until its entry names another start.
+    void markCold(const BackendServerId& id, TimePoint until);
     // Removes an entry. During an outage of the store, and for the grace time after it, the entry of a
     // server that is not draining is retained and marked as missing instead.
     void remove(const BackendServerId& id, TimePoint now);
--- a/src/libserving/servingview.cpp
+++ b/src/libserving/servingview.cpp
@@ -29,6 +29,16 @@
     return true;
 }
 
+Milliseconds ServingView::markServerRestarted(const Endpoint& endpoint, TimePoint now)
+{
+    const KnownServer* known = m_servers.findByAddress(endpoint);
+    const Pool* pool = known && m_config ? m_config->findPool(known->server.pool) : nullptr;
+    if (!pool)
+        return Milliseconds(0);
+    m_servers.markCold(known->server.id, now + pool->coldTime);
+    return pool->coldTime;
+}
+
 void ServingView::setOutOfServiceDomains(std::set<FailureDomainId> domains, TimePoint now)
 {
     const auto coldTimeOf = [this](const PoolId& id) {
--- a/src/libserving/servingview.h
+++ b/src/libserving/servingview.h
@@ -34,6 +34,8 @@
     ServerDirectory& servers() { return m_servers; }
     const ServerDirectory& servers() const { return m_servers; }
 
+    // Counts a server as cold for its pool's cold time. Returns that time, or zero if the server is not known.
+    Milliseconds markServerRestarted(const Endpoint& endpoint, TimePoint now);
     void setOutOfServiceDomains(std::set<FailureDomainId> domains, TimePoint now);
 
     void putHost(const HostId& id, const PeerHost& host);
--- a/tests/platform/coldservertest.cpp
+++ b/tests/platform/coldservertest.cpp
@@ -1,4 +1,6 @@
+#include "clustersupport.h"
 #include "gatewayfixture.h"
+#include "scriptedserver.h"
 
 #include "libnet/asyncevent.h"
 
@@ -27,6 +29,33 @@
             RuntimeClock::now());
     }
 
+    void setColdTime(Milliseconds time)
+    {
+        ServingConfig config = *view.config();
+        ++config.version;
+        config.pools.at(PoolId("plain")).coldTime = time;
+        view.applyConfig(std::move(config), view.configRevision() + 1);
+    }
+    // Starts a server at a port that counts its requests and closes each connection after its response.
+    std::unique_ptr<ScriptedServer> startAt(std::uint16_t port, int& requests)
+    {
+        return std::make_unique<ScriptedServer>(context, port, [&requests](const HttpRequest&) -> ScriptedResponse {
+            ++requests;
+            return { .parts = { "done" }, .framing = BodyFraming::Length, .end = ConnectionEnd::Close };
+        });
+    }
+
+    // Makes calls with time for the server to close its connection. Returns the number of complete responses of a server.
+    int callInTurn(int calls)
+    {
+        int served = 0;
+        for (int number = 0; number < calls; ++number) {
+            served += call("/once/x").status == 200 ? 1 : 0;
+            runFor(Milliseconds(15));
+        }
+        return served;
+    }
+
     int coldRequests = 0;
     int warmRequests = 0;
 };
@@ -62,3 +91,30 @@
     for (int request = 0; request < 20; ++request)
         LONGS_EQUAL(200, call("/once/x").status);
 }
+
+// Guards against a server that comes back cold under its ID while the store is away, and is taken for warm.
+TEST(ColdServer, countsAsColdWhenItIsBackAfterItRefusedConnections)
+{
+    setColdTime(Milliseconds(2000));
+    const std::uint16_t port = findFreePort();
+    view.servers().put({ .id = BackendServerId("back"),
+                           .pool = PoolId("plain"),
+                           .endpoint = { "127.0.0.1", port },
+                           .softwareVersion = SoftwareVersion("v1"),
+                           .startedAt = 1 },
+        RuntimeClock::now());
+    auto server = startAt(port, coldRequests);
+    LONGS_EQUAL(20, callInTurn(20));
+    server.reset();
+    LONGS_EQUAL(0, callInTurn(10));
+    server = startAt(port, coldRequests);
+    coldRequests = 0;
+    // Time in which the lost link is found to be back.
+    runFor(Milliseconds(600));
+    const int served = callInTurn(40);
+    // The pool's cold rate is zero, so only the tolerance is left.
+    CHECK_COMPARE(coldRequests, <=, 5);
+    CHECK_COMPARE(served, >, 0);
+    runFor(Milliseconds(2500));
+    LONGS_EQUAL(20, callInTurn(20));
+}
