--- a/tests/platform/malformedinputtest.cpp
+++ b/tests/platform/malformedinputtest.cpp
@@ -51,6 +51,19 @@
     return text;
 }
 
+// Whether a text is empty or its last line is blank. A line ends with CR LF, LF or CR.
+bool endsWithBlankLine(std::string_view text)
+{
+    if (text.empty())
+        return true;
+    if (text.ends_with("\r\n"))
+        text.remove_suffix(1);
+    if (!text.ends_with('\n') && !text.ends_with('\r'))
+        return false;
+    text.remove_suffix(1);
+    return text.empty() || text.ends_with('\n') || text.ends_with('\r');
+}
+
 // Mutates a text and passes it to a reader if it is still valid JSON.
 void readMutated(const char* text, std::uint64_t seed, const std::function<void(const json::value&)>& read)
 {
@@ -130,6 +143,6 @@
         for (const char byte : sent)
             events += splitter.feed(std::string_view(&byte, 1));
         RC_ASSERT(events + splitter.partialEvent() == sent);
-        RC_ASSERT(events.empty() || events.ends_with("\n\n") || events.ends_with("\r\n\r\n"));
+        RC_ASSERT(endsWithBlankLine(events));
     });
 }
