Ignore server entries with port zero, no service, or numbers out of range

An entry with port 0 or an empty service counted as a server, and numbers beyond the range of the integers that they are converted to have no defined result (a cold time of 1e17 ms, a number of the report of 1e300).

Depth is bounded already: UnreadableEntry, maxValueDepth.

--- a/tests/platform/objecttranslationtest.cpp
+++ b/tests/platform/objecttranslationtest.cpp
@@ -76,7 +76,14 @@
              R"({"service":"m1","addr":"nowhere","zone":"a","state":"ready"})",
              R"({"service":7,"addr":"10.0.0.1:1","zone":"a","state":"ready"})",
              R"({"service":"m1","addr":"10.0.0.1:1","state":"ready"})",
-             R"({"service":"m1","addr":"10.0.0.1:1","zone":"a","state":"ready","slots":"x"})" })
+             R"({"service":"m1","addr":"10.0.0.1:1","zone":"a","state":"ready","slots":"x"})",
+             R"({"service":"m1","addr":"10.0.0.1:65536","zone":"a","state":"ready"})",
+             R"({"service":"m1","addr":"10.0.0.1:0","zone":"a","state":"ready"})",
+             R"({"service":"","addr":"10.0.0.1:1","zone":"a","state":"ready"})",
+             R"({"service":"m1","addr":"10.0.0.1:1","zone":"a","state":"ready","slots":1e30})",
+             R"({"service":"m1","addr":"10.0.0.1:1","zone":"a","state":"ready","seq":1e300})",
+             R"({"service":"m1","addr":"10.0.0.1:1","zone":"a","state":"ready","born":-1e20})",
+             R"({"service":"m1","addr":"10.0.0.1:1","zone":"a","state":"ready","coldLeftMs":1e17})" })
         CHECK_TEXT(!readServer(text), text);
 }
 
