--- a/tests/platform/objecttranslationtest.cpp
+++ b/tests/platform/objecttranslationtest.cpp
@@ -49,6 +49,27 @@
         CHECK_THROWS(std::exception, Platform::readServingConfig(boost::json::parse(text)));
 }
 
+// Guards against requests of a route whose stages cannot be planned: their connections were closed without an answer.
+TEST(ObjectTranslation, rejectsAConfigurationWithAStageAfterALaterOne)
+{
+    const auto read = [](const std::string& after) {
+        return Platform::readServingConfig(boost::json::parse(
+            R"({"version":1,"services":[],"routes":[{"host":"h","pathPrefix":"/a/","service":"m","stages":[)"
+            R"({"service":"s","after":[]},{"service":"s","after":[)"
+            + after + "]}]}]}"));
+    };
+    LONGS_EQUAL(2, read("0").routes.at(0).stages.size());
+    for (const char* after : { "1", "2", "-1", "0,1" }) {
+        std::string reason;
+        try {
+            read(after);
+        } catch (const std::exception& error) {
+            reason = error.what();
+        }
+        STRCMP_CONTAINS("stages[1].after: expected the number of an earlier stage", reason.c_str());
+    }
+}
+
 TEST(ObjectTranslation, readsAServerEntry)
 {
     const auto server = readServer(serverText);
