--- a/src/gateway/refusals.cpp
+++ b/src/gateway/refusals.cpp
@@ -28,6 +28,8 @@
         return "version_unavailable";
     case GatewayRefusal::UnknownRoute:
         return "unknown_route";
+    case GatewayRefusal::TooManyPieces:
+        return "too_many_pieces";
     case GatewayRefusal::UnknownKey:
         return "unknown_key";
     case GatewayRefusal::ServerFailed:
@@ -53,6 +55,8 @@
         return 503;
     case GatewayRefusal::UnknownRoute:
         return 404;
+    case GatewayRefusal::TooManyPieces:
+        return 400;
     case GatewayRefusal::UnknownKey:
         return 401;
     case GatewayRefusal::ServerFailed:
--- a/src/gateway/refusals.h
+++ b/src/gateway/refusals.h
@@ -27,6 +27,8 @@
     VersionUnavailable,
     // A retry will be refused too.
     UnknownRoute,
+    // A stage has more pieces than any request may have.
+    TooManyPieces,
     UnknownKey,
     // The request may have run.
     ServerFailed,
--- a/src/gateway/requestservice.cpp
+++ b/src/gateway/requestservice.cpp
@@ -149,6 +149,11 @@
         co_await refuse(exchange, GatewayRefusal::UnknownRoute);
         co_return refusalOutcome(GatewayRefusal::UnknownRoute);
     }
+    if (std::any_of(caller.stagePieces.begin(), caller.stagePieces.end(),
+            [](int pieces) { return pieces > maxStagePieces; })) {
+        co_await refuse(exchange, GatewayRefusal::TooManyPieces);
+        co_return refusalOutcome(GatewayRefusal::TooManyPieces);
+    }
     labels.kind = routeKindName(route->retryRule);
     const Owner* owner = config->findOwner(caller.apiKey);
     if (!owner && !route->isPublic && config->requiresKeys()) {
--- a/src/libserving/callerrequest.h
+++ b/src/libserving/callerrequest.h
@@ -17,6 +17,9 @@
     auto operator<=>(const PromptPart&) const = default;
 };
 
+// Largest number of pieces of a stage. Each one takes memory of the stage's home before it is made.
+constexpr int maxStagePieces = 4096;
+
 // A caller's request as decoded from its headers.
 struct CallerRequest {
     // Identifies this attempt of the caller.
--- a/tests/platform/gatewaytest.cpp
+++ b/tests/platform/gatewaytest.cpp
@@ -218,3 +218,12 @@
     CHECK(!response.field("Retry-After").empty());
     CHECK(RuntimeClock::now() - startedAt < Milliseconds(1000));
 }
+
+// Guards against memory that a stage's home takes for the pieces of one request.
+TEST(Gateway, refusesARequestWithMorePiecesThanAnyMayHave)
+{
+    addStageServer();
+    for (const char* counts : { "4097", "1,2147483647" })
+        LONGS_EQUAL(400, call("/stream/x", { { std::string(Names::pieceCountsField), counts } }).status);
+    LONGS_EQUAL(0, stageCalls);
+}
