Forget the sends to cold servers that are gone

It keeps those that are known and those that got a request within the window, because an entry may come back. EnginePlacement keeps what it knows of replicas that are gone; open.

--- a/src/gateway/backendcaller.cpp
+++ b/src/gateway/backendcaller.cpp
@@ -380,6 +380,7 @@
         endpoints.insert(known.server.endpoint);
     }
     m_tracker.retain(ids);
+    m_coldLimiter.retain(ids, RuntimeClock::now());
     m_statements.onViewChanged();
     m_calls.retain(endpoints);
     m_calls.links().removeUnknownServers();
--- a/src/libserving/coldlimiter.cpp
+++ b/src/libserving/coldlimiter.cpp
@@ -54,6 +54,14 @@
     return true;
 }
 
+void ColdLimiter::retain(const std::set<BackendServerId>& servers, TimePoint now)
+{
+    std::erase_if(m_sendTimes, [&](const auto& entry) {
+        const bool isCounted = !entry.second.empty() && now < entry.second.back() + rateWindow;
+        return !servers.contains(entry.first) && !isCounted;
+    });
+}
+
 int ColdLimiter::hostShare(const BackendServerId& server, double coldRate, TimePoint now) const
 {
     if (!m_hosts.isListed(m_self))
--- a/src/libserving/coldlimiter.h
+++ b/src/libserving/coldlimiter.h
@@ -4,7 +4,7 @@
 
 #include <deque>
 #include <map>
-#include <vector>
+#include <set>
 
 namespace Apricot {
 
@@ -34,6 +34,9 @@
     // up and the request must go to another server.
     bool tryAcquire(const BackendServerId& server, double coldRate, TimePoint now);
 
+    // Removes the state of servers other than these to which no request was sent lately: an entry may come back.
+    void retain(const std::set<BackendServerId>& servers, TimePoint now);
+
 private:
     int hostShare(const BackendServerId& server, double coldRate, TimePoint now) const;
 
