Test streams of a new version at a host that stood still when it joined

It does not happen here: a host that resumes a stream asks two others for its origin, and without a response, or with one that knows several versions, refuses it. The new test passes on the code as it was: 30 streams begun at other hosts while one stands still and six servers of a second version join, resumed at it as soon as it wakes, none joined. Not tried: a host whose peers' lists are as old as its own (relayed fleets), and a replica that starts again under its id with another version.

--- a/tests/clusters/streamversiontest.cpp
+++ b/tests/clusters/streamversiontest.cpp
@@ -243,3 +243,29 @@
     CHECK_TRUE(cluster.call(1, resumptionOf(begun.id, "stream")).isComplete);
     LONGS_EQUAL(2, versionsOf["stream"].size());
 }
+
+// Guards against a host that stood still while servers of another version joined, and takes the version that it knows for
+// the only one.
+TEST(StreamVersion, aStreamOfANewVersionIsNotJoinedAtAHostThatStoodStillWhenItJoined)
+{
+    GatewayCluster cluster { hostCount, ClusterRetries::Never };
+    constexpr std::size_t still = hostCount - 1;
+    addEngines(cluster, "v1", 2);
+    cluster.waitUntilReady();
+    // Until the hosts have known a single version for as long as a stream lasts.
+    cluster.runFor(Milliseconds(7000));
+    cluster.setSuspended(still, true);
+    addEngines(cluster, "v2", 6);
+    cluster.runFor(Milliseconds(1500));
+    std::vector<std::string> begun;
+    for (int index = 0; index < streamCount; ++index)
+        begun.push_back(
+            cluster.call(static_cast<std::size_t>(index) % still, { .path = "/stream/x", .content = streamName(index) }).id);
+    cluster.setSuspended(still, false);
+    for (int index = 0; index < streamCount; ++index)
+        cluster.send(still, resumptionOf(begun[static_cast<std::size_t>(index)], streamName(index)));
+    cluster.runFor(Milliseconds(3000));
+    LONGS_EQUAL(0, countJoinedStreams());
+    CHECK_TRUE(std::any_of(versionsOf.begin(), versionsOf.end(),
+        [](const auto& stream) { return stream.second.front() == "v2"; }));
+}
