--- a/tests/clusters/streamversiontest.cpp
+++ b/tests/clusters/streamversiontest.cpp
@@ -258,6 +258,7 @@
     addEngines(cluster, "v2", 6);
     cluster.runFor(Milliseconds(1500));
     std::vector<std::string> begun;
+    begun.reserve(streamCount);
     for (int index = 0; index < streamCount; ++index)
         begun.push_back(
             cluster.call(static_cast<std::size_t>(index) % still, { .path = "/stream/x", .content = streamName(index) }).id);
--- a/tests/platform/viewagetest.cpp
+++ b/tests/platform/viewagetest.cpp
@@ -25,6 +25,7 @@
 std::vector<HostId> hostIds()
 {
     std::vector<HostId> ids;
+    ids.reserve(hostCount);
     for (int host = 0; host < hostCount; ++host)
         ids.emplace_back("host-" + std::to_string(host));
     return ids;
