Let a host that has left use its part of the bound of cold servers

All other hosts count it until its grace time and the window have passed, so it may use its part as long.

ServingLimits and RetryWindow pass.

--- a/src/libserving/coldlimiter.cpp
+++ b/src/libserving/coldlimiter.cpp
@@ -64,7 +64,7 @@
 
 int ColdLimiter::hostShare(const BackendServerId& server, double coldRate, TimePoint now) const
 {
-    if (!m_hosts.isListed(m_self))
+    if (!m_hosts.contains(m_self, now))
         return 0;
     const std::vector<HostId> hosts = m_hosts.all(now);
     const double bound = usedShare * (coldRate * m_options.overshoot + m_options.tolerance);
--- a/src/libserving/coldlimiter.h
+++ b/src/libserving/coldlimiter.h
@@ -26,7 +26,8 @@
     explicit ColdLimiter(ColdLimiterOptions options = {}, TimePoint startedAt = TimePoint::min());
 
     void setOptions(const ColdLimiterOptions& options);
-    // Sets this host's own ID and the IDs of all listed hosts. While this host is not among them, no request is permitted.
+    // Sets this host's own ID and the IDs of all listed hosts. No request is permitted until this host is among them, nor
+    // once it has left and its part no longer counts.
     void setHosts(HostId self, const std::vector<HostId>& hosts, TimePoint now);
     // Whether a permit would be acquired.
     bool mayAcquire(const BackendServerId& server, double coldRate, TimePoint now);
--- a/src/libserving/sharinghosts.cpp
+++ b/src/libserving/sharinghosts.cpp
@@ -21,9 +21,13 @@
     m_listed = hosts;
 }
 
-bool SharingHosts::isListed(const HostId& host) const
+bool SharingHosts::contains(const HostId& host, TimePoint now) const
 {
-    return std::find(m_listed.begin(), m_listed.end(), host) != m_listed.end();
+    if (m_listed.empty())
+        return false;
+    const auto left = m_left.find(host);
+    return std::find(m_listed.begin(), m_listed.end(), host) != m_listed.end()
+        || (left != m_left.end() && isCounted(left->second, now));
 }
 
 bool SharingHosts::isCounted(TimePoint leftAt, TimePoint now) const
--- a/src/libserving/sharinghosts.h
+++ b/src/libserving/sharinghosts.h
@@ -16,7 +16,7 @@
 };
 
 // The hosts that share a bound over all hosts: those that are listed, and those that have left the list and may still
-// send, or have sent what still counts. A listed host has one part among them; a host that is not listed has none.
+// send, or have sent what still counts. Each of them has one part.
 class SharingHosts {
 public:
     explicit SharingHosts(SharingHostsOptions options = {});
@@ -24,7 +24,8 @@
     void setOptions(const SharingHostsOptions& options) { m_options = options; }
     // Sets the listed hosts, none if they are not known.
     void setListed(const std::vector<HostId>& hosts, TimePoint now);
-    bool isListed(const HostId& host) const;
+    // Whether a host is one of those that share the bound.
+    bool contains(const HostId& host, TimePoint now) const;
     // The number of hosts that share the bound, zero while no host is listed.
     std::size_t count(TimePoint now) const;
     // The hosts that share the bound, none while no host is listed.
