--- a/tests/clusters/relayedcalltest.cpp
+++ b/tests/clusters/relayedcalltest.cpp
@@ -1,8 +1,11 @@
 #include "gatewaycluster.h"
 
+#include "platform/names.h"
+
 #include <CppUTest/TestHarness.h>
 
 using namespace Apricot;
+namespace Names = PlatformNames;
 
 namespace {
 
@@ -155,8 +158,9 @@
     int refusals = 0;
     pair.addScriptedServer("engines", "v1", [&](const HttpRequest& request) -> ScriptedResponse {
         if (refusals++ == 0) {
-            const std::string refusal = "HTTP/1.1 409 Conflict\r\nApricotpier-Not-Executed: 1\r\nApricotpier-Request-Id: "
-                + std::string(request.field("Apricotpier-Request-Id")) + "\r\nContent-Length: 0\r\n\r\n";
+            const std::string refusal = "HTTP/1.1 409 Conflict\r\n" + std::string(Names::notRunField) + ": 1\r\n"
+                + std::string(Names::requestIdField) + ": " + std::string(request.field(Names::requestIdField))
+                + "\r\nContent-Length: 0\r\n\r\n";
             return { .rawBytes = refusal, .extraBytes = refusal };
         }
         ++runs;
