Follow the operator's orders to roll out versions

Cause: nothing read rollouts/SERVICE, so a new version got half of the traffic at once and no order was completed or reverted.

--- a/src/emulator/platform/platformserver.cpp
+++ b/src/emulator/platform/platformserver.cpp
@@ -22,6 +22,8 @@
     // Maximum number of objects on one page of a list.
     constexpr std::size_t pageLength = 500;
     constexpr std::string_view jsonType = "application/json";
+    // Ends the path on which the status of an object is written.
+    constexpr std::string_view statusSuffix = "/status";
     constexpr Milliseconds watchTimeoutDefault { 10000 };
     constexpr Milliseconds watchTimeoutLimit { 60000 };
     // Time for which a call of a cut-off host is held before its connection is closed.
@@ -53,13 +55,26 @@
 
     std::string objectName(const std::string& key) { return key.substr(key.find('/') + 1); }
 
+    // What the store holds for an object: what its writer set, and what is written about it on its status path.
+    json::value storedValue(json::value spec, json::value status)
+    {
+        return json::object { { "spec", std::move(spec) }, { "status", std::move(status) } };
+    }
+
+    json::value memberOf(const json::value& stored, std::string_view name)
+    {
+        const json::object* object = stored.if_object();
+        const json::value* member = object ? object->if_contains(name) : nullptr;
+        return member ? *member : json::value(nullptr);
+    }
+
     json::value objectJson(const StoreObject& object)
     {
         json::object metadata { { "name", objectName(object.key) }, { "revision", object.version },
             { "created", object.version }, { "finalizers", json::array() },
             { "deletionPending", false } };
-        return json::object { { "metadata", std::move(metadata) }, { "spec", object.value },
-            { "status", nullptr } };
+        return json::object { { "metadata", std::move(metadata) }, { "spec", memberOf(object.value, "spec") },
+            { "status", memberOf(object.value, "status") } };
     }
 
     json::value eventsJson(const StoreEvents& events)
@@ -102,13 +117,14 @@
         std::optional<ObjectVersion> ifVersion;
     };
 
-    WrittenObject parseWrittenObject(const HttpRequest& request)
+    // Parses a write of an object's "spec" or "status".
+    WrittenObject parseWrittenObject(const HttpRequest& request, std::string_view member = "spec")
     {
         try {
             const json::value body = json::parse(request.body);
             const json::object& metadata = body.at("metadata").as_object();
             WrittenObject written { .name = std::string(metadata.at("name").as_string()),
-                .value = body.at("spec") };
+                .value = body.at(member) };
             if (const json::value* revision = metadata.if_contains("revision"))
                 written.ifVersion = revision->to_number<ObjectVersion>();
             return written;
@@ -318,12 +334,17 @@
     } else if (request.method == "POST") {
         WrittenObject object = parseWrittenObject(request);
         writtenKey += "/" + object.name;
-        result = m_store.put(writtenKey, std::move(object.value), 0);
+        result = m_store.put(writtenKey, storedValue(std::move(object.value), nullptr), 0);
     } else if (request.method == "PUT") {
-        WrittenObject object = parseWrittenObject(request);
-        const bool exists = m_store.get(key, m_store.revision()).has_value();
-        result = exists ? m_store.put(key, std::move(object.value), object.ifVersion)
-                        : StoreResult(StoreConflict {});
+        const bool isStatus = key.ends_with(statusSuffix) && std::count(key.begin(), key.end(), '/') > 1;
+        if (isStatus)
+            writtenKey.resize(key.size() - statusSuffix.size());
+        WrittenObject object = parseWrittenObject(request, isStatus ? "status" : "spec");
+        const auto existing = m_store.get(writtenKey, m_store.revision());
+        json::value value = !existing ? json::value(nullptr)
+            : isStatus                ? storedValue(memberOf(existing->value, "spec"), std::move(object.value))
+                                      : storedValue(std::move(object.value), memberOf(existing->value, "status"));
+        result = existing ? m_store.put(writtenKey, std::move(value), object.ifVersion) : StoreResult(StoreConflict {});
     } else {
         co_return co_await respondError(exchange, 405, "method not allowed");
     }
--- a/src/gateway/backendcaller.cpp
+++ b/src/gateway/backendcaller.cpp
@@ -82,7 +82,8 @@
 
 BackendCaller::BackendCaller(
     ServingView& view, ServerTracker& tracker, LimitPermits& limits,
-    ServerStatements& statements, ColdLimiter& coldLimiter, ServerCalls& calls, ServerEndProbe& serverEnds)
+    ServerStatements& statements, ColdLimiter& coldLimiter, ServerCalls& calls, ServerEndProbe& serverEnds,
+    RolloutObserver& rollouts)
     : m_view(view)
     , m_tracker(tracker)
     , m_limits(limits)
@@ -90,6 +91,7 @@
     , m_coldLimiter(coldLimiter)
     , m_calls(calls)
     , m_serverEnds(serverEnds)
+    , m_rollouts(rollouts)
 {
 }
 
@@ -147,6 +149,7 @@
         .timeLeft = std::max(request.timeLeft(startedAt), Milliseconds(1)) };
     m_tracker.onCallStarted(server.id);
     const std::shared_ptr<void> place = m_statements.takePlace(server.id);
+    const std::shared_ptr<void> run = m_rollouts.trackRun(server);
     SendResult result;
     std::string reason;
     bool isWithheld = false;
@@ -171,6 +174,7 @@
             result.outcome = *sent ? SendOutcome::Cancelled : SendOutcome::NotSent;
     }
     result.place = place;
+    result.run = run;
     const TimePoint now = RuntimeClock::now();
     logFailedSend(request, server, result, reason, now - startedAt);
     const bool isInconclusive = request.scope->isOver() || isWithheld
--- a/src/gateway/backendcaller.h
+++ b/src/gateway/backendcaller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/requestscope.h"
+#include "gateway/rollout/rolloutobserver.h"
 #include "gateway/servercalls.h"
 #include "gateway/serverendprobe.h"
 #include "gateway/serverstatements.h"
@@ -30,6 +31,8 @@
 struct SendResult {
     // The request's place at the server; see ServerStatements. Destroyed after the response.
     std::shared_ptr<void> place;
+    // Counts as a run of its version; see RolloutObserver. Destroyed after the response.
+    std::shared_ptr<void> run;
     SendOutcome outcome = SendOutcome::NotSent;
     // The response, if it has started.
     std::unique_ptr<HttpStream> stream;
@@ -73,7 +76,7 @@
 public:
     BackendCaller(ServingView& view, ServerTracker& tracker, LimitPermits& limits,
         ServerStatements& statements, ColdLimiter& coldLimiter, ServerCalls& calls,
-        ServerEndProbe& serverEnds);
+        ServerEndProbe& serverEnds, RolloutObserver& rollouts);
 
     // Whether a server is warm, or cold and may get one more request of this host now. send() acquires the permit.
     bool mayReceiveWhileCold(const KnownServer& server, TimePoint now);
@@ -122,6 +125,7 @@
     // Permits for servers with a limit; acquire one before each call, except those without a check.
     LimitPermits& limits() { return m_limits; }
     ServerStatements& statements() { return m_statements; }
+    RolloutObserver& rollouts() { return m_rollouts; }
     // Removes the state of servers that have left the view, and closes their connections.
     void removeUnknownServers();
 
@@ -145,6 +149,7 @@
     ColdLimiter& m_coldLimiter;
     ServerCalls& m_calls;
     ServerEndProbe& m_serverEnds;
+    RolloutObserver& m_rollouts;
     RunObserver* m_runObserver = nullptr;
 };
 
--- a/src/gateway/gatewaydaemon.cpp
+++ b/src/gateway/gatewaydaemon.cpp
@@ -3,6 +3,7 @@
 #include "libnet/asyncevent.h"
 #include "libnet/daemon.h"
 #include "libnet/log.h"
+#include "platform/rollouttranslation.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -78,12 +79,15 @@
     , m_relays(m_context, m_view, m_peers, settings.process.host, m_metrics)
     , m_calls(m_context, m_links, m_relays)
     , m_serverEnds(m_context, m_view, m_links, m_peers, settings.process.host)
-    , m_backendCaller(m_view, m_tracker, m_limits, m_statements, m_coldLimiter, m_calls, m_serverEnds)
+    , m_rolloutObserver(m_view, m_metrics)
+    , m_backendCaller(
+          m_view, m_tracker, m_limits, m_statements, m_coldLimiter, m_calls, m_serverEnds, m_rolloutObserver)
     , m_relayServer(m_context, m_backendCaller, m_metrics)
     , m_poisonSync(m_context, m_store, m_storeCalls, m_view, m_poison, settings.process.host)
     , m_crashMonitor(m_context, m_view, m_poison, m_poisonSync, m_serverEnds, m_metrics)
     , m_peerViewSync(m_context, m_viewUpdater, m_view, m_peers, settings.process.host,
           parseEndpoints(settings.seeds).value_or(std::vector<Endpoint>()))
+    , m_rolloutSync(m_context, m_view, m_rolloutObserver, m_store, m_storeCalls, m_peers, settings.process.host, m_metrics)
     , m_stageHome(m_context, m_view, m_backendCaller, m_poison)
     , m_stageRouter(m_context, settings.process.host, m_view, m_stageHome, m_peers)
     , m_stageRunner(m_context, m_stageRouter)
@@ -127,6 +131,8 @@
     m_viewUpdater.setConfirmedHandler([this] { m_peerViewSync.onConfirmed(); });
     m_viewUpdater.setPoisonHandlers([this](const PlatformList& list) { m_poisonSync.applyList(list); },
         [this](const PlatformEvent& event) { m_poisonSync.applyEvent(event); });
+    if (m_rolloutObserver.isEnabled())
+        followRollouts();
     m_backendCaller.setRunObserver(m_crashMonitor);
     m_requests.setProbationHandler(
         [this](const std::vector<PoisonSubject>& refused) { return m_poisonSync.tryStartProbation(refused); });
@@ -148,6 +154,7 @@
     m_viewUpdater.start();
     m_peerViewSync.start();
     m_poisonSync.start();
+    m_rolloutSync.start();
     Asio::co_spawn(m_context, waitForStop(), Asio::detached);
     Asio::co_spawn(m_context, waitForReload(), Asio::detached);
 }
@@ -161,6 +168,37 @@
         m_backendCaller.removeUnknownServers();
     }
     m_crashMonitor.onServersChanged();
+    m_rolloutObserver.refresh();
+}
+
+void GatewayDaemon::applyRollout(const PlatformObject& object)
+{
+    if (const auto rollout = Platform::readRollout(object))
+        m_rolloutObserver.apply(*rollout);
+    else
+        writeLog(LogLevel::Warning, "rollout_order_ignored", { { "key", object.key }, { "revision", object.version } });
+}
+
+void GatewayDaemon::followRollouts()
+{
+    m_viewUpdater.followRollouts(
+        [this](const PlatformList& list) {
+            std::set<PoolId> removed;
+            for (const auto& [pool, known] : m_rolloutObserver.routing().known())
+                removed.insert(pool);
+            for (const PlatformObject& object : list.objects) {
+                removed.erase(Platform::poolOfRollout(object.key));
+                applyRollout(object);
+            }
+            for (const PoolId& pool : removed)
+                m_rolloutObserver.remove(pool);
+        },
+        [this](const PlatformEvent& event) {
+            if (event.value)
+                applyRollout({ event.key, event.version, *event.value, event.status });
+            else
+                m_rolloutObserver.remove(Platform::poolOfRollout(event.key));
+        });
 }
 
 void GatewayDaemon::onHostsChanged()
@@ -223,6 +261,8 @@
         text = m_streamOrigins.respondTo(request.json);
     else if (request.topic == LimitPermits::permitTopic)
         text = m_limits.respondTo(request.json);
+    else if (request.topic == RolloutSync::topic)
+        text = m_rolloutSync.respondTo(request.json);
     else if (request.topic == ServerEndProbe::topic)
         text = co_await m_serverEnds.respondTo(std::move(request.json));
     else
@@ -270,6 +310,7 @@
         .leavingTime = toMilliseconds(m_settings.graceSeconds) });
     m_viewUpdater.setSettleTime(
         missedHeartbeats * toMilliseconds(m_settings.serverHeartbeatSeconds) + storeDelayMargin);
+    m_rolloutObserver.routing().setOptions({ .exposureShare = m_settings.rolloutShare });
     m_coldLimiter.setOptions({ .overshoot = m_settings.coldOvershoot,
         .tolerance = m_settings.coldTolerance,
         .leavingTime = toMilliseconds(m_settings.graceSeconds) });
--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -4,6 +4,7 @@
 #include "gateway/peerviewsync.h"
 #include "gateway/relayserver.h"
 #include "gateway/requestservice.h"
+#include "gateway/rollout/rolloutsync.h"
 #include "gateway/servingviewupdater.h"
 #include "libnet/adminserver.h"
 #include "libserving/gatewaysettings.h"
@@ -38,6 +39,8 @@
     boost::asio::awaitable<void> shutDown();
     void onViewChanged();
     void onHostsChanged();
+    void followRollouts();
+    void applyRollout(const PlatformObject& object);
     void reload();
     void applyLimits();
     HealthReport health() const;
@@ -62,11 +65,13 @@
     RelayClient m_relays;
     ServerCalls m_calls;
     ServerEndProbe m_serverEnds;
+    RolloutObserver m_rolloutObserver;
     BackendCaller m_backendCaller;
     RelayServer m_relayServer;
     PoisonSync m_poisonSync;
     CrashMonitor m_crashMonitor;
     PeerViewSync m_peerViewSync;
+    RolloutSync m_rolloutSync;
     StageHome m_stageHome;
     StageRouter m_stageRouter;
     StageRunner m_stageRunner;
--- a/src/gateway/plainforwarder.cpp
+++ b/src/gateway/plainforwarder.cpp
@@ -108,6 +108,11 @@
     ++progress.runs;
     const bool mayRetry
         = request.route.isRetryable() && progress.runs < request.route.attemptLimit;
+    const std::string& route = request.route.name;
+    RolloutObserver& rollouts = m_backendCaller.rollouts();
+    if (sent.outcome == SendOutcome::Broken || sent.outcome == SendOutcome::TimedOut
+        || sent.status >= statusServerError)
+        rollouts.recordFailure(route, server);
     if (sent.outcome != SendOutcome::Responded)
         co_return !mayRetry;
     if (mayRetry && sent.status >= statusServerError && nextServer(request, progress) != nullptr) {
@@ -117,6 +122,10 @@
     sent.stream->setTimeout(std::max(request.timeLeft(RuntimeClock::now()), Milliseconds(1)));
     std::optional<ResponseBody> body
         = co_await m_backendCaller.readResponse(request, server, *sent.stream, sentAt);
+    if (body && sent.status < statusServerError)
+        rollouts.recordSuccess(route, server, RuntimeClock::now() - sentAt);
+    else if (!body && sent.status < statusServerError && !request.scope->isOver())
+        rollouts.recordFailure(route, server);
     if (!body && mayRetry && nextServer(request, progress) != nullptr)
         co_return false;
     const ServedOutcome forwarded = co_await forwardResponse(request, *sent.stream, std::move(body));
@@ -143,8 +152,10 @@
     const TimePoint now = RuntimeClock::now();
     const ServerTracker& tracker = m_backendCaller.tracker();
     const KnownServer* best = nullptr;
-    std::tuple<bool, double> bestSortKey;
-    for (const KnownServer* known : m_view.servers().usable(request.pool, now)) {
+    std::tuple<bool, bool, double> bestSortKey;
+    RolloutObserver& rollouts = m_backendCaller.rollouts();
+    const bool isRepeat = progress.outcome.sends > 0;
+    for (const KnownServer* known : rollouts.usableServers(request.pool, request.caller.id, isRepeat)) {
         const BackendServerId& id = known->server.id;
         if (progress.tried.contains(id))
             continue;
@@ -152,7 +163,8 @@
             continue;
         if (!m_backendCaller.mayReceiveWhileCold(*known, now))
             continue;
-        const std::tuple sortKey(tracker.isAvoided(id, now), tracker.cost(id));
+        const bool isPreferred = rollouts.isPreferred(known->server, request.caller.id, isRepeat);
+        const std::tuple sortKey(!isPreferred, tracker.isAvoided(id, now), tracker.cost(id));
         if (!best || sortKey < bestSortKey) {
             best = known;
             bestSortKey = sortKey;
--- a/src/gateway/servingviewupdater.cpp
+++ b/src/gateway/servingviewupdater.cpp
@@ -59,6 +59,13 @@
             .maxRelayedBytes = maxRelayedBytes };
     }
 
+    StoreFollowerOptions rolloutOptions()
+    {
+        return { .prefix = std::string(PlatformNames::rolloutsPrefix),
+            .batchDelay = Milliseconds(100),
+            .isConfirmedByOthers = true };
+    }
+
     std::string objectName(const std::string& key) { return key.substr(key.find('/') + 1); }
 
 }
@@ -116,6 +123,10 @@
               if (m_onPoisonChanged)
                   m_onPoisonChanged(event);
           }))
+    , m_rolloutFollower(makeFollower(
+          rolloutOptions(),
+          [this](const PlatformList& list) { m_onRolloutsListed(list); },
+          [this](const PlatformEvent& event) { m_onRolloutChanged(event); }))
 {
 }
 
@@ -126,6 +137,13 @@
     m_onPoisonChanged = std::move(onChanged);
 }
 
+void ServingViewUpdater::followRollouts(std::function<void(const PlatformList&)> onListed,
+    std::function<void(const PlatformEvent&)> onChanged)
+{
+    m_onRolloutsListed = std::move(onListed);
+    m_onRolloutChanged = std::move(onChanged);
+}
+
 StoreFollower ServingViewUpdater::makeFollower(StoreFollowerOptions options,
     std::function<void(const PlatformList&)> onListed,
     std::function<void(const PlatformEvent&)> onChanged)
@@ -184,17 +202,23 @@
     m_serversFollower.start();
     m_evacuationsFollower.start();
     m_poisonFollower.start();
+    if (m_onRolloutsListed)
+        m_rolloutFollower.start();
 }
 
 std::vector<StoreFollower*> ServingViewUpdater::followers()
 {
-    return { &m_configFollower, &m_serversFollower, &m_evacuationsFollower, &m_hostsFollower,
+    std::vector<StoreFollower*> all { &m_configFollower, &m_serversFollower, &m_evacuationsFollower, &m_hostsFollower,
         &m_poisonFollower };
+    if (m_onRolloutsListed)
+        all.push_back(&m_rolloutFollower);
+    return all;
 }
 
 std::array<const StoreFollower*, ServingViewUpdater::followerCount> ServingViewUpdater::allFollowers() const
 {
-    return { &m_configFollower, &m_serversFollower, &m_evacuationsFollower, &m_hostsFollower, &m_poisonFollower };
+    return { &m_configFollower, &m_serversFollower, &m_evacuationsFollower, &m_hostsFollower, &m_poisonFollower,
+        &m_rolloutFollower };
 }
 
 bool ServingViewUpdater::isStoreLost() const
--- a/src/gateway/servingviewupdater.h
+++ b/src/gateway/servingviewupdater.h
@@ -32,6 +32,9 @@
     // Called with what the store contains about requests that crash servers.
     void setPoisonHandlers(std::function<void(const PlatformList&)> onListed,
         std::function<void(const PlatformEvent&)> onChanged);
+    // Follows the operator's orders to roll out versions too. Called before start().
+    void followRollouts(std::function<void(const PlatformList&)> onListed,
+        std::function<void(const PlatformEvent&)> onChanged);
     // Called after changes of the view, once for those that arrived together.
     void setChangeHandler(std::function<void()> handler) { m_changeHandler = std::move(handler); }
     // Called when a kind of objects is known to have been current.
@@ -43,7 +46,7 @@
     // Each host reads larger configurations from the store, whose link has more bandwidth than a host's.
     static constexpr std::size_t maxRelayedConfigBytes = 32'768;
 
-    static constexpr std::size_t followerCount = 5;
+    static constexpr std::size_t followerCount = 6;
 
     std::array<const StoreFollower*, followerCount> allFollowers() const;
     // Whether the store is not responding to this host.
@@ -89,6 +92,9 @@
     std::function<void(const PlatformList&)> m_onPoisonListed;
     std::function<void(const PlatformEvent&)> m_onPoisonChanged;
     StoreFollower m_poisonFollower;
+    std::function<void(const PlatformList&)> m_onRolloutsListed;
+    std::function<void(const PlatformEvent&)> m_onRolloutChanged;
+    StoreFollower m_rolloutFollower;
 };
 
 }
--- a/src/gateway/stagehome.cpp
+++ b/src/gateway/stagehome.cpp
@@ -24,6 +24,10 @@
     constexpr Milliseconds releaseBatchDelay { 20 };
     // Time after which releases that their server did not permit are tried again.
     constexpr Milliseconds delayedReleaseDelay { 400 };
+    // Time after which a server that has had its share of the calls of a trial is considered again.
+    constexpr Milliseconds rolloutPause { 50 };
+    // Duration that stands for a call that takes as long as expected.
+    constexpr double referenceCallMilliseconds = 100;
 
     // Returns nothing if the body of the response cannot be read.
     std::optional<std::vector<PieceResult>> tryReadPieceResults(const HttpResponse& response)
@@ -179,6 +183,7 @@
         group.scheduler.pauseServers([&statements](const StageServer& server) {
             return statements.availableAt({ server.id, server.startedAt });
         });
+    pauseRolloutTargets(key, group, now);
     for (PlannedCall& planned : group.scheduler.planCalls(now))
         Asio::co_spawn(m_context, callServer(key, std::move(planned)), Asio::detached);
     for (StageScheduler::EndedTask& ended : group.scheduler.drainEnded(now)) {
@@ -201,6 +206,20 @@
     });
 }
 
+void StageHome::pauseRolloutTargets(const GroupKey& key, Group& group, TimePoint now)
+{
+    const RolloutRouting& routing = m_backendCaller.rollouts().routing();
+    if (!routing.inProgress(key.first))
+        return;
+    const auto& servers = m_view.servers().all();
+    group.scheduler.pauseServers([&](const StageServer& server) {
+        const auto known = servers.find(server.id);
+        const bool mayCall = known == servers.end()
+            || routing.mayCall(key.first, known->second.server.softwareVersion, now);
+        return mayCall ? TimePoint {} : now + rolloutPause;
+    });
+}
+
 void StageHome::reportRuns(const PlannedCall& planned, RunEnd end, TimePoint sentAt)
 {
     std::set<std::pair<Fingerprint, int>> stages;
@@ -215,6 +234,26 @@
             .sentAt = sentAt });
 }
 
+void StageHome::recordRolloutAnswer(const PoolId& pool, const PlannedCall& planned, const ServerEntry& server,
+    const std::optional<std::vector<PieceResult>>& results, StageCallFailure failure, TimePoint sentAt)
+{
+    RolloutObserver& rollouts = m_backendCaller.rollouts();
+    const auto config = m_view.config();
+    const Pool* definition = config ? config->findPool(pool) : nullptr;
+    if (!rollouts.routing().inProgress(pool) || !definition || !definition->stage)
+        return;
+    const std::size_t failed = results ? countPieces(*results, PieceOutcome::Failed) : 0;
+    if (results && 2 * failed < planned.pieces.size()) {
+        // Calls differ in size, so their durations are compared with what the configuration states.
+        const double expected = inMilliseconds(definition->stage->callTime)
+            + definition->stage->pieceMilliseconds * static_cast<double>(planned.pieces.size());
+        const double factor = inMilliseconds(RuntimeClock::now() - sentAt) / std::max(expected, 1.0);
+        rollouts.recordSuccess(pool.value(), server, ceilMilliseconds(factor * referenceCallMilliseconds));
+    } else if (results || failure == StageCallFailure::Broken || failure == StageCallFailure::TimedOut) {
+        rollouts.recordFailure(pool.value(), server);
+    }
+}
+
 Asio::awaitable<void> StageHome::callServer(GroupKey key, PlannedCall planned)
 {
     const TimePoint sentAt = RuntimeClock::now();
@@ -223,10 +262,15 @@
     std::optional<std::vector<PieceResult>> results;
     StageCallFailure failure = StageCallFailure::Broken;
     std::string reason;
-    const ServerEntry server { .id = planned.server.id,
+    ServerEntry server { .id = planned.server.id,
         .pool = key.first,
         .endpoint = planned.server.endpoint,
         .startedAt = planned.server.startedAt };
+    if (const auto known = m_view.servers().all().find(server.id); known != m_view.servers().all().end())
+        server.softwareVersion = known->second.server.softwareVersion;
+    RolloutObserver& rollouts = m_backendCaller.rollouts();
+    rollouts.routing().onCalled(key.first, server.softwareVersion);
+    const std::shared_ptr<void> run = rollouts.trackRun(server);
     if (!co_await m_backendCaller.limits().acquire(server)) {
         m_groups.at(key)->scheduler.onCallFailed(planned.id, StageCallFailure::Limited, RuntimeClock::now());
         co_return advance(key);
@@ -263,6 +307,7 @@
     }
     if (isSent)
         reportRuns(planned, end, sentAt);
+    recordRolloutAnswer(key.first, planned, server, results, failure, sentAt);
     StageScheduler& scheduler = m_groups.at(key)->scheduler;
     if (!results || countPieces(*results, PieceOutcome::Done) < results->size())
         logIncompleteCall(
--- a/src/gateway/stagehome.h
+++ b/src/gateway/stagehome.h
@@ -73,6 +73,10 @@
     // Starts the calls that are due, completes the tasks that have ended, and sets a timer for the next
     // change that depends on time only.
     void advance(const GroupKey& key);
+    // Pauses the servers of a version on trial that have had their share of the calls.
+    void pauseRolloutTargets(const GroupKey& key, Group& group, TimePoint now);
+    void recordRolloutAnswer(const PoolId& pool, const PlannedCall& planned, const ServerEntry& server,
+        const std::optional<std::vector<PieceResult>>& results, StageCallFailure failure, TimePoint sentAt);
     StageWorkPermit permitFor(Fingerprint fingerprint, TimePoint now) const;
     void reportRuns(const PlannedCall& planned, RunEnd end, TimePoint sentAt);
     boost::asio::awaitable<void> callServer(GroupKey key, PlannedCall planned);
--- a/src/gateway/storedeltajson.cpp
+++ b/src/gateway/storedeltajson.cpp
@@ -18,10 +18,13 @@
         delta.isSnapshot = value.at("whole").as_bool();
         if (const json::value* more = value.as_object().if_contains("more"))
             delta.isPartial = more->as_bool();
-        for (const json::value& entry : value.at("objects").as_array())
+        for (const json::value& entry : value.at("objects").as_array()) {
             delta.objects.push_back({ .key = std::string(entry.at("key").as_string()),
                 .version = entry.at("version").to_number<ObjectVersion>(),
                 .value = entry.at("value") });
+            if (const json::value* status = entry.as_object().if_contains("status"))
+                delta.objects.back().status = *status;
+        }
         for (const json::value& key : value.at("removed").as_array())
             delta.removed.emplace_back(key.as_string());
         return delta;
@@ -36,9 +39,12 @@
     if (!withObjects)
         return body;
     json::array objects;
-    for (const PlatformObject& object : delta.objects)
-        objects.push_back({ { "key", object.key }, { "version", object.version },
-            { "value", object.value } });
+    for (const PlatformObject& object : delta.objects) {
+        json::object entry { { "key", object.key }, { "version", object.version }, { "value", object.value } };
+        if (!object.status.is_null())
+            entry["status"] = object.status;
+        objects.push_back(std::move(entry));
+    }
     json::array removed;
     for (const std::string& key : delta.removed)
         removed.emplace_back(key);
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -302,7 +302,7 @@
     if (known != m_objects.end() && known->second.version > event.version)
         return;
     if (event.value)
-        m_objects[event.key] = { event.key, event.version, *event.value };
+        m_objects[event.key] = { event.key, event.version, *event.value, event.status };
     else
         m_objects.erase(event.key);
     m_handlers.onChanged(event);
--- a/src/gateway/storefollowerrelay.cpp
+++ b/src/gateway/storefollowerrelay.cpp
@@ -97,7 +97,7 @@
     } else if (isNew) {
         const bool hasChanges = !delta.objects.empty() || !delta.removed.empty();
         for (const PlatformObject& object : delta.objects)
-            applyEvent({ object.key, object.version, object.value });
+            applyEvent({ object.key, object.version, object.value, object.status });
         for (const std::string& key : delta.removed) {
             applyEvent({ key, delta.revision, std::nullopt });
             recordRemoval(key, delta.revision);
--- a/src/gateway/streamforwarder.cpp
+++ b/src/gateway/streamforwarder.cpp
@@ -17,6 +17,9 @@
     constexpr int maxStageRounds = 2;
     constexpr int statusesPerClass = 100;
     constexpr int successClass = 2;
+    constexpr int statusServerError = 500;
+    // Fewer events do not show the pace of a stream.
+    constexpr Duration::rep minPacedEvents = 3;
     // Number of engines that are tried for one request.
     constexpr std::size_t maxEngines = 5;
     // An event of which more bytes have arrived does not end.
@@ -135,8 +138,13 @@
             progress.outcome.server = engine.id;
             progress.outcome.serverVersion = engine.softwareVersion;
         }
+        RolloutObserver& rollouts = m_backendCaller.rollouts();
+        if (sent.outcome == SendOutcome::Broken || sent.outcome == SendOutcome::TimedOut)
+            rollouts.recordFailure(request.route.name, engine);
         if (sent.outcome == SendOutcome::Responded) {
             ++progress.runs;
+            if (sent.status >= statusServerError)
+                rollouts.recordFailure(request.route.name, engine);
             if (co_await forwardResponse(request, progress, *sent.stream, engine, sentAt)) {
                 onPromptEnded(request, progress, engine.id);
                 co_return;
@@ -205,11 +213,15 @@
             m_backendCaller.reportIncompleteResponse(request, engine, sentAt,
                 { runEndOf(error.code()), error.code().message(), stream.framing(),
                     progress.events.partialEvent().size(), lastEventAt - firstEventAt });
+            if (!request.scope->isOver())
+                m_backendCaller.rollouts().recordFailure(request.route.name, engine);
             co_return false;
         }
         const bool hasEvents = progress.events.eventCount() > earlierEvents;
-        if (!data && !co_await isComplete(request, progress, stream, engine, hasEvents, sentAt))
+        if (!data && !co_await isComplete(request, progress, stream, engine, hasEvents, sentAt)) {
+            m_backendCaller.rollouts().recordFailure(request.route.name, engine);
             co_return false;
+        }
         // After the end of the stream, comments that follow the last event are forwarded too.
         const std::string events = data ? progress.events.feed(*data) : progress.events.partialEvent();
         if (!progress.hasBegun && (!events.empty() || !data)) {
@@ -237,6 +249,9 @@
             continue;
         m_backendCaller.reportResponse(
             request, engine, sentAt, { stream.status(), stream.framing(), hasEvents });
+        const auto received = static_cast<Duration::rep>(progress.events.eventCount() - earlierEvents);
+        m_backendCaller.rollouts().recordSuccess(request.route.name, engine,
+            received < minPacedEvents ? std::nullopt : std::optional<Duration>((lastEventAt - firstEventAt) / (received - 1)));
         co_await exchange.endStream();
         progress.outcome.status = stream.status();
         progress.outcome.framing = stream.framing();
--- a/src/gateway/streamforwarderengines.cpp
+++ b/src/gateway/streamforwarderengines.cpp
@@ -18,8 +18,10 @@
 std::vector<const KnownServer*> StreamForwarder::usableEngines(
     const ServedRequest& request, const StreamProgress& progress) const
 {
-    std::vector<const KnownServer*> engines
-        = m_view.servers().usable(request.pool, RuntimeClock::now());
+    // A stream goes on at the version that began it, whatever version is rolled out.
+    std::vector<const KnownServer*> engines = progress.version
+        ? m_view.servers().usable(request.pool, RuntimeClock::now())
+        : m_backendCaller.rollouts().usableServers(request.pool, request.caller.id, progress.outcome.sends > 0);
     if (progress.version)
         std::erase_if(engines, [&progress](const KnownServer* engine) {
             return !canContinueStream(*progress.version, engine->server.softwareVersion);
@@ -94,8 +96,11 @@
 const KnownServer* StreamForwarder::chooseEngine(const ServedRequest& request, StreamProgress& progress)
 {
     const TimePoint now = RuntimeClock::now();
-    const auto engines = m_placement.rank(request.caller, usableEngines(request, progress),
+    auto engines = m_placement.rank(request.caller, usableEngines(request, progress),
         progress.stages.inputBytes, m_backendCaller.tracker(), now);
+    std::stable_partition(engines.begin(), engines.end(), [&](const KnownServer* engine) {
+        return m_backendCaller.rollouts().isPreferred(engine->server, request.caller.id, progress.outcome.sends > 0);
+    });
     const bool isPermitUsable = std::any_of(engines.begin(), engines.end(),
         [&progress](const KnownServer* engine) { return engine->server.id == progress.permit; });
     for (const KnownServer* engine : engines) {
--- a/src/libserving/gatewaysettings.cpp
+++ b/src/libserving/gatewaysettings.cpp
@@ -6,6 +6,7 @@
 
     constexpr NumberRange<double> secondsRange { 0.1, 3600 };
     constexpr NumberRange<double> ratioRange { 0, 10 };
+    constexpr NumberRange<double> shareRange { 0, 1 };
     constexpr NumberRange<double> countRange { 0, 1'000'000 };
 
     void describeEndpoint(std::string& target, SettingsTable& table, const std::string& section,
@@ -60,6 +61,9 @@
         "Multiple of its pool's cold rate that may be sent to a cold server, over all hosts.");
     describeNumber(settings.coldTolerance, table, "cold_tolerance", countRange,
         "Additional requests per second that may be sent to a cold server, over all hosts.");
+    describeNumber(settings.rolloutShare, table, "rollout_share", shareRange,
+        "Largest share of a pool's requests that a new version may get while it is on trial, over all hosts. "
+        "Orders to roll out versions are followed only if it is above zero.");
 }
 
 }
--- a/src/libserving/gatewaysettings.h
+++ b/src/libserving/gatewaysettings.h
@@ -30,6 +30,8 @@
     double retryWindowSeconds = 10;
     double coldOvershoot = 1.5;
     double coldTolerance = 5;
+    // Largest share of a pool's requests that an unproven version may get; zero turns roll-outs off.
+    double rolloutShare = 0;
 
     auto operator<=>(const GatewaySettings&) const = default;
 };
--- a/src/libserving/serverdirectory.cpp
+++ b/src/libserving/serverdirectory.cpp
@@ -164,6 +164,15 @@
     m_outOfServiceDomains = std::move(domains);
 }
 
+bool ServerDirectory::setExcludedServers(std::set<BackendServerId> servers)
+{
+    if (servers == m_excluded)
+        return false;
+    ++m_generation;
+    m_excluded = std::move(servers);
+    return true;
+}
+
 std::vector<const KnownServer*> ServerDirectory::usable(const PoolId& pool, TimePoint now)
 {
     expireMissing(now);
@@ -179,7 +188,7 @@
 {
     std::vector<const KnownServer*> servers;
     for (const auto& [id, known] : m_servers) {
-        if (known.server.pool == pool && !known.server.isDraining)
+        if (known.server.pool == pool && !known.server.isDraining && !m_excluded.contains(id))
             servers.push_back(&known);
     }
     return servers;
@@ -194,7 +203,8 @@
 
 bool ServerDirectory::isUsable(const KnownServer& known) const
 {
-    return !known.server.isDraining && !m_outOfServiceDomains.contains(known.server.domain);
+    return !known.server.isDraining && !m_outOfServiceDomains.contains(known.server.domain)
+        && !m_excluded.contains(known.server.id);
 }
 
 bool ServerDirectory::isRetainingMissing(TimePoint now) const
--- a/src/libserving/serverdirectory.h
+++ b/src/libserving/serverdirectory.h
@@ -80,9 +80,13 @@
         const std::function<Milliseconds(const PoolId&)>& coldTimeOf, TimePoint now);
     const std::set<FailureDomainId>& outOfServiceDomains() const { return m_outOfServiceDomains; }
 
+    // Replaces the servers that get no new work because of their versions, whatever their entries say. Returns whether
+    // that changes anything.
+    bool setExcludedServers(std::set<BackendServerId> servers);
+
     // Servers of a pool that may receive new work.
     std::vector<const KnownServer*> usable(const PoolId& pool, TimePoint now);
-    // Servers of a pool that are not draining, including those in failure domains out of service.
+    // Servers of a pool that are neither draining nor excluded, including those in failure domains out of service.
     std::vector<const KnownServer*> notDraining(const PoolId& pool) const;
     // The server if it may receive new work, or null.
     const KnownServer* findUsable(const BackendServerId& id, TimePoint now);
@@ -126,6 +130,7 @@
     std::optional<TimePoint> m_restoredAt;
     PoolVersions m_versions;
     std::set<FailureDomainId> m_outOfServiceDomains;
+    std::set<BackendServerId> m_excluded;
     bool m_isStoreLost = false;
     TimePoint m_storeLostAt {};
     // When the store last responded to a peer.
--- a/tests/platform/gatewayfixture.h
+++ b/tests/platform/gatewayfixture.h
@@ -43,7 +43,8 @@
     Apricot::RelayClient relays { context, view, peers, Apricot::HostId("h1"), registry };
     Apricot::ServerCalls calls { context, links, relays };
     Apricot::ServerEndProbe serverEnds { context, view, links, peers, Apricot::HostId("h1") };
-    Apricot::BackendCaller backendCaller { view, tracker, limits, statements, coldLimiter, calls, serverEnds };
+    Apricot::RolloutObserver rollouts { view, registry };
+    Apricot::BackendCaller backendCaller { view, tracker, limits, statements, coldLimiter, calls, serverEnds, rollouts };
     Apricot::StageHome home { context, view, backendCaller, poison };
     Apricot::StageRouter router { context, Apricot::HostId("h1"), view, home, peers };
     Apricot::StageRunner stages { context, router };
