--- a/src/gateway/backendcaller.cpp
+++ b/src/gateway/backendcaller.cpp
@@ -83,7 +83,7 @@
 BackendCaller::BackendCaller(
     ServingView& view, ServerTracker& tracker, LimitPermits& limits,
     ServerStatements& statements, ColdLimiter& coldLimiter, ServerCalls& calls, ServerEndProbe& serverEnds,
-    RolloutObserver& rollouts)
+    RolloutObserver& rollouts, MemoryAccount& memory)
     : m_view(view)
     , m_tracker(tracker)
     , m_limits(limits)
@@ -92,6 +92,7 @@
     , m_calls(calls)
     , m_serverEnds(serverEnds)
     , m_rollouts(rollouts)
+    , m_memory(memory)
 {
 }
 
@@ -242,7 +243,8 @@
     std::optional<ResponseBody> body;
     IncompleteResponse incomplete { .framing = stream.framing() };
     try {
-        body.emplace(co_await readBody(stream));
+        auto holder = m_memory.open(MemoryCause::Response, RuntimeClock::now());
+        body.emplace(co_await readBody(stream, std::move(holder)));
     } catch (const boost::system::system_error& error) {
         incomplete.end = runEndOf(error.code());
         incomplete.reason = error.code().message();
--- a/src/gateway/backendcaller.h
+++ b/src/gateway/backendcaller.h
@@ -76,7 +76,8 @@
 public:
     BackendCaller(ServingView& view, ServerTracker& tracker, LimitPermits& limits,
         ServerStatements& statements, ColdLimiter& coldLimiter, ServerCalls& calls,
-        ServerEndProbe& serverEnds, RolloutObserver& rollouts);
+        ServerEndProbe& serverEnds, RolloutObserver& rollouts,
+        MemoryAccount& memory);
 
     // Whether a server is warm, or cold and may get one more request of this host now. send() acquires the permit.
     bool mayReceiveWhileCold(const KnownServer& server, TimePoint now);
@@ -150,6 +151,7 @@
     ServerCalls& m_calls;
     ServerEndProbe& m_serverEnds;
     RolloutObserver& m_rollouts;
+    MemoryAccount& m_memory;
     RunObserver* m_runObserver = nullptr;
 };
 
--- a/src/gateway/gatewaydaemon.cpp
+++ b/src/gateway/gatewaydaemon.cpp
@@ -3,6 +3,7 @@
 #include "libnet/asyncevent.h"
 #include "libnet/daemon.h"
 #include "libnet/log.h"
+#include "libnet/machinelimits.h"
 #include "platform/rollouttranslation.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -55,6 +56,16 @@
         return { .address = endpoint.address, .port = endpoint.port };
     }
 
+    HttpServerOptions probeServerOptionsFor(const std::string& text)
+    {
+        constexpr std::size_t maxProbeBodyBytes = 1024;
+        constexpr std::size_t maxProbeConnections = 64;
+        HttpServerOptions options = serverOptionsFor(text);
+        options.bodyLimitBytes = maxProbeBodyBytes;
+        options.maxConnections = maxProbeConnections;
+        return options;
+    }
+
     PlatformClientOptions storeOptionsFor(const std::string& text)
     {
         const Endpoint endpoint = requireEndpoint(text);
@@ -81,7 +92,8 @@
     , m_serverEnds(m_context, m_view, m_links, m_peers, settings.process.host)
     , m_rolloutObserver(m_view, m_metrics)
     , m_backendCaller(
-          m_view, m_tracker, m_limits, m_statements, m_coldLimiter, m_calls, m_serverEnds, m_rolloutObserver)
+          m_view, m_tracker, m_limits, m_statements, m_coldLimiter, m_calls, m_serverEnds, m_rolloutObserver,
+          m_memory)
     , m_relayServer(m_context, m_backendCaller, m_metrics)
     , m_poisonSync(m_context, m_store, m_storeCalls, m_view, m_poison, settings.process.host)
     , m_crashMonitor(m_context, m_view, m_poison, m_poisonSync, m_serverEnds, m_metrics)
@@ -101,10 +113,12 @@
           [this] {
               HttpServerOptions options = serverOptionsFor(m_settings.callers);
               options.limits = [this] { return m_requests.limits(); };
+              options.memory = &m_memory;
+              options.onLimitMet = [this](std::string_view limit) { logLimitMet(limit); };
               return options;
           }(),
           [this](HttpExchange& exchange) { return m_requests.serve(exchange); })
-    , m_readinessServer(m_context, serverOptionsFor(settings.readiness),
+    , m_readinessServer(m_context, probeServerOptionsFor(settings.readiness),
           [this](HttpExchange& exchange) { return respondToReadinessProbe(exchange); })
     , m_peerServer(m_context,
           { requireEndpoint(settings.peers).address, requireEndpoint(settings.peers).port },
@@ -122,6 +136,7 @@
                       m_gatewayMetrics.setLostLinks(m_links.lostLinks());
                       m_gatewayMetrics.setBrittleServers(m_statements.brittleServers());
                       m_gatewayMetrics.setRestingServers(m_statements.restingServers());
+                      m_gatewayMetrics.setClients(m_memory, m_callerServer.counts());
                   } })
     , m_stopSignals(m_context, SIGTERM, SIGINT)
     , m_reloadSignals(m_context, SIGHUP)
@@ -169,6 +184,38 @@
     }
     m_crashMonitor.onServersChanged();
     m_rolloutObserver.refresh();
+    // The largest legal body may have changed.
+    applyMachineLimits();
+}
+
+void GatewayDaemon::logLimitMet(std::string_view limit)
+{
+    constexpr Milliseconds logInterval { 1000 };
+    const TimePoint now = RuntimeClock::now();
+    auto& [loggedAt, count] = m_limitsMet[std::string(limit)];
+    ++count;
+    if (now < loggedAt + logInterval)
+        return;
+    writeLog(LogLevel::Warning, "client_limits_met",
+        { { "limit", limit }, { "count", std::exchange(count, 0) }, { "held_bytes", m_memory.heldBytes() },
+            { "limit_bytes", m_memory.totalBytes() }, { "connections", m_callerServer.counts().connections } });
+    loggedAt = now;
+}
+
+void GatewayDaemon::applyMachineLimits()
+{
+    // A quarter, because a request that runs exists twice, and the process needs memory of its own.
+    constexpr double heldShare = 0.25;
+    // Large holders may use three quarters of it, which has to be enough for the largest legal body.
+    constexpr double largeShare = 0.75;
+    constexpr std::size_t bodyMargin = 1 << 20;
+    constexpr std::size_t reservedDescriptors = 200;
+    const double largestBody = static_cast<double>(m_requests.limits().bodyBytes + bodyMargin);
+    m_memory.setTotalBytes(static_cast<std::size_t>(
+        std::max(heldShare * static_cast<double>(m_machine.memoryBytes), largestBody / largeShare)));
+    m_callerServer.setMaxConnections(
+        m_machine.descriptors > 2 * reservedDescriptors ? (m_machine.descriptors - reservedDescriptors) / 2
+                                                        : m_machine.descriptors / 4);
 }
 
 void GatewayDaemon::applyRollout(const PlatformObject& object)
@@ -310,6 +357,8 @@
         .leavingTime = toMilliseconds(m_settings.graceSeconds) });
     m_viewUpdater.setSettleTime(
         missedHeartbeats * toMilliseconds(m_settings.serverHeartbeatSeconds) + storeDelayMargin);
+    m_machine = machineLimits(m_settings.memoryMegabytes, m_settings.maxDescriptors);
+    applyMachineLimits();
     m_rolloutObserver.routing().setOptions({ .exposureShare = m_settings.rolloutShare });
     m_coldLimiter.setOptions({ .overshoot = m_settings.coldOvershoot,
         .tolerance = m_settings.coldTolerance,
--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -7,6 +7,7 @@
 #include "gateway/rollout/rolloutsync.h"
 #include "gateway/servingviewupdater.h"
 #include "libnet/adminserver.h"
+#include "libnet/machinelimits.h"
 #include "libserving/gatewaysettings.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -43,13 +44,20 @@
     void applyRollout(const PlatformObject& object);
     void reload();
     void applyLimits();
+    // Bounds what is held for clients by what the machine has.
+    void applyMachineLimits();
+    // Logs that a limit ended connections or requests of callers, once a second for each limit.
+    void logLimitMet(std::string_view limit);
     HealthReport health() const;
     boost::json::value state() const;
 
     GatewaySettings m_settings;
     std::string m_settingsFile;
+    // Outlives the connections that the event loop destroys.
+    MemoryAccount m_memory;
     boost::asio::io_context m_context;
     MetricRegistry m_metrics;
+    MachineLimits m_machine;
     ServingView m_view;
     ServerTracker m_tracker;
     RetryWindow m_retries;
@@ -89,6 +97,8 @@
     // What was last applied of the view's hosts and removals of servers.
     std::uint64_t m_hostsGeneration = 0;
     std::uint64_t m_serverRemovals = 0;
+    // When each limit of callers was last logged, and how often it was met since.
+    std::map<std::string, std::pair<TimePoint, std::uint64_t>, std::less<>> m_limitsMet;
     bool m_isStopping = false;
 };
 
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -75,4 +75,30 @@
     m_poisonedParts.set(static_cast<double>(poison.count(PoisonState::Refused, true, now)));
 }
 
+void GatewayMetrics::setClients(const MemoryAccount& memory, const HttpServerCounts& counts)
+{
+    for (const MemoryCause cause : { MemoryCause::Request, MemoryCause::Response }) {
+        const MetricLabels labels { { "cause", std::string(memoryCauseName(cause)) } };
+        m_registry.gauge("apricot_client_memory_bytes", "Bytes held for clients.", labels)
+            .set(static_cast<double>(memory.heldBytes(cause)));
+        m_registry.gauge("apricot_client_memory_evictions", "Connections closed because others needed their memory.", labels)
+            .set(static_cast<double>(memory.evictions(cause)));
+        m_registry.gauge("apricot_client_memory_refusals", "Requests and responses that got no more memory.", labels)
+            .set(static_cast<double>(memory.refusals(cause)));
+    }
+    m_registry.gauge("apricot_client_memory_limit_bytes", "Bytes that may be held for clients.")
+        .set(static_cast<double>(memory.totalBytes()));
+    m_registry.gauge("apricot_client_connections", "Open connections of callers.")
+        .set(static_cast<double>(counts.connections));
+    const std::pair<const char*, std::uint64_t> ends[] = { { "idle_closed", counts.idleClosed },
+        { "slow_closed", counts.slowClosed }, { "refused", counts.refused }, { "evicted", counts.evicted }, { "without_memory", counts.withoutMemory },
+        { "too_large", counts.tooLarge }, { "too_slow", counts.tooSlow } };
+    for (const auto& [end, count] : ends) {
+        m_registry
+            .gauge("apricot_client_limits_met", "Connections and requests of callers that a limit ended, by the limit.",
+                { { "limit", end } })
+            .set(static_cast<double>(count));
+    }
+}
+
 }
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -19,6 +19,8 @@
     void setLimitedServers(std::size_t count) { m_limitedServers.set(static_cast<double>(count)); }
     void setBrittleServers(std::size_t count) { m_brittleServers.set(static_cast<double>(count)); }
     void setRestingServers(std::size_t count) { m_restingServers.set(static_cast<double>(count)); }
+    // Sets what is held for clients, and how many were refused or cut for it.
+    void setClients(const MemoryAccount& memory, const HttpServerCounts& counts);
     void setLostLinks(std::size_t count) { m_lostLinks.set(static_cast<double>(count)); }
 
 private:
--- a/src/gateway/plainforwarder.cpp
+++ b/src/gateway/plainforwarder.cpp
@@ -183,6 +183,28 @@
     return std::min(left, std::max(attemptTimeout, minAttemptTimeout));
 }
 
+Asio::awaitable<void> respondWithBody(ServedRequest& request, const HttpStream& stream, ResponseBody& body)
+{
+    // A caller that does not read must not keep others from their responses.
+    HttpExchange& exchange = request.exchange;
+    MemoryAccount::Holder* const holder = body.holder.get();
+    if (holder) {
+        holder->onProgress(RuntimeClock::now());
+        holder->setEviction([&exchange] { exchange.abort(); });
+        exchange.setProgressHandler([holder](TimePoint now) { holder->onProgress(now); });
+    }
+    std::exception_ptr failure;
+    try {
+        co_await exchange.respond(
+            stream.status(), "", std::move(body.bytes), Platform::callerFields(stream.head()));
+    } catch (const std::exception&) {
+        failure = std::current_exception();
+    }
+    exchange.setProgressHandler(nullptr);
+    if (failure)
+        std::rethrow_exception(failure);
+}
+
 Asio::awaitable<ServedOutcome> PlainForwarder::forwardResponse(
     ServedRequest& request, const HttpStream& stream, std::optional<ResponseBody> body)
 {
@@ -198,8 +220,7 @@
             co_await refuse(request.exchange, reason);
         co_return outcome;
     }
-    co_await request.exchange.respond(
-        outcome.status, "", std::move(body->bytes), Platform::callerFields(stream.head()));
+    co_await respondWithBody(request, stream, *body);
     co_return outcome;
 }
 
--- a/src/gateway/plainforwarder.h
+++ b/src/gateway/plainforwarder.h
@@ -11,6 +11,10 @@
 // Acquires a permit for one retry of a request, and logs it if there is none.
 std::optional<RetryPermit> tryAcquireRetry(RetryWindow& retries, const ServedRequest& request);
 
+// Responds to a caller with a body that was read whole. The memory that it holds is given up if others need it and the
+// caller does not read.
+boost::asio::awaitable<void> respondWithBody(ServedRequest& request, const HttpStream& stream, ResponseBody& body);
+
 // Forwards requests to pools that respond with a complete body instead of a stream. A request that is not
 // idempotent is retried only after a server stated that it did not run the request.
 class PlainForwarder {
--- a/src/gateway/rollout/rolloutobserver.cpp
+++ b/src/gateway/rollout/rolloutobserver.cpp
@@ -40,7 +40,11 @@
 void RolloutObserver::apply(const StoredRollout& rollout)
 {
     const PoolId& pool = rollout.order.pool;
-    if (!m_routing.put(rollout, unixMilliseconds(), RuntimeClock::now()))
+    const bool isChanged = m_routing.put(rollout, unixMilliseconds(), RuntimeClock::now());
+    // The store may have lost a final state, which changes nothing here.
+    if (m_changeHandler)
+        m_changeHandler();
+    if (!isChanged)
         return;
     if (const auto found = m_observations.find(pool); found == m_observations.end() || found->second.order != rollout.order)
         m_observations[pool] = { .order = rollout.order };
--- a/src/gateway/rollout/rolloutobserver.h
+++ b/src/gateway/rollout/rolloutobserver.h
@@ -18,6 +18,8 @@
     RolloutRouting& routing() { return m_routing; }
     const RolloutRouting& routing() const { return m_routing; }
     bool isEnabled() const { return m_routing.isEnabled(); }
+    // Called after changes of what the store holds.
+    void setChangeHandler(std::function<void()> handler) { m_changeHandler = std::move(handler); }
 
     // Applies what the store holds about an order, or that it holds none any more.
     void apply(const StoredRollout& rollout);
@@ -62,6 +64,7 @@
     MetricRegistry& m_metrics;
     RolloutRouting m_routing;
     std::map<PoolId, Observations> m_observations;
+    std::function<void()> m_changeHandler;
 };
 
 }
--- a/src/gateway/rollout/rolloutsync.cpp
+++ b/src/gateway/rollout/rolloutsync.cpp
@@ -18,8 +18,6 @@
 namespace {
 
     constexpr Milliseconds reportInterval { 500 };
-    // Interval at which a host without a roll-out checks for one.
-    constexpr Milliseconds idleInterval { 250 };
     // Hosts are a few milliseconds apart; a host of the tree answers at once.
     constexpr Milliseconds reportTimeout { 300 };
     // What a host said of the present is dropped after this time without another report.
@@ -45,9 +43,11 @@
     , m_calls(calls)
     , m_peers(peers)
     , m_self(std::move(self))
-    , m_evidenceAge(metrics.gauge("apricot_rollout_evidence_hosts",
+    , m_reporters(metrics.gauge("apricot_rollout_reporters",
           "Hosts and subtrees whose reports about roll-outs this host has received lately."))
+    , m_changed(context.get_executor())
 {
+    observer.setChangeHandler([this] { m_changed.notifyAll(); });
 }
 
 void RolloutSync::start()
@@ -56,13 +56,20 @@
         Asio::co_spawn(m_context, run(), Asio::detached);
 }
 
+bool RolloutSync::hasWork() const
+{
+    const auto& known = m_observer.routing().known();
+    return std::any_of(known.begin(), known.end(),
+        [](const auto& entry) { return !entry.second.stored.isEnded() || entry.second.isStoreBehind; });
+}
+
 Asio::awaitable<void> RolloutSync::run()
 {
     while (true) {
-        const bool isActive = m_observer.routing().isAnyInProgress();
-        co_await sleepFor(m_context.get_executor(), isActive ? reportInterval : idleInterval);
-        if (!m_observer.routing().known().empty())
-            m_observer.refresh();
+        while (!hasWork())
+            co_await m_changed.wait();
+        co_await sleepFor(m_context.get_executor(), reportInterval);
+        m_observer.refresh();
         restoreFinalStates();
         if (m_observer.routing().isAnyInProgress())
             co_await reportOnce();
@@ -106,7 +113,7 @@
         }
         reporters += present.size();
     }
-    m_evidenceAge.set(static_cast<double>(reporters));
+    m_reporters.set(static_cast<double>(reporters));
 }
 
 Asio::awaitable<void> RolloutSync::reportOnce()
--- a/src/gateway/rollout/rolloutsync.h
+++ b/src/gateway/rollout/rolloutsync.h
@@ -2,6 +2,7 @@
 
 #include "gateway/rollout/rolloutobserver.h"
 #include "gateway/storecallcounter.h"
+#include "libnet/asyncevent.h"
 #include "libnet/peerstream.h"
 #include "libserving/relaytree.h"
 #include "libserving/rollout/rolloutplan.h"
@@ -47,6 +48,8 @@
     };
 
     boost::asio::awaitable<void> run();
+    // Whether a roll-out is in progress, or the store has to be told again how one ended.
+    bool hasWork() const;
     boost::asio::awaitable<void> reportOnce();
     // Hosts to report to in turn. This host itself stands where it acts.
     std::vector<HostId> receivers() const;
@@ -70,7 +73,8 @@
     StoreCallCounter& m_calls;
     PeerClient& m_peers;
     HostId m_self;
-    Gauge& m_evidenceAge;
+    Gauge& m_reporters;
+    AsyncEvent m_changed;
     // Evidence received from hosts below and not passed on yet.
     std::map<RolloutOrder, RolloutEvidence> m_received;
     std::map<RolloutOrder, std::map<HostId, Present>> m_present;
--- a/src/gateway/streamforwarder.cpp
+++ b/src/gateway/streamforwarder.cpp
@@ -190,8 +190,7 @@
         co_return false;
     progress.outcome.status = stream.status();
     progress.outcome.framing = stream.framing();
-    co_await request.exchange.respond(
-        stream.status(), "", std::move(body->bytes), Platform::callerFields(stream.head()));
+    co_await respondWithBody(request, stream, *body);
     co_return true;
 }
 
--- a/src/libnet/adminserver.cpp
+++ b/src/libnet/adminserver.cpp
@@ -10,6 +10,8 @@
     constexpr const char* jsonType = "application/json";
     constexpr const char* metricsType = "text/plain; version=0.0.4";
     constexpr std::size_t adminBodyLimitBytes = 1024;
+    // Each may hold a response of the size of all metrics until its client has read it.
+    constexpr std::size_t maxAdminConnections = 32;
 
 }
 
@@ -20,7 +22,8 @@
     , m_server(context,
           { .address = m_options.address,
               .port = m_options.port,
-              .bodyLimitBytes = adminBodyLimitBytes },
+              .bodyLimitBytes = adminBodyLimitBytes,
+              .maxConnections = maxAdminConnections },
           [this](HttpExchange& exchange) { return handleRequest(exchange); })
 {
 }
--- a/src/libnet/httpclient.cpp
+++ b/src/libnet/httpclient.cpp
@@ -192,16 +192,21 @@
     co_return error;
 }
 
-Asio::awaitable<ResponseBody> readBody(HttpStream& stream)
+Asio::awaitable<ResponseBody> readBody(HttpStream& stream, std::unique_ptr<MemoryAccount::Holder> holder)
 {
     constexpr std::size_t maxBodyBytes = 8 << 20;
     // Bounds the memory of the process, so it is shared by all clients.
     static ByteBudget budget(32 << 20);
-    ResponseBody body { .lease = ByteLease(budget) };
+    ResponseBody body { .lease = ByteLease(budget), .holder = std::move(holder) };
     while (std::optional<std::string> data = co_await stream.read()) {
         if (body.bytes.size() + data->size() > maxBodyBytes)
             throw boost::system::system_error(Http::error::body_limit);
-        if (!body.lease.tryAcquire(data->size()))
+        // A string that grows doubles its memory.
+        const bool isGrowing = body.bytes.size() + data->size() > body.bytes.capacity();
+        const std::size_t needed = std::max(body.bytes.size() + data->size(), (isGrowing ? 2 : 1) * body.bytes.capacity());
+        const bool hasMemory = body.holder ? body.holder->tryResize(needed, RuntimeClock::now())
+                                           : body.lease.tryAcquire(data->size());
+        if (!hasMemory)
             throw boost::system::system_error(Asio::error::no_buffer_space);
         body.bytes += *data;
     }
--- a/src/libnet/httpclient.h
+++ b/src/libnet/httpclient.h
@@ -3,6 +3,7 @@
 #include "libapricot/bytebudget.h"
 #include "libapricot/clock.h"
 #include "libapricot/endpoint.h"
+#include "libapricot/memoryaccount.h"
 #include "libnet/httpserver.h"
 #include "libserving/bodyframing.h"
 
@@ -89,12 +90,15 @@
 struct ResponseBody {
     std::string bytes;
     ByteLease lease;
+    // Set instead of the lease for a response that goes to a caller.
+    std::unique_ptr<MemoryAccount::Holder> holder = nullptr;
 };
 
 // Reads a response body to its end. Throws boost::system::system_error if the connection breaks before the end, or if
 // the body, or all bodies of this process together, are larger than they may be: a faulty server may send bytes
-// without end.
-boost::asio::awaitable<ResponseBody> readBody(HttpStream& stream);
+// without end. The memory comes from the holder's account if there is one.
+boost::asio::awaitable<ResponseBody> readBody(
+    HttpStream& stream, std::unique_ptr<MemoryAccount::Holder> holder = nullptr);
 
 // The same with the header, for which the server has a few times the timeout of a read.
 boost::asio::awaitable<HttpResponse> readResponse(HttpStream& stream, Milliseconds timeout);
--- a/src/libnet/httpexchangeimpl.cpp
+++ b/src/libnet/httpexchangeimpl.cpp
@@ -1,8 +1,13 @@
 #include "libnet/httpexchangeimpl.h"
 
+#include "libnet/watchdog.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/write.hpp>
+
+#include <array>
+#include <cstdio>
+#include <optional>
 
 namespace Apricot {
 
@@ -12,6 +17,27 @@
 namespace {
 
     constexpr unsigned httpVersion11 = 11;
+    constexpr int statusesPerClass = 100;
+    constexpr int statusNoContent = 204;
+    constexpr int statusNotModified = 304;
+    constexpr std::string_view lineEnd = "\r\n";
+    constexpr std::string_view lastChunk = "0\r\n\r\n";
+    // A smaller body is sent with its head in one call; a larger one is not copied for that.
+    constexpr std::size_t maxJoinedBytes = 16'384;
+    // Bytes of one write. A peer that has accepted them makes progress.
+    constexpr std::size_t maxWriteBytes = 65'536;
+
+    std::string headOf(const Http::response<Http::empty_body>& response)
+    {
+        std::string text;
+        Http::response_serializer<Http::empty_body> serializer(response);
+        boost::system::error_code error;
+        serializer.next(error, [&](boost::system::error_code&, const auto& buffers) {
+            for (const auto& buffer : boost::beast::buffers_range_ref(buffers))
+                text.append(static_cast<const char*>(buffer.data()), buffer.size());
+        });
+        return text;
+    }
 
     // Whether a readable socket has been closed by its peer rather than having data.
     bool isClosedByPeer(Asio::ip::tcp::socket& socket)
@@ -28,7 +54,7 @@
 
 }
 
-HttpRequest toRequest(const Http::request<Http::string_body>& message)
+HttpRequest toRequest(Http::request<Http::string_body> message)
 {
     HttpRequest request;
     request.method = std::string(message.method_string());
@@ -39,19 +65,20 @@
     request.query = target.substr(std::min(querySeparator + 1, target.size()));
     for (const auto& field : message)
         request.fields.push_back({ std::string(field.name_string()), std::string(field.value()) });
-    request.body = message.body();
+    request.body = std::move(message.body());
     return request;
 }
 
 HttpExchangeImpl::HttpExchangeImpl(
     Asio::ip::tcp::socket& socket, HttpRequest request, bool keepAlive,
-    bool acceptsChunks, const bool& isClosing)
+    bool acceptsChunks, const bool& isClosing, Milliseconds writeTimeout)
     : m_socket(socket)
     , m_request(std::move(request))
     , m_watchEnded(socket.get_executor())
     , m_keepAlive(keepAlive)
     , m_acceptsChunks(acceptsChunks)
     , m_isClosing(isClosing)
+    , m_writeTimeout(writeTimeout)
 {
 }
 
@@ -73,11 +100,18 @@
     int status, std::string contentType, std::string body, std::vector<HttpField> fields)
 {
     m_responseStarted = true;
-    Http::response<Http::string_body> response;
+    Http::response<Http::empty_body> response;
     fillHeader(response, status, std::move(contentType), fields);
-    response.body() = std::move(body);
-    response.prepare_payload();
-    co_await Http::async_write(m_socket, response, Asio::use_awaitable);
+    // Responses with these statuses have no body, and no length of one.
+    const bool mayHaveBody = status / statusesPerClass != 1 && status != statusNoContent && status != statusNotModified;
+    if (mayHaveBody)
+        response.content_length(body.size());
+    std::string head = headOf(response);
+    if (mayHaveBody && body.size() <= maxJoinedBytes)
+        head += body;
+    co_await write(head);
+    if (mayHaveBody && body.size() > maxJoinedBytes)
+        co_await write(body);
     m_finished = true;
 }
 
@@ -89,30 +123,46 @@
     Http::response<Http::empty_body> response;
     fillHeader(response, status, std::move(contentType), fields);
     response.chunked(m_acceptsChunks);
-    Http::response_serializer<Http::empty_body> serializer(response);
-    co_await Http::async_write_header(m_socket, serializer, Asio::use_awaitable);
+    const std::string head = headOf(response);
+    co_await write(head);
 }
 
 Asio::awaitable<void> HttpExchangeImpl::writeChunk(std::string_view data)
 {
     if (data.empty())
         co_return;
-    if (!m_acceptsChunks) {
-        co_await Asio::async_write(
-            m_socket, Asio::const_buffer(data.data(), data.size()), Asio::use_awaitable);
-        co_return;
-    }
-    co_await Asio::async_write(m_socket,
-        Http::make_chunk(Asio::const_buffer(data.data(), data.size())), Asio::use_awaitable);
+    if (!m_acceptsChunks)
+        co_return co_await write(data);
+    std::array<char, 2 * sizeof(std::size_t) + lineEnd.size() + 1> size {};
+    const int digits = std::snprintf(size.data(), size.size(), "%zx\r\n", data.size());
+    std::string chunk;
+    chunk.reserve(static_cast<std::size_t>(digits) + data.size() + lineEnd.size());
+    chunk.append(size.data(), static_cast<std::size_t>(digits)).append(data).append(lineEnd);
+    co_await write(chunk);
 }
 
 Asio::awaitable<void> HttpExchangeImpl::endStream()
 {
     if (m_acceptsChunks)
-        co_await Asio::async_write(m_socket, Http::make_chunk_last(), Asio::use_awaitable);
+        co_await write(lastChunk);
     m_finished = true;
 }
 
+Asio::awaitable<void> HttpExchangeImpl::write(std::string_view bytes)
+{
+    while (!bytes.empty()) {
+        std::optional<Watchdog> watchdog;
+        if (m_writeTimeout.count() > 0)
+            watchdog.emplace(m_socket.get_executor(), m_writeTimeout, [this] { abort(); });
+        const std::string_view part = bytes.substr(0, maxWriteBytes);
+        const std::size_t written = co_await m_socket.async_write_some(
+            Asio::const_buffer(part.data(), part.size()), Asio::use_awaitable);
+        bytes.remove_prefix(written);
+        if (m_onProgress)
+            m_onProgress(RuntimeClock::now());
+    }
+}
+
 void HttpExchangeImpl::setPeerDisconnectedHandler(std::function<void()> handler)
 {
     m_peerDisconnectedHandler = std::move(handler);
--- a/src/libnet/httpexchangeimpl.h
+++ b/src/libnet/httpexchangeimpl.h
@@ -8,8 +8,7 @@
 namespace Apricot {
 
 // Converts a parsed request to the type that handlers receive.
-HttpRequest toRequest(
-    const boost::beast::http::request<boost::beast::http::string_body>& message);
+HttpRequest toRequest(boost::beast::http::request<boost::beast::http::string_body> message);
 
 // An exchange over one connection of HttpServer.
 class HttpExchangeImpl : public HttpExchange {
@@ -17,7 +16,7 @@
     // The server sets isClosing if connections are to close after their next response. Without chunks, a stream
     // ends with its connection.
     HttpExchangeImpl(boost::asio::ip::tcp::socket& socket, HttpRequest request, bool keepAlive,
-        bool acceptsChunks, const bool& isClosing);
+        bool acceptsChunks, const bool& isClosing, Milliseconds writeTimeout);
 
     const HttpRequest& request() const override { return m_request; }
     boost::asio::awaitable<void> respond(int status, std::string contentType, std::string body,
@@ -30,6 +29,7 @@
     bool isPeerDisconnected() const override { return m_peerDisconnected; }
     void setPeerDisconnectedHandler(std::function<void()> handler) override;
     void abort() override;
+    void setProgressHandler(std::function<void(TimePoint)> handler) override { m_onProgress = std::move(handler); }
 
     // Starts watching for the peer to close its connection.
     void watchPeer();
@@ -40,6 +40,8 @@
 
 private:
     boost::asio::awaitable<void> watchConnection();
+    // Writes all bytes. Closes the connection if the peer accepts too few of them in the timeout.
+    boost::asio::awaitable<void> write(std::string_view bytes);
     template <typename Body>
     void fillHeader(boost::beast::http::response<Body>& response, int status,
         std::string contentType, const std::vector<HttpField>& fields);
@@ -51,6 +53,8 @@
     bool m_keepAlive;
     bool m_acceptsChunks;
     const bool& m_isClosing;
+    Milliseconds m_writeTimeout;
+    std::function<void(TimePoint)> m_onProgress;
     bool m_responseStarted = false;
     bool m_finished = false;
     bool m_peerDisconnected = false;
--- a/src/libnet/httpserver.cpp
+++ b/src/libnet/httpserver.cpp
@@ -1,8 +1,9 @@
 #include "libnet/httpserver.h"
 
 #include "libnet/asyncevent.h"
+#include "libnet/connectiontable.h"
 #include "libnet/httpexchangeimpl.h"
-#include "libnet/requesthead.h"
+#include "libnet/httprequestreader.h"
 #include "libnet/watchdog.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -11,30 +12,61 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
-#include <map>
-#include <optional>
 #include <utility>
 
 namespace Apricot {
 
 namespace Asio = boost::asio;
-namespace Http = boost::beast::http;
 using Tcp = boost::asio::ip::tcp;
 
 namespace {
 
-    constexpr std::string_view headerEnd = "\r\n\r\n";
     constexpr std::size_t readBufferBytes = 4096;
+    // A larger buffer is freed while its request is handled and its connection idle.
+    constexpr std::size_t maxIdleBufferBytes = 8192;
     constexpr int statusBadRequest = 400;
     constexpr int statusTimeout = 408;
     constexpr int statusBodyTooLarge = 413;
     constexpr int statusHeaderTooLarge = 431;
+    constexpr int statusUnavailable = 503;
     // How long a new connection may take to send its first request once the server stops.
     constexpr Milliseconds firstRequestTimeout { 300 };
     // How long the unread data of a rejected request is read and discarded.
     constexpr Milliseconds lingerTimeout { 500 };
+    // Time after which connections are accepted again when the process has no descriptor for them.
+    constexpr Milliseconds acceptPause { 100 };
+    // Time in which a peer accepts some bytes of a response, where the configuration sets no timeout.
+    constexpr Milliseconds defaultWriteTimeout { 30'000 };
+    // Connections close for new ones only where there are many, so few clients cannot displace each other.
+    constexpr std::size_t minMaxConnections = 16;
+
+    // The response to a request that could not be read. None of these requests has reached a handler.
+    struct ReadRejection {
+        int status = 0;
+        std::string_view reason;
+        std::string_view detail;
+        // Whether the client may send the request again.
+        bool isTemporary = false;
+    };
+
+    ReadRejection rejectionFor(RequestReadEnd end)
+    {
+        switch (end) {
+        case RequestReadEnd::HeaderTooLarge:
+            return { statusHeaderTooLarge, "malformed_request", "request header or framing is too large" };
+        case RequestReadEnd::BodyTooLarge:
+            return { statusBodyTooLarge, "malformed_request", "request body is too large" };
+        case RequestReadEnd::TooSlow:
+            return { statusTimeout, "malformed_request", "request was not received in time" };
+        case RequestReadEnd::NoMemory:
+            return { statusUnavailable, "overloaded", "no memory for the request", true };
+        default:
+            return { statusBadRequest, "malformed_request", "request is malformed" };
+        }
+    }
 
 }
 
@@ -63,8 +95,7 @@
         m_acceptingStopped = true;
         boost::system::error_code ignored;
         m_acceptor.close(ignored); // NOLINT(bugprone-unused-return-value)
-        for (const auto& [socket, isNew] : m_idleSockets)
-            socket->close(ignored); // NOLINT(bugprone-unused-return-value)
+        m_table.closeWaiting([](Tcp::socket&, bool) { return true; });
     }
 
     void stopAfterPendingRequests()
@@ -89,6 +120,13 @@
     }
 
     void closeAfterResponses() { m_closingAfterResponses = true; }
+    void setMaxConnections(std::size_t connections) { m_options.maxConnections = connections; }
+    HttpServerCounts counts() const
+    {
+        HttpServerCounts counts = m_counts;
+        counts.connections = m_table.size();
+        return counts;
+    }
     void storePort() { m_port = m_acceptor.local_endpoint().port(); }
 
 private:
@@ -98,12 +136,34 @@
             boost::system::error_code error;
             Tcp::socket socket = co_await m_acceptor.async_accept(
                 Asio::redirect_error(Asio::use_awaitable, error));
-            if (error)
+            if (error) {
+                // Without a free descriptor, accepting again at once would fail again and again.
+                if (m_acceptor.is_open() && error != Asio::error::connection_aborted)
+                    co_await sleepFor(m_acceptor.get_executor(), acceptPause);
                 continue;
-            serve(std::move(socket));
+            }
+            if (makeRoom())
+                serve(std::move(socket));
+            else
+                recordLimitMet(m_counts.refused, "refused");
         }
     }
 
+    // Closes a connection if there are too many for another one. Returns false if none may be closed.
+    bool makeRoom()
+    {
+        if (m_options.maxConnections == 0 || m_table.size() < std::max(m_options.maxConnections, minMaxConnections))
+            return true;
+        const ConnectionState closed = m_table.closeOne();
+        if (closed == ConnectionState::Serving)
+            return false;
+        if (closed == ConnectionState::Reading)
+            recordLimitMet(m_counts.slowClosed, "slow_closed");
+        else
+            recordLimitMet(m_counts.idleClosed, "idle_closed");
+        return true;
+    }
+
     void serve(Tcp::socket socket)
     {
         ++m_connections;
@@ -125,11 +185,8 @@
     // only if stated.
     void closeIdleSockets(bool withNew)
     {
-        boost::system::error_code ignored;
-        for (const auto& [socket, isNew] : m_idleSockets) {
-            if ((withNew || !isNew) && !hasReceived(*socket))
-                socket->close(ignored); // NOLINT(bugprone-unused-return-value)
-        }
+        m_table.closeWaiting(
+            [withNew](Tcp::socket& socket, bool isNew) { return (withNew || !isNew) && !hasReceived(socket); });
     }
 
     // Whether another request is read from a connection.
@@ -142,11 +199,12 @@
     {
         boost::system::error_code error;
         socket.set_option(Tcp::no_delay(true), error); // NOLINT(bugprone-unused-return-value)
+        ConnectionTable::Entry entry(m_table, socket);
         boost::beast::flat_buffer buffer;
         bool isFirst = true;
         bool keepOpen = true;
         while (keepOpen && mayRead(socket, buffer, isFirst))
-            keepOpen = co_await serveRequest(socket, buffer, std::exchange(isFirst, false));
+            keepOpen = co_await serveRequest(entry, buffer, std::exchange(isFirst, false));
     }
 
     HttpLimits limits() const
@@ -167,106 +225,101 @@
     }
 
     // Waits for the first byte of a request. Returns false if the connection ends first.
-    Asio::awaitable<bool> waitForRequest(Tcp::socket& socket, const boost::beast::flat_buffer& buffer,
-        Milliseconds timeout, bool isFirst)
+    Asio::awaitable<bool> waitForRequest(
+        ConnectionTable::Entry& entry, const boost::beast::flat_buffer& buffer, bool isFirst)
     {
         if (buffer.size() > 0)
             co_return true;
-        const std::unique_ptr<Watchdog> watchdog = startTimeout(socket, timeout);
-        m_idleSockets.emplace(&socket, isFirst);
+        Tcp::socket& socket = entry.socket();
+        const std::unique_ptr<Watchdog> watchdog = startTimeout(socket, limits().idleTimeout);
+        entry.setState(isFirst ? ConnectionState::New : ConnectionState::Idle);
         boost::system::error_code error;
         co_await socket.async_wait(
             Tcp::socket::wait_read, Asio::redirect_error(Asio::use_awaitable, error));
-        m_idleSockets.erase(&socket);
         co_return !error;
     }
 
-    // Reads up to the end of a request's header. Returns the status to reject it with, zero for a
-    // valid header, or nothing if the connection ended.
-    static Asio::awaitable<std::optional<int>> readHeader(
-        Tcp::socket& socket, boost::beast::flat_buffer& buffer, HttpLimits limits)
-    {
-        const std::unique_ptr<Watchdog> watchdog = startTimeout(socket, limits.headerTimeout);
-        while (true) {
-            const std::string_view received(
-                static_cast<const char*>(buffer.data().data()), buffer.size());
-            const std::size_t end = received.find(headerEnd);
-            if (end != std::string_view::npos && end <= limits.headerBytes)
-                co_return findHeaderError(received.substr(0, end + headerEnd.size()))
-                    ? statusBadRequest
-                    : 0;
-            if (received.size() > limits.headerBytes)
-                co_return statusHeaderTooLarge;
-            boost::system::error_code error;
-            const std::size_t count = co_await socket.async_read_some(
-                buffer.prepare(readBufferBytes), Asio::redirect_error(Asio::use_awaitable, error));
-            if (error && watchdog && watchdog->hasExpired())
-                co_return statusTimeout;
-            if (error)
-                co_return std::nullopt;
-            buffer.commit(count);
-        }
-    }
-
     // Reads and handles one request. Returns whether the connection may be used for another one.
-    Asio::awaitable<bool> serveRequest(Tcp::socket& socket, boost::beast::flat_buffer& buffer, bool isFirst)
+    Asio::awaitable<bool> serveRequest(
+        ConnectionTable::Entry& entry, boost::beast::flat_buffer& buffer, bool isFirst)
     {
-        const HttpLimits currentLimits = limits();
-        if (!co_await waitForRequest(socket, buffer, currentLimits.idleTimeout, isFirst))
+        if (!co_await waitForRequest(entry, buffer, isFirst))
             co_return false;
-        const std::optional<int> errorStatus = co_await readHeader(socket, buffer, currentLimits);
-        if (!errorStatus)
-            co_return false;
-        if (*errorStatus != 0) {
-            co_await rejectMalformed(socket, *errorStatus,
-                "request header is malformed, too large or not received in time");
-            co_return false;
-        }
-        Http::request_parser<Http::string_body> parser;
-        parser.body_limit(currentLimits.bodyBytes);
-        parser.header_limit(static_cast<std::uint32_t>(currentLimits.headerBytes + headerEnd.size()));
-        boost::system::error_code error;
-        {
-            const std::unique_ptr<Watchdog> watchdog
-                = startTimeout(socket, currentLimits.idleTimeout);
-            co_await Http::async_read(
-                socket, buffer, parser, Asio::redirect_error(Asio::use_awaitable, error));
+        entry.setState(ConnectionState::Reading);
+        Tcp::socket& socket = entry.socket();
+        std::unique_ptr<MemoryAccount::Holder> holder;
+        if (m_options.memory) {
+            holder = m_options.memory->open(MemoryCause::Request, RuntimeClock::now());
+            holder->setEviction([&socket] {
+                boost::system::error_code ignored;
+                socket.close(ignored); // NOLINT(bugprone-unused-return-value)
+            });
         }
-        if (isConnectionLost(error))
+        HttpRequestReader reader(
+            socket, buffer, [this] { return limits(); }, holder.get());
+        ReadRequest read = co_await reader.read();
+        // What is passed on may run, so its connection ends only with its response.
+        if (holder)
+            holder->setEviction(nullptr);
+        if (holder && holder->isEvicted())
+            recordLimitMet(m_counts.evicted, "evicted");
+        if (read.end == RequestReadEnd::Disconnected)
             co_return false;
-        if (error) {
-            co_await rejectMalformed(socket,
-                error == Http::error::body_limit ? statusBodyTooLarge : statusBadRequest,
-                error.message());
+        if (read.end != RequestReadEnd::Complete) {
+            // Others may use the memory while this client reads its refusal.
+            holder.reset();
+            buffer = {};
+            co_await reject(socket, read.end);
             co_return false;
         }
-        constexpr unsigned httpVersion11 = 11;
-        HttpExchangeImpl exchange(socket, toRequest(parser.get()), parser.get().keep_alive(),
-            parser.get().version() >= httpVersion11, m_closingAfterResponses);
+        if (buffer.size() == 0 && buffer.capacity() > maxIdleBufferBytes)
+            buffer.shrink_to_fit();
+        entry.setState(ConnectionState::Serving);
+        HttpExchangeImpl exchange(socket, std::move(read.request), read.keepAlive, read.acceptsChunks,
+            m_closingAfterResponses, writeTimeout());
         co_return co_await runHandler(exchange);
     }
 
-    // Whether the connection ended, as opposed to delivering malformed input.
-    static bool isConnectionLost(boost::system::error_code error)
+    Milliseconds writeTimeout() const
+    {
+        const Milliseconds timeout = limits().idleTimeout;
+        return timeout.count() > 0 ? timeout : defaultWriteTimeout;
+    }
+
+    void recordLimitMet(std::uint64_t& count, std::string_view limit)
+    {
+        ++count;
+        if (m_options.onLimitMet)
+            m_options.onLimitMet(limit);
+    }
+
+    void recordRejection(RequestReadEnd end)
     {
-        static const auto& parserErrors = Http::make_error_code(Http::error::bad_method).category();
-        return error
-            && (error.category() != parserErrors || error == Http::error::end_of_stream
-                || error == Http::error::partial_message);
+        if (end == RequestReadEnd::NoMemory)
+            recordLimitMet(m_counts.withoutMemory, "without_memory");
+        else if (end == RequestReadEnd::TooSlow)
+            recordLimitMet(m_counts.tooSlow, "too_slow");
+        else if (end != RequestReadEnd::Malformed)
+            recordLimitMet(m_counts.tooLarge, "too_large");
     }
 
-    // Responds to malformed input and closes the connection. Unread data is read and discarded first:
+    // Responds to a request that could not be read, and closes the connection. Unread data is read and discarded first:
     // closing a socket with unread data resets the connection, which can destroy the response in
     // transit.
-    Asio::awaitable<void> rejectMalformed(Tcp::socket& socket, int status, std::string detail)
+    Asio::awaitable<void> reject(Tcp::socket& socket, RequestReadEnd end)
     {
-        HttpExchangeImpl exchange(socket, HttpRequest {}, false, false, m_closingAfterResponses);
-        std::string body = R"({"refusal":{"reason":"malformed_request","ran":"unknown",)"
-                           R"("retry_after_ms":0,"detail":")"
-            + detail + "\"}}";
+        recordRejection(end);
+        const ReadRejection rejection = rejectionFor(end);
+        HttpExchangeImpl exchange(socket, HttpRequest {}, false, false, m_closingAfterResponses, lingerTimeout);
+        std::string body = R"({"refusal":{"reason":")" + std::string(rejection.reason) + R"(","ran":"no",)"
+            + R"("retry_after_ms":)" + (rejection.isTemporary ? "1000" : "0") + R"(,"detail":")"
+            + std::string(rejection.detail) + "\"}}";
+        std::vector<HttpField> fields;
+        if (rejection.isTemporary)
+            fields.push_back({ "Retry-After", "1" });
         boost::system::error_code error;
         try {
-            co_await exchange.respond(status, "application/json", std::move(body));
+            co_await exchange.respond(rejection.status, "application/json", std::move(body), std::move(fields));
             socket.shutdown(Tcp::socket::shutdown_send, error); // NOLINT(bugprone-unused-return-value)
         } catch (const std::exception&) {
             exchange.abort();
@@ -305,8 +358,8 @@
     // Set by stopAfterPendingRequests().
     std::atomic<bool> m_isStopping { false };
     std::atomic<std::size_t> m_connections { 0 };
-    // Connections that wait for a request, and whether it is their first.
-    std::map<Tcp::socket*, bool> m_idleSockets;
+    ConnectionTable m_table;
+    HttpServerCounts m_counts;
 };
 
 HttpServer::HttpServer(
@@ -332,6 +385,16 @@
     return m_impl->exchangesInFlight();
 }
 
+HttpServerCounts HttpServer::counts() const
+{
+    return m_impl->counts();
+}
+
+void HttpServer::setMaxConnections(std::size_t connections)
+{
+    m_impl->setMaxConnections(connections);
+}
+
 void HttpServer::closeAfterResponses()
 {
     m_impl->closeAfterResponses();
--- a/src/libnet/httpserver.h
+++ b/src/libnet/httpserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libapricot/httplimits.h"
+#include "libapricot/memoryaccount.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -72,6 +73,8 @@
     virtual void setPeerDisconnectedHandler(std::function<void()> handler) = 0;
     // Closes the connection at once without finishing the response.
     virtual void abort() = 0;
+    // Sets what is told of each part of a response that the peer has accepted, and when.
+    virtual void setProgressHandler(std::function<void(TimePoint)> handler) = 0;
 };
 
 using HttpHandler = std::function<boost::asio::awaitable<void>(HttpExchange&)>;
@@ -83,6 +86,29 @@
     std::size_t bodyLimitBytes = 1'048'576;
     // Returns the current limits; called before each request. Replaces bodyLimitBytes if set.
     std::function<HttpLimits()> limits;
+    // Account of the bytes that connections hold, if they share one; it must outlive the io_context's run().
+    MemoryAccount* memory = nullptr;
+    // Most connections at a time; zero for no limit.
+    std::size_t maxConnections = 0;
+    // Called with the name of the limit when one ends or refuses a connection or a request.
+    std::function<void(std::string_view)> onLimitMet;
+};
+
+// Connections that a server ended or refused because they exceeded what it may hold.
+struct HttpServerCounts {
+    std::size_t connections = 0;
+    std::uint64_t idleClosed = 0;
+    std::uint64_t slowClosed = 0;
+    std::uint64_t refused = 0;
+    // Requests that were refused because there was no memory for them.
+    std::uint64_t withoutMemory = 0;
+    // Requests whose connection was closed because others needed their memory.
+    std::uint64_t evicted = 0;
+    // Requests with more bytes than a limit allows, and those that made no progress.
+    std::uint64_t tooLarge = 0;
+    std::uint64_t tooSlow = 0;
+
+    auto operator<=>(const HttpServerCounts&) const = default;
 };
 
 // HTTP/1.1 server on one io_context, built on Boost.Beast. Must outlive the io_context's run().
@@ -100,6 +126,8 @@
     // Number of requests whose handler has not returned; once the server stops after pending requests, of all
     // connections that are still open. May be called on any thread.
     std::size_t exchangesInFlight() const;
+    HttpServerCounts counts() const;
+    void setMaxConnections(std::size_t connections);
     // Stops listening and closes idle connections; exchanges in flight continue.
     void stopAccepting();
     // Accepts the connections that wait for it and then stops listening. Requests of which a byte has arrived are served,
--- /dev/null
+++ b/src/libnet/machinelimits.cpp
@@ -0,0 +1,50 @@
+#include "libnet/machinelimits.h"
+
+#include <malloc.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <algorithm>
+
+namespace Apricot {
+
+namespace {
+
+    constexpr double bytesPerMegabyte = 1024.0 * 1024;
+    constexpr std::size_t defaultDescriptors = 1024;
+
+    std::size_t systemMemory()
+    {
+        const long pages = sysconf(_SC_PHYS_PAGES);
+        const long pageBytes = sysconf(_SC_PAGESIZE);
+        return pages > 0 && pageBytes > 0 ? static_cast<std::size_t>(pages) * static_cast<std::size_t>(pageBytes) : 0;
+    }
+
+    std::size_t systemDescriptors()
+    {
+        rlimit limit {};
+        if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY)
+            return defaultDescriptors;
+        return limit.rlim_cur;
+    }
+
+}
+
+MachineLimits machineLimits(double memoryMegabytes, double descriptors)
+{
+    return { .memoryBytes = memoryMegabytes > 0 ? static_cast<std::size_t>(memoryMegabytes * bytesPerMegabyte)
+                                                : systemMemory(),
+        .descriptors = descriptors > 0 ? static_cast<std::size_t>(descriptors) : systemDescriptors() };
+}
+
+void returnLargeBlocks()
+{
+    constexpr int largeBlockBytes = 128 * 1024;
+    // Setting the threshold also keeps the allocator from raising it after the first large block was freed.
+    mallopt(M_MMAP_THRESHOLD, largeBlockBytes);
+    // Smaller, each request would return memory that the next one needs again.
+    constexpr int keptBytes = 1024 * 1024;
+    mallopt(M_TRIM_THRESHOLD, keptBytes);
+}
+
+}
--- a/src/libserving/gatewaysettings.cpp
+++ b/src/libserving/gatewaysettings.cpp
@@ -17,9 +17,9 @@
     }
 
     void describeNumber(double& target, SettingsTable& table, const std::string& key,
-        NumberRange<double> range, const std::string& effect)
+        NumberRange<double> range, const std::string& effect, const std::string& section = "bounds")
     {
-        table.add({ .section = "bounds", .key = key, .range = range, .effect = effect }, &target);
+        table.add({ .section = section, .key = key, .range = range, .effect = effect }, &target);
     }
 
 }
@@ -49,6 +49,14 @@
                   .range = secondsRange,
                   .effect = "Interval of the reports of backend servers to the store, in seconds." },
         &settings.serverHeartbeatSeconds);
+    describeNumber(settings.memoryMegabytes, table, "memory_mb", countRange,
+        "Memory of the machine for this process, in megabytes. A quarter of it may be held for clients. "
+        "Zero stands for the memory that the system reports.",
+        "machine");
+    describeNumber(settings.maxDescriptors, table, "max_descriptors", countRange,
+        "Descriptors of this process. Callers may use half of those beyond 200. "
+        "Zero stands for the limit that the system reports.",
+        "machine");
     describeNumber(settings.graceSeconds, table, "grace_seconds", secondsRange,
         "Time that the platform allows a process to stop, in seconds.");
     describeNumber(settings.retryRatio, table, "retry_ratio", ratioRange,
--- a/src/libserving/gatewaysettings.h
+++ b/src/libserving/gatewaysettings.h
@@ -23,6 +23,10 @@
     // Interval of the reports of backend servers to the store, which removes a server after three without one.
     double serverHeartbeatSeconds = 1.2;
 
+    // Memory and descriptors that the machine allows this process; zero for what the system says.
+    double memoryMegabytes = 0;
+    double maxDescriptors = 0;
+
     // Longest time from the stop signal to the end of the process.
     double graceSeconds = 8;
     double retryRatio = 0.2;
--- a/tests/platform/gatewaycluster.cpp
+++ b/tests/platform/gatewaycluster.cpp
@@ -44,8 +44,9 @@
     bool isSuspended = false;
 };
 
-GatewayCluster::GatewayCluster(std::size_t hosts, ClusterRetries retries)
+GatewayCluster::GatewayCluster(std::size_t hosts, ClusterRetries retries, double rolloutShare)
     : m_retries(retries)
+    , m_rolloutShare(rolloutShare)
 {
     const json::value config = json::parse(clusterConfig);
     Asio::co_spawn(m_context, writeEntry(std::string(Names::configurationKey), config), Asio::detached);
@@ -70,6 +71,7 @@
         settings.retryWindowSeconds = shortRetryWindowSeconds;
     if (m_retries == ClusterRetries::Never)
         settings.retryRatio = settings.retrySlack = 0;
+    settings.rolloutShare = m_rolloutShare;
     settings.process.host = HostId("host-" + std::to_string(host));
     settings.process.failureDomain = FailureDomainId("zone-" + std::to_string(host % 3));
     return settings;
@@ -225,6 +227,11 @@
     return count ? count->to_number<std::size_t>() : 0;
 }
 
+json::value GatewayCluster::statusOf(const std::string& key)
+{
+    return json::parse(textAt(m_platform.port(), "/-/objects/" + key)).at("status");
+}
+
 std::string GatewayCluster::textAt(std::uint16_t port, const std::string& target)
 {
     std::string text;
--- a/tests/platform/gatewaycluster.h
+++ b/tests/platform/gatewaycluster.h
@@ -86,7 +86,8 @@
 // ends its server, which comes back later as another one at the same address. Each daemon has its own event loop; all run on this thread.
 class GatewayCluster {
 public:
-    explicit GatewayCluster(std::size_t hosts, ClusterRetries retries = ClusterRetries::AsConfigured);
+    // Orders to roll out versions are followed only with a share above zero.
+    explicit GatewayCluster(std::size_t hosts, ClusterRetries retries = ClusterRetries::AsConfigured, double rolloutShare = 0);
     ~GatewayCluster();
 
     GatewayCluster(const GatewayCluster&) = delete;
@@ -136,6 +137,8 @@
     // Writes or removes an object of the store.
     void writeObject(const std::string& key, boost::json::value value);
     void removeObject(const std::string& key);
+    // What the system has written about an object; null if nothing.
+    boost::json::value statusOf(const std::string& key);
     // Sets the faults of the store; takes the JSON body of POST /faults.
     void setStoreFaults(const std::string& faults);
     // Number of calls that the store has received: "reads", "stale_reads", "watches" or "writes".
@@ -223,6 +226,7 @@
     Apricot::PlatformClient m_store { m_context, { .port = m_platform.port() } };
     Apricot::PeerClient m_peers { m_context };
     ClusterRetries m_retries;
+    double m_rolloutShare;
     std::vector<std::unique_ptr<BackendServer>> m_servers;
     std::vector<std::unique_ptr<ScriptedServer>> m_scriptedServers;
     // Keys of their entries by version.
--- a/tests/platform/gatewayfixture.h
+++ b/tests/platform/gatewayfixture.h
@@ -29,6 +29,7 @@
     static boost::asio::awaitable<void> respondNotRun(Apricot::HttpExchange& exchange, int status);
     static boost::asio::awaitable<void> beginSignedStream(Apricot::HttpExchange& exchange);
 
+    Apricot::MemoryAccount memory;
     boost::asio::io_context context;
     Apricot::ServingView view;
     Apricot::ServerTracker tracker;
@@ -44,7 +45,7 @@
     Apricot::ServerCalls calls { context, links, relays };
     Apricot::ServerEndProbe serverEnds { context, view, links, peers, Apricot::HostId("h1") };
     Apricot::RolloutObserver rollouts { view, registry };
-    Apricot::BackendCaller backendCaller { view, tracker, limits, statements, coldLimiter, calls, serverEnds, rollouts };
+    Apricot::BackendCaller backendCaller { view, tracker, limits, statements, coldLimiter, calls, serverEnds, rollouts, memory };
     Apricot::StageHome home { context, view, backendCaller, poison };
     Apricot::StageRouter router { context, Apricot::HostId("h1"), view, home, peers };
     Apricot::StageRunner stages { context, router };
--- a/tests/processes/gatewayfleet.py
+++ b/tests/processes/gatewayfleet.py
@@ -118,13 +118,13 @@
         self.fleet.processes[name] = process
         return process
 
-    def put_config(self, max_attempts=3):
+    def put_config(self, max_attempts=3, body_bytes=4194304, header_bytes=16384):
         route = {"name": "again", "host": "h", "pathPrefix": "/again/", "routeKind": "idempotent",
                  "timeoutMs": 2500, "sloMs": 150, "service": "plain", "maxAttempts": max_attempts,
                  "public": True}
         self.fleet.put_object("config/main", {
             "version": 1, "routes": [route], "services": [{"name": "plain"}], "tenants": [],
-            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000,
+            "limits": {"maxHeaderBytes": header_bytes, "maxBodyBytes": body_bytes, "headerTimeoutMs": 3000,
                        "idleTimeoutMs": 15000}})
 
     def put_server(self, server, start=1):
