--- a/src/libnet/httprequestreader.cpp
+++ b/src/libnet/httprequestreader.cpp
@@ -22,8 +22,8 @@
     constexpr std::size_t bodyReadBytes = 16'384;
     // Applies where the configuration sets no timeout, so that no connection holds its bytes for good.
     constexpr Milliseconds defaultTimeout { 30'000 };
-    // Average rate below which a body makes too little progress once the timeout has passed. A hundredth of what the
-    // slowest usual link transfers.
+    // Average rate below which a body makes too little progress once the timeout has passed: far less than what a thin
+    // link transfers.
     constexpr double minBytesPerMillisecond = 1;
 
     Milliseconds timeoutOr(Milliseconds timeout) { return timeout.count() > 0 ? timeout : defaultTimeout; }
--- a/src/libnet/machinelimits.h
+++ b/src/libnet/machinelimits.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <cstddef>
 
 namespace Apricot {
--- a/tests/clusters/rollouttest.cpp
+++ b/tests/clusters/rollouttest.cpp
@@ -150,6 +150,35 @@
     STRCMP_EQUAL("completed", runUntilEnded(cluster, others, Milliseconds(13'000)).c_str());
 }
 
+// Guards against steps of a host that stood still while others ended the roll-out.
+TEST(RolloutCluster, keepsAFinalStateWhenTheActingHostWakes)
+{
+    GatewayCluster cluster(3, ClusterRetries::Allowed, exposureShare);
+    start(cluster);
+    cluster.runFor(Milliseconds(1000));
+    const HostId acting = rankHosts("relay", { HostId("host-0"), HostId("host-1"), HostId("host-2") }).front();
+    std::vector<std::size_t> others;
+    std::size_t actingIndex = 0;
+    for (std::size_t host = 0; host < 3; ++host) {
+        if (acting == HostId("host-" + std::to_string(host)))
+            actingIndex = host;
+        else
+            others.push_back(host);
+    }
+    cluster.setSuspended(actingIndex, true);
+    isTargetBad = true;
+    STRCMP_EQUAL("reverted", runUntilEnded(cluster, others, Milliseconds(12'000)).c_str());
+    cluster.setSuspended(actingIndex, false);
+    cluster.runFor(Milliseconds(3000));
+    STRCMP_EQUAL("reverted", stateOf(cluster).c_str());
+    const TimePoint wokenAt = RuntimeClock::now();
+    for (int request = 0; request < 40; ++request) {
+        cluster.send(actingIndex, "/again/x", "later " + std::to_string(request));
+        cluster.runFor(requestInterval);
+    }
+    LONGS_EQUAL(0, runsAfter("v2", wokenAt));
+}
+
 // Guards against a bad version that goes on while the store does not answer.
 TEST(RolloutCluster, stopsSendingToABadVersionWhileTheStoreIsDown)
 {
