--- a/src/emulator/platform/platformserver.cpp
+++ b/src/emulator/platform/platformserver.cpp
@@ -1,5 +1,6 @@
 #include "emulator/platform/platformserver.h"
 
+#include "emulator/platform/objectjson.h"
 #include "platform/names.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -19,8 +20,6 @@
 namespace {
 
     using PlatformNames::objectsPath;
-    // Maximum number of objects on one page of a list.
-    constexpr std::size_t pageLength = 500;
     constexpr std::string_view jsonType = "application/json";
     // Ends the path on which the status of an object is written.
     constexpr std::string_view statusSuffix = "/status";
@@ -53,63 +52,6 @@
         return number;
     }
 
-    std::string objectName(const std::string& key) { return key.substr(key.find('/') + 1); }
-
-    // What the store holds for an object: what its writer set, and what is written about it on its status path.
-    json::value storedValue(json::value spec, json::value status)
-    {
-        return json::object { { "spec", std::move(spec) }, { "status", std::move(status) } };
-    }
-
-    json::value memberOf(const json::value& stored, std::string_view name)
-    {
-        const json::object* object = stored.if_object();
-        const json::value* member = object ? object->if_contains(name) : nullptr;
-        return member ? *member : json::value(nullptr);
-    }
-
-    json::value objectJson(const StoreObject& object)
-    {
-        json::object metadata { { "name", objectName(object.key) }, { "revision", object.version },
-            { "created", object.version }, { "finalizers", json::array() },
-            { "deletionPending", false } };
-        return json::object { { "metadata", std::move(metadata) }, { "spec", memberOf(object.value, "spec") },
-            { "status", memberOf(object.value, "status") } };
-    }
-
-    json::value eventsJson(const StoreEvents& events)
-    {
-        json::array list;
-        for (const StoreEvent& event : events.events) {
-            json::value object = objectJson({ event.key, event.version,
-                event.value ? *event.value : json::value(nullptr) });
-            list.push_back(
-                json::object { { "deleted", !event.value }, { "object", std::move(object) } });
-        }
-        return json::object { { "events", std::move(list) }, { "at", events.revision } };
-    }
-
-    json::value listJson(const StoreList& list, const std::string& after)
-    {
-        json::array entries;
-        bool hasMore = false;
-        for (const StoreObject& object : list.objects) {
-            if (objectName(object.key) <= after)
-                continue;
-            hasMore = entries.size() == pageLength;
-            if (hasMore)
-                break;
-            entries.push_back(objectJson(object));
-        }
-        return json::object { { "entries", std::move(entries) }, { "hasMore", hasMore },
-            { "at", list.revision } };
-    }
-
-    json::value conflictJson(const StoreConflict& conflict)
-    {
-        return conflict.current ? objectJson(*conflict.current) : json::value(nullptr);
-    }
-
     // Object in the body of a write request.
     struct WrittenObject {
         std::string name;
@@ -342,8 +284,8 @@
         WrittenObject object = parseWrittenObject(request, isStatus ? "status" : "spec");
         const auto existing = m_store.get(writtenKey, m_store.revision());
         json::value value = !existing ? json::value(nullptr)
-            : isStatus                ? storedValue(memberOf(existing->value, "spec"), std::move(object.value))
-                                      : storedValue(std::move(object.value), memberOf(existing->value, "status"));
+            : isStatus                ? storedValue(partOf(existing->value, "spec"), std::move(object.value))
+                                      : storedValue(std::move(object.value), partOf(existing->value, "status"));
         result = existing ? m_store.put(writtenKey, std::move(value), object.ifVersion) : StoreResult(StoreConflict {});
     } else {
         co_return co_await respondError(exchange, 405, "method not allowed");
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -7,6 +7,7 @@
 #include "libnet/controlfollower.h"
 #include "libnet/daemon.h"
 #include "libnet/log.h"
+#include "libnet/machinelimits.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/json/value.hpp>
@@ -29,7 +30,9 @@
     class EntryDaemon {
     public:
         explicit EntryDaemon(const EntrySettings& settings)
-            : m_peers(m_daemon.traffic())
+            : m_limits(clientLimits(machineLimits(0, 0), settings.bodyLimitBytes))
+            , m_memory({ .totalBytes = m_limits.memoryBytes })
+            , m_peers(m_daemon.traffic())
             , m_follower(m_daemon.control(),
                   { .host = settings.process.host,
                       .failureDomain = settings.process.failureDomain,
@@ -38,7 +41,9 @@
             , m_http(m_daemon.traffic(),
                   { .address = settings.http.address,
                       .port = settings.http.port,
-                      .bodyLimitBytes = settings.bodyLimitBytes },
+                      .bodyLimitBytes = settings.bodyLimitBytes,
+                      .memory = &m_memory,
+                      .maxConnections = m_limits.connections },
                   [this](HttpExchange& exchange) { return m_service.serve(exchange); })
             , m_admin(m_daemon.control(), m_metrics, makeAdminOptions(settings))
         {
@@ -82,6 +87,9 @@
             m_daemon.stop();
         }
 
+        ClientLimits m_limits;
+        // Outlives the connections that the event loop of the daemon destroys.
+        MemoryAccount m_memory;
         Daemon m_daemon;
         MetricRegistry m_metrics;
         PeerClient m_peers;
@@ -98,6 +106,7 @@
 int main(int argc, char** argv)
 {
     using namespace Apricot;
+    returnLargeBlocks();
     return runDaemon<EntrySettings>(
         argc, argv, programName, usageText, [](const EntrySettings& settings) {
             EntryDaemon daemon(settings);
--- a/src/gateway/gatewaydaemon.cpp
+++ b/src/gateway/gatewaydaemon.cpp
@@ -204,18 +204,9 @@
 
 void GatewayDaemon::applyMachineLimits()
 {
-    // A quarter, because a request that runs exists twice, and the process needs memory of its own.
-    constexpr double heldShare = 0.25;
-    // Large holders may use three quarters of it, which has to be enough for the largest legal body.
-    constexpr double largeShare = 0.75;
-    constexpr std::size_t bodyMargin = 1 << 20;
-    constexpr std::size_t reservedDescriptors = 200;
-    const double largestBody = static_cast<double>(m_requests.limits().bodyBytes + bodyMargin);
-    m_memory.setTotalBytes(static_cast<std::size_t>(
-        std::max(heldShare * static_cast<double>(m_machine.memoryBytes), largestBody / largeShare)));
-    m_callerServer.setMaxConnections(
-        m_machine.descriptors > 2 * reservedDescriptors ? (m_machine.descriptors - reservedDescriptors) / 2
-                                                        : m_machine.descriptors / 4);
+    const ClientLimits limits = clientLimits(m_machine, m_requests.limits().bodyBytes);
+    m_memory.setTotalBytes(limits.memoryBytes);
+    m_callerServer.setMaxConnections(limits.connections);
 }
 
 void GatewayDaemon::applyRollout(const PlatformObject& object)
--- a/src/libnet/httpserver.cpp
+++ b/src/libnet/httpserver.cpp
@@ -3,7 +3,7 @@
 #include "libnet/asyncevent.h"
 #include "libnet/connectiontable.h"
 #include "libnet/httpexchangeimpl.h"
-#include "libnet/httprequestreader.h"
+#include "libnet/readrejection.h"
 #include "libnet/watchdog.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -27,11 +27,6 @@
     constexpr std::size_t readBufferBytes = 4096;
     // A larger buffer is freed while its request is handled and its connection idle.
     constexpr std::size_t maxIdleBufferBytes = 8192;
-    constexpr int statusBadRequest = 400;
-    constexpr int statusTimeout = 408;
-    constexpr int statusBodyTooLarge = 413;
-    constexpr int statusHeaderTooLarge = 431;
-    constexpr int statusUnavailable = 503;
     // How long a new connection may take to send its first request once the server stops.
     constexpr Milliseconds firstRequestTimeout { 300 };
     // How long the unread data of a rejected request is read and discarded.
@@ -43,31 +38,6 @@
     // Connections close for new ones only where there are many, so few clients cannot displace each other.
     constexpr std::size_t minMaxConnections = 16;
 
-    // The response to a request that could not be read. None of these requests has reached a handler.
-    struct ReadRejection {
-        int status = 0;
-        std::string_view reason;
-        std::string_view detail;
-        // Whether the client may send the request again.
-        bool isTemporary = false;
-    };
-
-    ReadRejection rejectionFor(RequestReadEnd end)
-    {
-        switch (end) {
-        case RequestReadEnd::HeaderTooLarge:
-            return { statusHeaderTooLarge, "malformed_request", "request header or framing is too large" };
-        case RequestReadEnd::BodyTooLarge:
-            return { statusBodyTooLarge, "malformed_request", "request body is too large" };
-        case RequestReadEnd::TooSlow:
-            return { statusTimeout, "malformed_request", "request was not received in time" };
-        case RequestReadEnd::NoMemory:
-            return { statusUnavailable, "overloaded", "no memory for the request", true };
-        default:
-            return { statusBadRequest, "malformed_request", "request is malformed" };
-        }
-    }
-
 }
 
 class HttpServer::Impl : public std::enable_shared_from_this<HttpServer::Impl> {
@@ -309,17 +279,12 @@
     Asio::awaitable<void> reject(Tcp::socket& socket, RequestReadEnd end)
     {
         recordRejection(end);
-        const ReadRejection rejection = rejectionFor(end);
+        ReadRejection rejection = rejectionFor(end);
         HttpExchangeImpl exchange(socket, HttpRequest {}, false, false, m_closingAfterResponses, lingerTimeout);
-        std::string body = R"({"refusal":{"reason":")" + std::string(rejection.reason) + R"(","ran":"no",)"
-            + R"("retry_after_ms":)" + (rejection.isTemporary ? "1000" : "0") + R"(,"detail":")"
-            + std::string(rejection.detail) + "\"}}";
-        std::vector<HttpField> fields;
-        if (rejection.isTemporary)
-            fields.push_back({ "Retry-After", "1" });
         boost::system::error_code error;
         try {
-            co_await exchange.respond(rejection.status, "application/json", std::move(body), std::move(fields));
+            co_await exchange.respond(
+                rejection.status, "application/json", std::move(rejection.body), std::move(rejection.fields));
             socket.shutdown(Tcp::socket::shutdown_send, error); // NOLINT(bugprone-unused-return-value)
         } catch (const std::exception&) {
             exchange.abort();
--- a/src/libnet/machinelimits.cpp
+++ b/src/libnet/machinelimits.cpp
@@ -37,6 +37,20 @@
         .descriptors = descriptors > 0 ? static_cast<std::size_t>(descriptors) : systemDescriptors() };
 }
 
+ClientLimits clientLimits(const MachineLimits& machine, std::size_t largestBodyBytes)
+{
+    constexpr std::size_t memoryPart = 4;
+    // Large holders may use three quarters of the account; see MemoryAccountOptions.
+    constexpr double largeShare = 0.75;
+    constexpr std::size_t bodyMargin = 1 << 20;
+    constexpr std::size_t fileDescriptors = 200;
+    const auto neededBytes
+        = static_cast<std::size_t>(static_cast<double>(largestBodyBytes + bodyMargin) / largeShare);
+    return { .memoryBytes = std::max(machine.memoryBytes / memoryPart, neededBytes),
+        .connections = machine.descriptors > 2 * fileDescriptors ? (machine.descriptors - fileDescriptors) / 2
+                                                                 : machine.descriptors / memoryPart };
+}
+
 void returnLargeBlocks()
 {
     constexpr int largeBlockBytes = 128 * 1024;
