Close connections that read nothing for new ones; forget barred versions with their order

Cause: clients that read nothing of their responses kept all connections until the timeout of a write, and no other caller was accepted meanwhile; versions stayed out of use after the order that replaced them was removed. Change: a connection that waits for its client to read for a second may be closed for a new one; removing an order ends what it barred. Measured: HttpServerLimits and Rollout pass; the two new tests were not run on the code before.

--- a/src/gateway/rollout/rolloutobserver.cpp
+++ b/src/gateway/rollout/rolloutobserver.cpp
@@ -1,5 +1,6 @@
 #include "gateway/rollout/rolloutobserver.h"
 
+#include "gateway/rollout/unixtime.h"
 #include "libnet/log.h"
 #include "libserving/rollout/rolloutassessment.h"
 
@@ -9,11 +10,6 @@
 
 namespace {
 
-    std::int64_t unixMilliseconds()
-    {
-        return std::chrono::floor<Milliseconds>(std::chrono::system_clock::now()).time_since_epoch().count();
-    }
-
     void logState(const StoredRollout& rollout)
     {
         boost::json::object fields { { "pool", rollout.order.pool.value() },
--- a/src/gateway/rollout/rolloutsync.cpp
+++ b/src/gateway/rollout/rolloutsync.cpp
@@ -1,5 +1,6 @@
 #include "gateway/rollout/rolloutsync.h"
 
+#include "gateway/rollout/unixtime.h"
 #include "libapricot/rendezvous.h"
 #include "libnet/asyncevent.h"
 #include "libnet/log.h"
@@ -27,11 +28,6 @@
     // Hosts that may act, in turn, while those before them are not reached.
     constexpr std::size_t maxActingHosts = 4;
 
-    std::int64_t unixMilliseconds()
-    {
-        return std::chrono::floor<Milliseconds>(std::chrono::system_clock::now()).time_since_epoch().count();
-    }
-
 }
 
 RolloutSync::RolloutSync(Asio::io_context& context, ServingView& view, RolloutObserver& observer,
--- a/src/libnet/connectiontable.cpp
+++ b/src/libnet/connectiontable.cpp
@@ -4,6 +4,13 @@
 
 namespace Apricot {
 
+namespace {
+
+    // Time in which a client that reads its response accepts part of it.
+    constexpr Milliseconds stalledWriteTime { 1000 };
+
+}
+
 ConnectionTable::Entry::Entry(ConnectionTable& table, boost::asio::ip::tcp::socket& socket)
     : m_table(table)
     , m_socket(socket)
@@ -36,10 +43,18 @@
 
 ConnectionState ConnectionTable::closeOne()
 {
-    const auto rankOf = [](const Entry& entry) { return std::tuple(entry.m_state == ConnectionState::Reading, entry.m_since); };
+    const TimePoint now = RuntimeClock::now();
+    // Connections that wait for a request go first, then those that send one.
+    const auto rankOf = [](const Entry& entry) {
+        return std::tuple(entry.m_state == ConnectionState::Writing, entry.m_state == ConnectionState::Reading, entry.m_since);
+    };
+    const auto isStalled = [now](const Entry& entry) {
+        return entry.m_state != ConnectionState::Writing || entry.m_since + stalledWriteTime <= now;
+    };
     Entry* first = nullptr;
     for (Entry* entry : m_entries) {
-        const bool mayClose = entry->m_state != ConnectionState::Serving && entry->m_socket.is_open();
+        const bool mayClose
+            = entry->m_state != ConnectionState::Serving && entry->m_socket.is_open() && isStalled(*entry);
         if (mayClose && (!first || rankOf(*entry) < rankOf(*first)))
             first = entry;
     }
--- a/src/libnet/connectiontable.h
+++ b/src/libnet/connectiontable.h
@@ -20,6 +20,8 @@
     Reading,
     // Its request is handled.
     Serving,
+    // Part of its response waits for the client to read.
+    Writing,
 };
 
 // The connections of a server, so that others can be closed for a new one.
@@ -51,7 +53,7 @@
     // Closes the connections that wait for a request, and for which the predicate holds.
     void closeWaiting(const std::function<bool(boost::asio::ip::tcp::socket&, bool isNew)>& predicate);
     // Closes a connection for a new one: the one that has been idle longest, or else the one that takes longest to send
-    // its request. Returns its state, or Serving if there is none.
+    // its request, or to read part of its response. Returns its state, or Serving if there is none.
     ConnectionState closeOne();
 
 private:
--- a/src/libnet/httpexchangeimpl.cpp
+++ b/src/libnet/httpexchangeimpl.cpp
@@ -71,7 +71,8 @@
 
 HttpExchangeImpl::HttpExchangeImpl(
     Asio::ip::tcp::socket& socket, HttpRequest request, bool keepAlive,
-    bool acceptsChunks, const bool& isClosing, Milliseconds writeTimeout)
+    bool acceptsChunks, const bool& isClosing, Milliseconds writeTimeout,
+    ConnectionTable::Entry* connection)
     : m_socket(socket)
     , m_request(std::move(request))
     , m_watchEnded(socket.get_executor())
@@ -79,6 +80,7 @@
     , m_acceptsChunks(acceptsChunks)
     , m_isClosing(isClosing)
     , m_writeTimeout(writeTimeout)
+    , m_connection(connection)
 {
 }
 
@@ -154,10 +156,14 @@
         std::optional<Watchdog> watchdog;
         if (m_writeTimeout.count() > 0)
             watchdog.emplace(m_socket.get_executor(), m_writeTimeout, [this] { abort(); });
+        if (m_connection)
+            m_connection->setState(ConnectionState::Writing);
         const std::string_view part = bytes.substr(0, maxWriteBytes);
         const std::size_t written = co_await m_socket.async_write_some(
             Asio::const_buffer(part.data(), part.size()), Asio::use_awaitable);
         bytes.remove_prefix(written);
+        if (m_connection)
+            m_connection->setState(ConnectionState::Serving);
         if (m_onProgress)
             m_onProgress(RuntimeClock::now());
     }
--- a/src/libnet/httpexchangeimpl.h
+++ b/src/libnet/httpexchangeimpl.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libnet/asyncevent.h"
+#include "libnet/connectiontable.h"
 #include "libnet/httpserver.h"
 
 #include <boost/beast/http.hpp>
@@ -16,7 +17,8 @@
     // The server sets isClosing if connections are to close after their next response. Without chunks, a stream
     // ends with its connection.
     HttpExchangeImpl(boost::asio::ip::tcp::socket& socket, HttpRequest request, bool keepAlive,
-        bool acceptsChunks, const bool& isClosing, Milliseconds writeTimeout);
+        bool acceptsChunks, const bool& isClosing, Milliseconds writeTimeout,
+        ConnectionTable::Entry* connection = nullptr);
 
     const HttpRequest& request() const override { return m_request; }
     boost::asio::awaitable<void> respond(int status, std::string contentType, std::string body,
@@ -54,6 +56,8 @@
     bool m_acceptsChunks;
     const bool& m_isClosing;
     Milliseconds m_writeTimeout;
+    // The connection among those of its server, if it is one of them.
+    ConnectionTable::Entry* m_connection;
     std::function<void(TimePoint)> m_onProgress;
     bool m_responseStarted = false;
     bool m_finished = false;
--- a/src/libnet/httpserver.cpp
+++ b/src/libnet/httpserver.cpp
@@ -127,7 +127,7 @@
         const ConnectionState closed = m_table.closeOne();
         if (closed == ConnectionState::Serving)
             return false;
-        if (closed == ConnectionState::Reading)
+        if (closed == ConnectionState::Reading || closed == ConnectionState::Writing)
             recordLimitMet(m_counts.slowClosed, "slow_closed");
         else
             recordLimitMet(m_counts.idleClosed, "idle_closed");
@@ -246,7 +246,7 @@
             buffer.shrink_to_fit();
         entry.setState(ConnectionState::Serving);
         HttpExchangeImpl exchange(socket, std::move(read.request), read.keepAlive, read.acceptsChunks,
-            m_closingAfterResponses, writeTimeout());
+            m_closingAfterResponses, writeTimeout(), &entry);
         co_return co_await runHandler(exchange);
     }
 
--- a/src/libserving/rollout/rolloutrouting.cpp
+++ b/src/libserving/rollout/rolloutrouting.cpp
@@ -71,6 +71,10 @@
         return;
     if (!found->second.stored.isEnded())
         bar(pool, found->second.stored.order.target, { now + m_options.strictTime, true });
+    for (auto& [version, barred] : m_barred) {
+        if (version.first == pool)
+            barred.isForgotten = true;
+    }
     m_known.erase(found);
 }
 
--- a/tests/serving/rollouttest.cpp
+++ b/tests/serving/rollouttest.cpp
@@ -228,6 +228,15 @@
     LONGS_EQUAL(40, excludedOf("v2"));
 }
 
+// Guards against a version that stays out of use although nothing in the store says so any more.
+TEST(Rollout, usesReplacedVersionsAgainAfterTheOrderWasRemoved)
+{
+    routing.put({ .order = order, .status = statusOf(RolloutState::Completed), .revision = 4 }, 0, now);
+    LONGS_EQUAL(40, excludedOf("v1"));
+    routing.remove(order.pool, now);
+    LONGS_EQUAL(0, excludedOf("v1"));
+}
+
 TEST(Rollout, countsCallsOfStagesAgainstTheShare)
 {
     routing.put({ .order = order, .status = statusOf(RolloutState::InProgress), .revision = 2 }, 0, now);
--- a/tests/unit/httpserverlimitstest.cpp
+++ b/tests/unit/httpserverlimitstest.cpp
@@ -15,6 +15,8 @@
 
 constexpr std::size_t headerBytes = 600;
 constexpr std::size_t bodyBytes = 5000;
+// More than the sockets of both sides buffer.
+constexpr std::size_t largeResponseBytes = 16 << 20;
 const std::string start = "POST /x HTTP/1.1\r\nHost: h\r\n";
 
 std::string withLength(std::size_t bytes)
@@ -61,7 +63,8 @@
         [this](HttpExchange& exchange) {
             ++handled;
             receivedBytes = exchange.request().body.size();
-            return exchange.respond(200, "text/plain", "done");
+            const bool isLarge = exchange.request().path == "/large";
+            return exchange.respond(200, "text/plain", isLarge ? std::string(largeResponseBytes, 'l') : "done");
         } };
 
     Tcp::socket connect()
@@ -189,6 +192,22 @@
     CHECK(server.counts().idleClosed >= 24);
 }
 
+// Guards against clients that read nothing and keep all connections for as long as a response may take.
+TEST(HttpServerLimits, closesConnectionsThatReadNothingForNewOnes)
+{
+    memory.setTotalBytes(1 << 20);
+    server.setMaxConnections(16);
+    std::vector<Tcp::socket> crowd;
+    for (int client = 0; client < 16; ++client) {
+        crowd.push_back(connect());
+        Asio::write(crowd.back(), Asio::buffer(std::string("GET /large HTTP/1.1\r\nHost: h\r\n\r\n")));
+        run(Milliseconds(5));
+    }
+    run(Milliseconds(1200));
+    LONGS_EQUAL(200, statusFor(withLength(10)));
+    CHECK(server.counts().slowClosed > 0);
+}
+
 // Heads, framings and trailers altered at random, in parts of random sizes. HTTP_FUZZ_INPUTS sets their number by hand.
 TEST(HttpServerLimits, survivesAlteredRequests)
 {
