Fuzz requests without using up the ports

Cause: each altered request left a connection in TIME_WAIT, so that a million by hand would run out of ports. Change: the test resets its connections.

--- a/tests/unit/httpserverlimitstest.cpp
+++ b/tests/unit/httpserverlimitstest.cpp
@@ -238,6 +238,8 @@
                 altered = "x";
         }
         Tcp::socket socket = connect();
+        // A reset leaves no connection behind that would use up the ports.
+        socket.set_option(Asio::socket_base::linger(true, 0));
         boost::system::error_code error;
         const std::size_t split = random() % altered.size();
         Asio::write(socket, Asio::buffer(altered.substr(0, split)), error);
