Serve the version in force while its order is recorded; bound the bodies sent for peers

Cause: an order that names the only version of a pool kept its requests from it until the order was recorded; a host could hold 512 bodies of 2 MB for its peers. Change: a target that replaces nothing serves; bodies of calls for peers have a budget of 8 MiB, beyond which the peer gets busy, as beyond the number of calls.

--- a/src/gateway/relayserver.cpp
+++ b/src/gateway/relayserver.cpp
@@ -1,6 +1,7 @@
 #include "gateway/relayserver.h"
 
 #include "gateway/relayedstream.h"
+#include "libapricot/bytebudget.h"
 #include "libapricot/scopedcount.h"
 #include "libnet/log.h"
 
@@ -17,6 +18,8 @@
 
     // Bounds the memory and the processor time that a host spends for its peers.
     constexpr std::size_t maxRelayedCalls = 512;
+    // Bodies of these calls together. A host of the smallest size has 120 MB.
+    constexpr std::size_t maxRelayedBytes = 8 << 20;
 
 }
 
@@ -33,7 +36,10 @@
     const auto receiver = std::make_shared<Receiver>(m_context);
     Asio::co_spawn(m_context, watchReceiver(stream, receiver), Asio::detached);
     RelayEnd end = RelayEnd::Busy;
-    if (m_inFlight < maxRelayedCalls && !m_isStopping) {
+    // Bounds the memory of the process, like the budget of responses.
+    static ByteBudget budget(maxRelayedBytes);
+    ByteLease lease(budget);
+    if (m_inFlight < maxRelayedCalls && !m_isStopping && lease.tryAcquire(message.body.size())) {
         const ScopedCount inFlight(m_inFlight);
         end = co_await relay(*stream, message, *receiver);
     }
--- a/src/libserving/rollout/rolloutrouting.cpp
+++ b/src/libserving/rollout/rolloutrouting.cpp
@@ -140,6 +140,12 @@
     const auto isOfTarget
         = [&](const KnownServer* known) { return isTarget(pool, known->server.softwareVersion); };
     const auto targetsEnd = std::stable_partition(servers.begin(), servers.end(), isOfTarget);
+    // The order may name the version in force. Once versions that it replaces are recorded, the target waits for its turn.
+    const auto known = m_known.find(pool);
+    const bool replacesNone
+        = known == m_known.end() || !known->second.stored.status || known->second.stored.status->replaced.empty();
+    if (choice == VersionChoice::ReplacedOnly && targetsEnd == servers.end() && replacesNone)
+        return servers;
     if (choice == VersionChoice::ReplacedOnly)
         servers.erase(servers.begin(), targetsEnd);
     else if (choice == VersionChoice::TargetOnly && targetsEnd != servers.begin())
--- a/tests/serving/rollouttest.cpp
+++ b/tests/serving/rollouttest.cpp
@@ -228,6 +228,17 @@
     LONGS_EQUAL(40, excludedOf("v2"));
 }
 
+// Guards against requests that are refused because the order names the only version that there is.
+TEST(Rollout, servesWithTheVersionInForceWhileItsOrderIsRecorded)
+{
+    ServerDirectory sole;
+    sole.put({ .id = BackendServerId("s"), .pool = order.pool, .softwareVersion = order.target }, now);
+    routing.put({ .order = order, .revision = 1 }, 0, now);
+    LONGS_EQUAL(1, routing.select(sole.usable(order.pool, now), order.pool, VersionChoice::ReplacedOnly).size());
+    routing.put({ .order = order, .status = statusOf(RolloutState::InProgress), .revision = 2 }, 0, now);
+    LONGS_EQUAL(0, routing.select(sole.usable(order.pool, now), order.pool, VersionChoice::ReplacedOnly).size());
+}
+
 // Guards against a version that stays out of use although nothing in the store says so any more.
 TEST(Rollout, usesReplacedVersionsAgainAfterTheOrderWasRemoved)
 {
