Hold 32 MiB for clients at most, whatever the memory of the machine

Change: the account is a quarter of the memory and 32 MiB at most; the fixture of the tests has as much.

--- a/src/libnet/machinelimits.cpp
+++ b/src/libnet/machinelimits.cpp
@@ -40,13 +40,15 @@
 ClientLimits clientLimits(const MachineLimits& machine, std::size_t largestBodyBytes)
 {
     constexpr std::size_t memoryPart = 4;
+    // More would only let servers and clients without limits take more; ordinary requests hold a few kilobytes each.
+    constexpr std::size_t maxHeldBytes = 32 << 20;
     // Large holders may use three quarters of the account; see MemoryAccountOptions.
     constexpr double largeShare = 0.75;
     constexpr std::size_t bodyMargin = 1 << 20;
     constexpr std::size_t fileDescriptors = 200;
     const auto neededBytes
         = static_cast<std::size_t>(static_cast<double>(largestBodyBytes + bodyMargin) / largeShare);
-    return { .memoryBytes = std::max(machine.memoryBytes / memoryPart, neededBytes),
+    return { .memoryBytes = std::max(std::min(machine.memoryBytes / memoryPart, maxHeldBytes), neededBytes),
         .connections = machine.descriptors > 2 * fileDescriptors ? (machine.descriptors - fileDescriptors) / 2
                                                                  : machine.descriptors / memoryPart };
 }
--- a/src/libserving/gatewaysettings.cpp
+++ b/src/libserving/gatewaysettings.cpp
@@ -50,7 +50,7 @@
                   .effect = "Interval of the reports of backend servers to the store, in seconds." },
         &settings.serverHeartbeatSeconds);
     describeNumber(settings.memoryMegabytes, table, "memory_mb", countRange,
-        "Memory of the machine for this process, in megabytes. A quarter of it may be held for clients. "
+        "Memory of the machine for this process, in megabytes. A quarter of it, and 32 MiB at most, may be held for clients. "
         "Zero stands for the memory that the system reports.",
         "machine");
     describeNumber(settings.maxDescriptors, table, "max_descriptors", countRange,
--- a/tests/platform/gatewayfixture.h
+++ b/tests/platform/gatewayfixture.h
@@ -29,7 +29,8 @@
     static boost::asio::awaitable<void> respondNotRun(Apricot::HttpExchange& exchange, int status);
     static boost::asio::awaitable<void> beginSignedStream(Apricot::HttpExchange& exchange);
 
-    Apricot::MemoryAccount memory;
+    // What a host with 128 MB may hold for clients.
+    Apricot::MemoryAccount memory { { .totalBytes = 32 << 20 } };
     boost::asio::io_context context;
     Apricot::ServingView view;
     Apricot::ServerTracker tracker;
