--- a/src/libserving/eventsplitter.cpp
+++ b/src/libserving/eventsplitter.cpp
@@ -40,6 +40,10 @@
 std::string EventSplitter::feed(std::string_view bytes)
 {
     m_partialEvent += bytes;
+    // Only a line end can complete an event. Searching a long unfinished one again with each read would take time with the
+    // square of its size.
+    if (bytes.find_first_of("\r\n") == std::string_view::npos)
+        return {};
     const std::size_t end = endOfEvents(m_partialEvent);
     std::string events = m_partialEvent.substr(0, end);
     m_partialEvent.erase(0, end);
