Log and export the age of the configuration

When a caller was refused by an older configuration, the log did not show how old the host knew its configuration to be, nor how old it was when the store was lost, so the hypotheses of the incident could not be told apart. request_ended names config_age_ms for refusals, store_lost age_ms, and apricot_config_age_seconds is exported. No logic depends on them.

--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -65,6 +65,11 @@
     }
     const auto config = view.config();
     m_configVersion.set(config ? static_cast<double>(config->version) : 0);
+    if (const std::optional<TimePoint> confirmedAt = view.configConfirmedAt()) {
+        m_registry
+            .gauge("apricot_config_age_seconds", "Time since the configuration is known to have been the newest one.")
+            .set(std::chrono::duration<double>(now - *confirmedAt).count());
+    }
     m_servers.set(static_cast<double>(view.servers().size()));
     m_hosts.set(static_cast<double>(view.hosts().size()));
     m_waitingPieces.set(static_cast<double>(home.waitingPieces()));
--- a/src/gateway/requestservice.cpp
+++ b/src/gateway/requestservice.cpp
@@ -111,8 +111,11 @@
     }
     if (!labels.refusedSubject.empty())
         fields["poisoned"] = labels.refusedSubject;
-    if (!outcome.refusal.empty())
+    if (!outcome.refusal.empty()) {
         fields["refusal"] = outcome.refusal;
+        const std::optional<TimePoint> confirmedAt = m_view.configConfirmedAt();
+        fields["config_age_ms"] = confirmedAt ? boost::json::value(millisecondsBetween(*confirmedAt, now)) : nullptr;
+    }
     if (!outcome.server.empty()) {
         fields["server"] = outcome.server.value();
         fields["server_version"] = outcome.serverVersion.value();
--- a/src/gateway/servingviewupdater.cpp
+++ b/src/gateway/servingviewupdater.cpp
@@ -153,7 +153,8 @@
     handlers.onLost = [this, prefix](const std::string& reason) {
         if (isStoreAway())
             m_view.servers().onStoreLost(RuntimeClock::now());
-        writeLog(LogLevel::Warning, "store_lost", { { "kind", prefix }, { "reason", reason } });
+        writeLog(LogLevel::Warning, "store_lost",
+            { { "kind", prefix }, { "reason", reason }, { "age_ms", ageOf(prefix) } });
         startOtherFollowers();
     };
     handlers.onRegained = [this, prefix] {
@@ -179,15 +180,27 @@
             startOtherFollowers();
     };
     const bool isOfServers = prefix == PlatformNames::serversPrefix;
-    handlers.onConfirmed = [this, isOfServers](TimePoint confirmedAt) {
+    const bool isOfConfig = prefix == PlatformNames::configurationPrefix;
+    handlers.onConfirmed = [this, isOfServers, isOfConfig](TimePoint confirmedAt) {
         if (isOfServers)
             m_view.servers().confirm(confirmedAt);
+        if (isOfConfig && m_configFollower.isConfirmed())
+            m_view.confirmConfig(confirmedAt);
         if (m_confirmedHandler)
             m_confirmedHandler();
     };
     return { m_context, m_store, m_probeState, std::move(options), std::move(handlers) };
 }
 
+json::value ServingViewUpdater::ageOf(const std::string& prefix)
+{
+    for (const StoreFollower* follower : followers()) {
+        if (follower->prefix() == prefix && follower->isConfirmed())
+            return millisecondsBetween(follower->confirmedAt(), RuntimeClock::now());
+    }
+    return nullptr;
+}
+
 void ServingViewUpdater::start()
 {
     m_registration.start();
--- a/src/gateway/servingviewupdater.h
+++ b/src/gateway/servingviewupdater.h
@@ -54,6 +54,8 @@
     StoreFollower makeFollower(StoreFollowerOptions options,
         std::function<void(const PlatformList&)> onListed,
         std::function<void(const PlatformEvent&)> onChanged);
+    // Milliseconds since a kind of objects is known to have been current; null if it never was.
+    boost::json::value ageOf(const std::string& prefix);
     // Handles the return of the store from an older copy.
     void onStoreRestored(const std::string& prefix, ObjectVersion lastRevision);
     // Follows the store again, whatever was known before, once the settle time has passed.
--- a/src/libserving/servingview.h
+++ b/src/libserving/servingview.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace Apricot {
@@ -28,6 +29,10 @@
     // The current configuration, or null before the first one was applied.
     std::shared_ptr<const ServingConfig> config() const { return m_config; }
     std::uint64_t configRevision() const { return m_configRevision; }
+    // Records that the configuration was the newest one of the store at a time.
+    void confirmConfig(TimePoint confirmedAt) { m_configConfirmedAt = confirmedAt; }
+    // Latest time at which the configuration is known to have been the newest one; not set before the first confirmation.
+    std::optional<TimePoint> configConfirmedAt() const { return m_configConfirmedAt; }
     // When a configuration last sent requests to other pools than the one before, or the first one was applied.
     TimePoint routingChangedAt() const { return m_routingChangedAt; }
 
@@ -49,6 +54,7 @@
 private:
     std::shared_ptr<const ServingConfig> m_config;
     std::uint64_t m_configRevision = 0;
+    std::optional<TimePoint> m_configConfirmedAt;
     TimePoint m_routingChangedAt {};
     ServerDirectory m_servers;
     std::map<HostId, PeerHost> m_hosts;
