--- /dev/null
+++ b/tests/clusters/configagetest.cpp
@@ -0,0 +1,94 @@
+#include "gatewaycluster.h"
+
+#include "clustersupport.h"
+
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace Apricot;
+
+namespace {
+
+// Hosts that each read the store themselves.
+constexpr std::size_t hostCount = 3;
+// Bounds of the users' smaller deployments: how long after the end of a disturbance a host counts as sound again, and how long
+// after its acknowledgement a version has to be in force.
+constexpr Milliseconds contactTime { 3000 };
+constexpr Milliseconds applyTime { 2000 };
+constexpr Milliseconds pollInterval { 2 };
+
+// The configuration of the cluster with one more route.
+boost::json::value configWithAddedRoute()
+{
+    boost::json::value config = boost::json::parse(clusterConfig);
+    config.as_object()["version"] = 2;
+    boost::json::value route = config.at("routes").at(1);
+    route.as_object()["name"] = "added";
+    route.as_object()["pathPrefix"] = "/added/";
+    config.as_object()["routes"].as_array().push_back(std::move(route));
+    return config;
+}
+
+}
+
+// How old the configuration of a host becomes while calls to the store have no response.
+TEST_GROUP(ConfigAge) {
+    GatewayCluster cluster { hostCount };
+
+    void setup() override {
+        cluster.addServers("plain", 2);
+        cluster.waitUntilReady();
+}
+
+// Runs until a watch has just begun, so that it waits as long as any watch.
+void runUntilAWatchBegins()
+{
+    const std::size_t before = cluster.storeCalls("watches");
+    const TimePoint end = RuntimeClock::now() + Milliseconds(5000);
+    while (cluster.storeCalls("watches") == before && RuntimeClock::now() < end)
+        cluster.runFor(pollInterval);
+}
+
+void runUntilTime(TimePoint time)
+{
+    cluster.runFor(std::chrono::ceil<Milliseconds>(std::max(time - RuntimeClock::now(), Duration(0))));
+}
+
+int statusOf(std::size_t host, const std::string& path)
+{
+    return cluster.call(host, { .path = path, .content = "x" }).status;
+}
+}
+;
+
+// Guards against a change that waits for the end of a call that the store will never answer, and of the pause after it.
+TEST(ConfigAge, aChangeAfterAShortSilenceOfTheStoreIsInForceInTime)
+{
+    runUntilAWatchBegins();
+    cluster.setStoreFaults(R"({"silent":true})");
+    cluster.setStoreFaults("{}");
+    const TimePoint returnedAt = RuntimeClock::now();
+    cluster.runFor(Milliseconds(100));
+    cluster.writeObject("config/main", configWithAddedRoute());
+    runUntilTime(returnedAt + contactTime);
+    for (std::size_t host = 0; host < hostCount; ++host)
+        LONGS_EQUAL(200, statusOf(host, "/added/x"));
+}
+
+// Guards against a refusal that a retry cannot mend, sent for a route that the host only does not know yet.
+TEST(ConfigAge, aRouteThatAnOutdatedConfigurationLacksIsNotRefusedForGood)
+{
+    LONGS_EQUAL(404, statusOf(0, "/added/x"));
+    cluster.setStoreFaults(R"({"silent":true})");
+    cluster.runFor(contactTime);
+    const ClusterResponse response = cluster.call(0, { .path = "/added/x", .content = "x" });
+    LONGS_EQUAL(503, response.status);
+    CHECK_FALSE(response.retryAfter.empty());
+    // What it allows is served as before.
+    LONGS_EQUAL(200, statusOf(0, "/again/x"));
+    cluster.setStoreFaults("{}");
+    cluster.runFor(contactTime);
+    LONGS_EQUAL(404, statusOf(0, "/added/x"));
+}
--- a/tests/platform/viewagetest.cpp
+++ b/tests/platform/viewagetest.cpp
@@ -185,3 +185,30 @@
     CHECK_COMPARE(refreshes, >, 0);
     POINTERS_EQUAL(&otherFollower, probeState.refresher);
 }
+
+// Guards against a configuration that becomes old while another kind of objects, whose last call failed, waits for its next
+// attempt.
+TEST(ViewAge, theConfigurationIsReadWhileAnotherKindWaitsToProbeTheStore)
+{
+    StoreProbeState probeState;
+    const int otherFollower = 0;
+    StoreFollower follower { context, client, probeState,
+        { .prefix = "config/", .maxRelayedAge = Milliseconds(200), .isRefreshedAtOnce = true },
+        { .onListed = [](const PlatformList&) {},
+            .onChanged = [](const PlatformEvent&) {},
+            .onLost = [](const std::string&) {},
+            .onRegained = [] {} } };
+    Duration age { 0 };
+    runToEnd([&]() -> Asio::awaitable<void> {
+        co_await writeConfig(1);
+        follower.setRelayDepth(2);
+        follower.start();
+        co_await sleepFor(context.get_executor(), Milliseconds(1500));
+        CHECK_TRUE(follower.isConfirmed());
+        probeState.prober = &otherFollower;
+        co_await sleepFor(context.get_executor(), Milliseconds(3000));
+        age = RuntimeClock::now() - follower.confirmedAt();
+    });
+    // Half of the time in which a change has to be in force.
+    CHECK_COMPARE(inMilliseconds(age), <, 1500);
+}
