Bound the age of the configuration, whatever calls hang

Callers were refused by an older configuration, or routed by it, more than the allowed time after the newer one had been acknowledged, by hosts that were sound again. Cause: only each call was bounded (a watch waits 2 s and gives up 0.9 s later), each pause (0.25 to 3 s) and each turn of another kind of objects; what the host knew was as old as their sum. After a short silence of the store that the host had not noticed this is 3.15 s and more; below others, while another kind waits to probe the store, it has no bound.

A follower with a bounded age reads its objects again, on a new connection, beside any call and any pause, once it knows nothing younger than a responsive store or responsive peers would leave it, and repeats that at the interval of probes. While the store is away these reads replace its probes, so the calls of an outage stay what they were. A response shows that calls sent before are lost: those of all kinds are ended and repeated. Hosts that read the store themselves also ask their peers then.

ConfigAge aChangeAfterAShortSilenceOfTheStoreIsInForceInTime failed before (404 at 3.0 s after the silence, each time) and passes; so does ViewAge theConfigurationIsReadWhileAnotherKindWaitsToProbeTheStore (3,048 ms old before, bound 1,500), whose follower now has the option. StoreFollower, ViewAge and ViewRelay pass, the latter with its bound on calls in an outage.

--- a/src/gateway/peerviewsync.cpp
+++ b/src/gateway/peerviewsync.cpp
@@ -231,7 +231,7 @@
         }
         return peers;
     }
-    if (!m_viewUpdater.isStoreLost())
+    if (!m_viewUpdater.isStoreLost() && !m_viewUpdater.isConfigOverdue())
         return peers;
     for (const auto& [id, host] : hosts) {
         if (id != m_self)
--- a/src/gateway/servingviewupdater.cpp
+++ b/src/gateway/servingviewupdater.cpp
@@ -24,7 +24,7 @@
     // after two seconds; evacuated domains have five. Hosts are added and removed only slowly.
     StoreFollowerOptions configOptions()
     {
-        return { .prefix = std::string(PlatformNames::configurationPrefix), .isRefreshedAtOnce = true };
+        return { .prefix = std::string(PlatformNames::configurationPrefix), .isRefreshedAtOnce = true, .hasBoundedAge = true };
     }
     StoreFollowerOptions serversOptions()
     {
@@ -173,6 +173,19 @@
                 follower->onStoreRevision(revision, knownAt);
         }
     };
+    handlers.onCallsLost = [this, prefix](TimePoint sentBefore) {
+        for (StoreFollower* follower : followers()) {
+            if (follower->prefix() != prefix)
+                follower->abandonCallsBefore(sentBefore);
+        }
+    };
+    handlers.onOverdue = [this, prefix] {
+        writeLog(LogLevel::Warning, "view_overdue", { { "kind", prefix }, { "age_ms", ageOf(prefix) } });
+    };
+    handlers.onOverdueEnded = [prefix](Duration time) {
+        writeLog(LogLevel::Info, "view_confirmed_again",
+            { { "kind", prefix }, { "overdue_ms", std::chrono::ceil<Milliseconds>(time).count() } });
+    };
     const bool isOfHosts = prefix == hostsPrefix;
     handlers.onApplied = [this, isOfHosts] {
         notifyChanged();
--- a/src/gateway/servingviewupdater.h
+++ b/src/gateway/servingviewupdater.h
@@ -29,6 +29,8 @@
     }
     // Whether at least one kind of objects cannot be read from the store.
     bool isStoreLost() const;
+    // Whether the configuration is older than a responsive store, or responsive peers, would leave it.
+    bool isConfigOverdue() const { return m_configFollower.isOverdue(); }
     // Called with what the store contains about requests that crash servers.
     void setPoisonHandlers(std::function<void(const PlatformList&)> onListed,
         std::function<void(const PlatformEvent&)> onChanged);
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -41,6 +41,8 @@
         return "newer_at_peer";
     case StoreCallReason::CatchUp:
         return "catch_up";
+    case StoreCallReason::Overdue:
+        return "overdue";
     }
     return "watch";
 }
@@ -56,12 +58,16 @@
     , m_retryDelay(m_options.retryDelay)
     , m_watchTimeout(m_options.watchTimeout)
     , m_batchDelay(m_options.batchDelay)
+    , m_startedAt(RuntimeClock::now())
 {
 }
 
 void StoreFollower::start()
 {
+    m_startedAt = RuntimeClock::now();
     Asio::co_spawn(m_context, follow(), Asio::detached);
+    if (m_options.hasBoundedAge)
+        Asio::co_spawn(m_context, boundAge(), Asio::detached);
 }
 
 void StoreFollower::setWatcher(bool isWatcher, Milliseconds watchTimeout, Milliseconds batchDelay)
@@ -78,7 +84,10 @@
             co_await pause(until - now);
             continue;
         }
-        if (m_probeState.prober && m_probeState.prober != this) {
+        // The bound of its age would not hold if it waited for the others, and its reads of overdue objects replace the probes.
+        const bool waitsForProbe = m_options.hasBoundedAge ? m_isStoreAway && isOverdue()
+                                                           : m_probeState.prober && m_probeState.prober != this;
+        if (waitsForProbe) {
             co_await pause(probePollInterval);
             continue;
         }
@@ -91,6 +100,9 @@
             m_probeState.refresher = this;
         std::optional<std::string> reason;
         bool isStoreAway = false;
+        const auto call = std::make_shared<HttpCancel>();
+        m_call = call;
+        m_calledAt = now;
         try {
             co_await readOnce();
         } catch (const PlatformResponseMalformed& error) {
@@ -103,9 +115,10 @@
         } catch (const std::exception& error) {
             reason = error.what();
         }
+        m_call = nullptr;
         if (m_probeState.refresher == this)
             m_probeState.refresher = nullptr;
-        if (!reason)
+        if (!reason || call->isCancelled())
             continue;
         // A watch that the store has lost says nothing about a store that has just responded about other objects.
         if (!isStoreAway || !isConfirmedLately())
@@ -117,9 +130,12 @@
 
 Milliseconds StoreFollower::retryDelay() const
 {
-    if (!isRelayed())
-        return m_retryDelay;
-    return m_relayDepth == 1 ? m_options.maxRetryDelay : relayedRetryDelay;
+    return isRelayed() ? probeInterval() : m_retryDelay;
+}
+
+Milliseconds StoreFollower::probeInterval() const
+{
+    return m_relayDepth > 1 ? relayedRetryDelay : m_options.maxRetryDelay;
 }
 
 bool StoreFollower::isConfirmedLately() const
@@ -164,22 +180,24 @@
     if (m_handlers.onCall)
         m_handlers.onCall(nextCallReason());
     m_mustReadStore = false;
+    PlatformReadOptions options { .cancel = m_call };
     if (m_mustList)
-        co_return co_await readList();
+        co_return co_await readList(std::move(options));
     const TimePoint sentAt = RuntimeClock::now();
     const Milliseconds wait = watchWait();
-    const PlatformWatch watched = co_await m_store.watch(m_options.prefix, m_revision, wait);
+    const PlatformWatch watched = co_await m_store.watch(m_options.prefix, m_revision, wait, std::move(options));
+    m_call = nullptr;
     onStoreResponse();
     if (applyWatch(watched, sentAt, wait) && !isRelayed())
         co_await pause(m_batchDelay);
 }
 
-Asio::awaitable<void> StoreFollower::readList()
+Asio::awaitable<void> StoreFollower::readList(PlatformReadOptions options)
 {
     const TimePoint sentAt = RuntimeClock::now();
     const bool isStale = m_options.startsFromStaleList && !m_hasListed && m_revision == 0;
     const PlatformList list = co_await m_store.list(
-        m_options.prefix, isStale ? ReadFreshness::PossiblyStale : ReadFreshness::Current);
+        m_options.prefix, isStale ? ReadFreshness::PossiblyStale : ReadFreshness::Current, std::move(options));
     // Ends an outage before the list is applied, so that entries missing from the list are handled as
     // expired during the outage.
     if (isStale) {
@@ -231,6 +249,8 @@
 
 void StoreFollower::onStoreRevision(ObjectVersion revision, TimePoint knownAt)
 {
+    if (m_isLost && m_isStoreAway)
+        m_pauseTimer.cancel();
     if (m_revision == 0 || m_mustList || m_isLost)
         return;
     if (revision == m_revision) {
@@ -239,8 +259,8 @@
         return;
     }
     const TimePoint now = RuntimeClock::now();
-    const bool isOutdated = now >= m_evidenceAt + m_watchTimeout / 2;
-    if (!m_options.isConfirmedByOthers || isRelayed() || revision < m_revision || !isOutdated
+    const bool isOutdated = now >= (isRelayed() ? overdueAt() : m_evidenceAt + m_watchTimeout / 2);
+    if (!m_options.isConfirmedByOthers || revision < m_revision || !isOutdated
         || std::exchange(m_isCatchingUp, true))
         return;
     Asio::co_spawn(m_context, catchUp(), Asio::detached);
@@ -251,18 +271,26 @@
     if (m_handlers.onCall)
         m_handlers.onCall(StoreCallReason::CatchUp);
     try {
-        constexpr Milliseconds wait { 1 };
-        const TimePoint sentAt = RuntimeClock::now();
-        const PlatformWatch watched = co_await m_store.watch(m_options.prefix, m_revision, wait);
-        applyWatch(watched, sentAt, wait);
-        if (m_mustList)
-            co_await readList();
+        PlatformReadOptions options;
+        co_await readChanges(std::move(options));
     } catch (const std::exception&) {
         // The follower that reported the revision finds out whether the store still responds.
     }
     m_isCatchingUp = false;
 }
 
+Asio::awaitable<void> StoreFollower::readChanges(PlatformReadOptions options)
+{
+    if (!m_mustList) {
+        constexpr Milliseconds wait { 1 };
+        const TimePoint sentAt = RuntimeClock::now();
+        const PlatformWatch watched = co_await m_store.watch(m_options.prefix, m_revision, wait, options);
+        applyWatch(watched, sentAt, wait);
+    }
+    if (m_mustList)
+        co_await readList(std::move(options));
+}
+
 void StoreFollower::notifyConfirmed()
 {
     if (m_handlers.onConfirmed)
@@ -321,7 +349,8 @@
 {
     // The other kinds of objects may still be read if the store responds.
     m_isStoreAway = isStoreAway;
-    if (isStoreAway && !m_probeState.prober)
+    m_failedAt = RuntimeClock::now();
+    if (isStoreAway && (!m_probeState.prober || m_options.hasBoundedAge))
         m_probeState.prober = this;
     if (!isStoreAway && m_probeState.prober == this)
         m_probeState.prober = nullptr;
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -28,6 +28,8 @@
     bool isConfirmedByOthers = false;
     // Whether a host whose relayed state is too old reads these objects even while it waits for a response about others.
     bool isRefreshedAtOnce = false;
+    // Whether the objects are read again, beside all other calls and pauses, once what is known of them is overdue.
+    bool hasBoundedAge = false;
     // Whether the first list after the start may be seconds old. What has changed since comes from peers or a watch.
     bool startsFromStaleList = true;
     // Size of the objects in one response to a peer. Smaller for objects that come in bulk and may be late, so that they do
@@ -51,6 +53,8 @@
     NewerAtPeer,
     // Another object of the store has changed.
     CatchUp,
+    // What is known is overdue: a call, or a pause, takes too long.
+    Overdue,
 };
 
 const char* storeCallReasonName(StoreCallReason reason);
@@ -101,6 +105,11 @@
         std::function<void(TimePoint)> onConfirmed;
         // The store had a revision at a time or later.
         std::function<void(ObjectVersion, TimePoint)> onStoreRevision;
+        // The store responds, but may never respond to calls that were sent before a time.
+        std::function<void(TimePoint)> onCallsLost;
+        // What is known became overdue, or is no longer, after it was for a time.
+        std::function<void()> onOverdue;
+        std::function<void(Duration)> onOverdueEnded;
     };
 
     StoreFollower(boost::asio::io_context& context, PlatformClient& store, StoreProbeState& probeState,
@@ -114,6 +123,9 @@
     bool isConfirmed() const { return m_evidenceAt != TimePoint {}; }
     // Latest time at which the objects are known to have been current.
     TimePoint confirmedAt() const { return m_evidenceAt; }
+    // Time from which what is known is older than a responsive store, or responsive peers, would leave it.
+    TimePoint overdueAt() const;
+    bool isOverdue() const;
     // Whether the store does not respond; otherwise it may have responded with something malformed.
     bool isStoreAway() const { return m_isStoreAway; }
     const std::string& prefix() const { return m_options.prefix; }
@@ -138,6 +150,8 @@
     // of any object since the known revision, the objects were current then; otherwise what has changed is read if it was
     // not confirmed lately.
     void onStoreRevision(ObjectVersion revision, TimePoint knownAt);
+    // Ends the call in progress if it was sent before a time, and repeats it at once.
+    void abandonCallsBefore(TimePoint time);
     // Records the revision and age of a peer's state. If the peer's revision is newer, a relayed host reads
     // the store at once.
     void recordEvidence(ObjectVersion revision, Milliseconds age, TimePoint now);
@@ -150,9 +164,14 @@
 
     boost::asio::awaitable<void> follow();
     boost::asio::awaitable<void> readOnce();
-    boost::asio::awaitable<void> readList();
+    boost::asio::awaitable<void> readList(PlatformReadOptions options);
     // Reads what has changed beside a waiting watch, which the store may have lost.
     boost::asio::awaitable<void> catchUp();
+    // Reads what has changed, whatever else waits. Throws PlatformUnavailable.
+    boost::asio::awaitable<void> readChanges(PlatformReadOptions options);
+    // Reads the objects again whenever what is known is overdue.
+    boost::asio::awaitable<void> boundAge();
+    boost::asio::awaitable<void> readOverdue();
     // Applies the response to a watch that was sent at a time. Returns whether it contained changes.
     bool applyWatch(const PlatformWatch& watched, TimePoint sentAt, Milliseconds wait);
     boost::asio::awaitable<void> pause(Duration time);
@@ -165,8 +184,12 @@
     // Whether responses about other objects have shown lately that the store responds.
     bool isConfirmedLately() const;
     bool isRelayed() const { return m_relayDepth > 0; }
-    // Time until the next attempt after a failure.
+    // Age up to which what peers relay replaces this host's own reads of the store.
+    Milliseconds maxAgeFromPeers() const;
+    // Time until the next attempt after a failure, which grows up to the interval of probes.
     Milliseconds retryDelay() const;
+    // Time between two attempts to reach a store that does not respond.
+    Milliseconds probeInterval() const;
     void applyList(const PlatformList& list);
     void applyEvent(const PlatformEvent& event);
     void recordRemoval(const std::string& key, ObjectVersion revision);
@@ -204,8 +227,16 @@
     bool m_isStoreAway = false;
     int m_relayDepth = 0;
     bool m_isCatchingUp = false;
+    // The call in progress and when it was sent; null between calls.
+    std::shared_ptr<HttpCancel> m_call;
+    TimePoint m_calledAt {};
+    // When a call last failed.
+    TimePoint m_failedAt {};
+    // Number of reads in progress because what is known is overdue.
+    int m_overdueReads = 0;
     Milliseconds m_watchTimeout;
     Milliseconds m_batchDelay;
+    TimePoint m_startedAt;
 };
 
 }
--- /dev/null
+++ b/src/gateway/storefollowerage.cpp
@@ -0,0 +1,91 @@
+#include "gateway/storefollower.h"
+
+#include "libnet/asyncevent.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
+// What bounds the age of what a follower knows.
+
+namespace Apricot {
+
+namespace Asio = boost::asio;
+
+namespace {
+
+    // Time by which a response may be late, or the next call may wait for further changes, before what is known is overdue.
+    // A slow store takes some 200 ms to respond.
+    constexpr Milliseconds overdueMargin { 350 };
+    // Reads in progress at the same time, which end by themselves after their time limit.
+    constexpr int maxOverdueReads = 3;
+
+}
+
+TimePoint StoreFollower::overdueAt() const
+{
+    const Milliseconds age = isRelayed() ? maxAgeFromPeers() : m_watchTimeout;
+    return std::max(m_evidenceAt, m_startedAt) + age + overdueMargin;
+}
+
+bool StoreFollower::isOverdue() const
+{
+    return RuntimeClock::now() >= overdueAt();
+}
+
+Asio::awaitable<void> StoreFollower::boundAge()
+{
+    const auto executor = m_context.get_executor();
+    while (true) {
+        const TimePoint since = overdueAt();
+        if (const TimePoint now = RuntimeClock::now(); now < since) {
+            co_await sleepFor(executor, since - now);
+            continue;
+        }
+        if (m_handlers.onOverdue)
+            m_handlers.onOverdue();
+        while (isOverdue()) {
+            // The store has just refused to respond, or could not be reached.
+            const TimePoint readsAt = m_failedAt + probeInterval();
+            if (const TimePoint now = RuntimeClock::now(); now < readsAt) {
+                co_await sleepFor(executor, readsAt - now);
+                continue;
+            }
+            if (m_overdueReads < maxOverdueReads)
+                Asio::co_spawn(m_context, readOverdue(), Asio::detached);
+            co_await sleepFor(executor, probeInterval());
+        }
+        if (m_handlers.onOverdueEnded)
+            m_handlers.onOverdueEnded(RuntimeClock::now() - since);
+    }
+}
+
+Asio::awaitable<void> StoreFollower::readOverdue()
+{
+    if (m_handlers.onCall)
+        m_handlers.onCall(StoreCallReason::Overdue);
+    ++m_overdueReads;
+    const TimePoint sentAt = RuntimeClock::now();
+    try {
+        PlatformReadOptions options { .usesNewConnection = true };
+        co_await readChanges(std::move(options));
+        onStoreResponse();
+        abandonCallsBefore(sentAt);
+        if (m_handlers.onCallsLost)
+            m_handlers.onCallsLost(sentAt);
+    } catch (const PlatformUnavailable&) {
+        // The next read follows; the call that this one replaces reports the loss of the store.
+    }
+    --m_overdueReads;
+}
+
+void StoreFollower::abandonCallsBefore(TimePoint time)
+{
+    if (m_call && m_calledAt < time)
+        m_call->cancel();
+    else if (!m_call)
+        m_pauseTimer.cancel();
+}
+
+}
--- a/src/gateway/storefollowerrelay.cpp
+++ b/src/gateway/storefollowerrelay.cpp
@@ -29,11 +29,15 @@
     if (!isRelayed() || m_mustList || m_mustReadStore)
         return {};
     // The hosts above are the first to find out that the store responds to them.
-    const TimePoint outdatedAt
-        = m_evidenceAt + m_options.maxRelayedAge + (m_relayDepth - 1) * relayTurn;
+    const TimePoint outdatedAt = m_evidenceAt + maxAgeFromPeers();
     return m_isLost ? outdatedAt : std::max(outdatedAt, m_peersExpectedBy);
 }
 
+Milliseconds StoreFollower::maxAgeFromPeers() const
+{
+    return m_options.maxRelayedAge + (m_relayDepth - 1) * relayTurn;
+}
+
 StoreDelta StoreFollower::deltaSince(ObjectVersion revision, TimePoint now) const
 {
     StoreDelta delta { .revision = m_revision,
--- a/src/libnet/httpclient.cpp
+++ b/src/libnet/httpclient.cpp
@@ -242,7 +242,9 @@
 {
     // Keeps the pool alive only while this call runs.
     const std::shared_ptr<Impl> impl = m_impl;
-    std::shared_ptr<HttpConnection> connection = impl->acquireIdleConnection(*call);
+    std::shared_ptr<HttpConnection> connection;
+    if (!call->usesNewConnection)
+        connection = impl->acquireIdleConnection(*call);
     const bool isReused = connection != nullptr;
     if (!isReused)
         connection = co_await impl->openConnection(*call);
--- a/src/libnet/httpclient.h
+++ b/src/libnet/httpclient.h
@@ -54,6 +54,8 @@
     // Timeout for the response header, whatever precedes it, and for each later read.
     Milliseconds timeout { 5000 };
     std::shared_ptr<HttpCancel> cancel;
+    // Whether the call must not use a connection that has carried others, which may have become unresponsive.
+    bool usesNewConnection = false;
     // Which call a response belongs to. One to another call is read and discarded, and this call waits for the next one
     // on the connection, which carries no later calls. If unset, every response is accepted.
     std::function<ResponseOwner(const HttpResponseHead&)> ownerOf;
--- a/tests/clusters/configagetest.cpp
+++ b/tests/clusters/configagetest.cpp
@@ -34,34 +34,33 @@
 }
 
 // How old the configuration of a host becomes while calls to the store have no response.
-TEST_GROUP(ConfigAge) {
+TEST_GROUP(ConfigAge)
+{
     GatewayCluster cluster { hostCount };
 
-    void setup() override {
+    void setup() override
+    {
         cluster.addServers("plain", 2);
         cluster.waitUntilReady();
-}
-
-// Runs until a watch has just begun, so that it waits as long as any watch.
-void runUntilAWatchBegins()
-{
-    const std::size_t before = cluster.storeCalls("watches");
-    const TimePoint end = RuntimeClock::now() + Milliseconds(5000);
-    while (cluster.storeCalls("watches") == before && RuntimeClock::now() < end)
-        cluster.runFor(pollInterval);
-}
+    }
 
-void runUntilTime(TimePoint time)
-{
-    cluster.runFor(std::chrono::ceil<Milliseconds>(std::max(time - RuntimeClock::now(), Duration(0))));
-}
-
-int statusOf(std::size_t host, const std::string& path)
-{
-    return cluster.call(host, { .path = path, .content = "x" }).status;
-}
-}
-;
+    // Runs until a watch has just begun, so that it waits as long as any watch.
+    void runUntilAWatchBegins()
+    {
+        const std::size_t before = cluster.storeCalls("watches");
+        const TimePoint end = RuntimeClock::now() + Milliseconds(5000);
+        while (cluster.storeCalls("watches") == before && RuntimeClock::now() < end)
+            cluster.runFor(pollInterval);
+    }
+    void runUntilTime(TimePoint time)
+    {
+        cluster.runFor(std::chrono::ceil<Milliseconds>(std::max(time - RuntimeClock::now(), Duration(0))));
+    }
+    int statusOf(std::size_t host, const std::string& path)
+    {
+        return cluster.call(host, { .path = path, .content = "x" }).status;
+    }
+};
 
 // Guards against a change that waits for the end of a call that the store will never answer, and of the pause after it.
 TEST(ConfigAge, aChangeAfterAShortSilenceOfTheStoreIsInForceInTime)
--- a/tests/platform/storefollowertest.cpp
+++ b/tests/platform/storefollowertest.cpp
@@ -194,6 +194,27 @@
     });
 }
 
+// Guards against changes that wait for the end of a long watch although the store is known to have lost it.
+TEST(StoreFollower, aWatchThatTheStoreLostIsRepeatedOnceItIsAbandoned)
+{
+    StoreFollower waiting { context, client, probeState, { .prefix = "servers/", .isConfirmedByOthers = true },
+        { .onListed = [this](const PlatformList&) { seen.emplace_back("list"); },
+            .onChanged = [this](const PlatformEvent& event) { seen.push_back("put " + event.key); },
+            .onLost = [this](const std::string&) { seen.emplace_back("lost"); },
+            .onRegained = [] {} } };
+    runToEnd([&]() -> asio::awaitable<void> {
+        waiting.start();
+        co_await waitFor("list");
+        co_await sleepFor(context.get_executor(), Milliseconds(100));
+        co_await setFaults(R"({"silent":true})");
+        co_await setFaults("{}");
+        waiting.abandonCallsBefore(RuntimeClock::now());
+        co_await client.put("servers/s1", 1, 0);
+        co_await waitFor("put servers/s1");
+    });
+    CHECK_FALSE(hasSeen("lost"));
+}
+
 // Guards against reading the store without a pause after an error that has no text.
 TEST(StoreFollower, anErrorWithoutTextIsAnError)
 {
--- a/tests/platform/viewagetest.cpp
+++ b/tests/platform/viewagetest.cpp
@@ -193,7 +193,7 @@
     StoreProbeState probeState;
     const int otherFollower = 0;
     StoreFollower follower { context, client, probeState,
-        { .prefix = "config/", .maxRelayedAge = Milliseconds(200), .isRefreshedAtOnce = true },
+        { .prefix = "config/", .maxRelayedAge = Milliseconds(200), .isRefreshedAtOnce = true, .hasBoundedAge = true },
         { .onListed = [](const PlatformList&) {},
             .onChanged = [](const PlatformEvent&) {},
             .onLost = [](const std::string&) {},
