Refuse for good only by a configuration that is not overdue

Callers got 404 or 401 for routes and keys that the operator had added, from hosts that had heard nothing of the store for longer than a configuration may take to be in force. A refusal for good ends the caller's attempts, and such a host cannot know that it is true. While the configuration is overdue, what it does not allow is refused with 503 outdated_config and Retry-After 0.5 s: nothing has run, and the retry reaches another host or a newer configuration. What it allows is served as before.

--- a/src/gateway/refusals.cpp
+++ b/src/gateway/refusals.cpp
@@ -10,6 +10,8 @@
     switch (reason) {
     case GatewayRefusal::NotReady:
         return "not_ready";
+    case GatewayRefusal::OutdatedConfig:
+        return "outdated_config";
     case GatewayRefusal::Overloaded:
         return "overloaded";
     case GatewayRefusal::NoServer:
@@ -44,6 +46,7 @@
 {
     switch (reason) {
     case GatewayRefusal::NotReady:
+    case GatewayRefusal::OutdatedConfig:
     case GatewayRefusal::Overloaded:
     case GatewayRefusal::NoServer:
     case GatewayRefusal::OutOfTime:
--- a/src/gateway/refusals.h
+++ b/src/gateway/refusals.h
@@ -12,6 +12,8 @@
 enum class GatewayRefusal {
     // The request did not run and never will.
     NotReady,
+    // The known configuration does not allow it, but a newer one may.
+    OutdatedConfig,
     Overloaded,
     NoServer,
     OutOfTime,
--- a/src/gateway/requestservice.cpp
+++ b/src/gateway/requestservice.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-    // The first configuration arrives within this time after startup, as long as the store responds.
+    // A configuration arrives within this time after startup, and after it was overdue, as long as the store responds.
     constexpr Milliseconds notReadyRetryAfter { 500 };
     // Applies to requests for which neither the route nor the caller sets a timeout.
     constexpr Milliseconds defaultTimeout { 60'000 };
@@ -148,10 +148,8 @@
     }
     const HttpRequest& http = exchange.request();
     const Route* route = config->findRoute(http.field("Host"), http.path);
-    if (!route) {
-        co_await refuse(exchange, GatewayRefusal::UnknownRoute);
-        co_return refusalOutcome(GatewayRefusal::UnknownRoute);
-    }
+    if (!route)
+        co_return co_await refuseByConfig(exchange, GatewayRefusal::UnknownRoute);
     if (std::any_of(caller.stagePieces.begin(), caller.stagePieces.end(),
             [](int pieces) { return pieces > maxStagePieces; })) {
         co_await refuse(exchange, GatewayRefusal::TooManyPieces);
@@ -159,10 +157,8 @@
     }
     labels.kind = routeKindName(route->retryRule);
     const Owner* owner = config->findOwner(caller.apiKey);
-    if (!owner && !route->isPublic && config->requiresKeys()) {
-        co_await refuse(exchange, GatewayRefusal::UnknownKey);
-        co_return refusalOutcome(GatewayRefusal::UnknownKey);
-    }
+    if (!owner && !route->isPublic && config->requiresKeys())
+        co_return co_await refuseByConfig(exchange, GatewayRefusal::UnknownKey);
     Milliseconds timeLimit = caller.timeout.value_or(defaultTimeout);
     if (route->timeout.count() > 0)
         timeLimit = std::min(timeLimit, route->timeout);
@@ -198,6 +194,17 @@
     co_return co_await forward(request);
 }
 
+Asio::awaitable<ServedOutcome> RequestService::refuseByConfig(HttpExchange& exchange, GatewayRefusal reason)
+{
+    // A caller does not come back after the refusal for good.
+    if (m_view.isConfigOverdue(RuntimeClock::now())) {
+        co_await refuse(exchange, GatewayRefusal::OutdatedConfig, notReadyRetryAfter);
+        co_return refusalOutcome(GatewayRefusal::OutdatedConfig);
+    }
+    co_await refuse(exchange, reason);
+    co_return refusalOutcome(reason);
+}
+
 Asio::awaitable<ServedOutcome> RequestService::forward(ServedRequest& request)
 {
     const std::shared_ptr<RequestScope> scope = request.scope;
--- a/src/gateway/requestservice.h
+++ b/src/gateway/requestservice.h
@@ -40,6 +40,8 @@
 
     boost::asio::awaitable<ServedOutcome> checkAndForward(
         HttpExchange& exchange, CallerRequest& caller, RequestLabels& labels);
+    // Refuses what the configuration does not allow: for good, unless a newer configuration may allow it.
+    boost::asio::awaitable<ServedOutcome> refuseByConfig(HttpExchange& exchange, GatewayRefusal reason);
     boost::asio::awaitable<ServedOutcome> forward(ServedRequest& request);
 
     boost::asio::io_context& m_context;
--- a/src/gateway/servingviewupdater.cpp
+++ b/src/gateway/servingviewupdater.cpp
@@ -198,7 +198,7 @@
         if (isOfServers)
             m_view.servers().confirm(confirmedAt);
         if (isOfConfig && m_configFollower.isConfirmed())
-            m_view.confirmConfig(confirmedAt);
+            m_view.confirmConfig(confirmedAt, m_configFollower.overdueAt());
         if (m_confirmedHandler)
             m_confirmedHandler();
     };
--- a/src/libserving/servingview.cpp
+++ b/src/libserving/servingview.cpp
@@ -29,6 +29,12 @@
     return true;
 }
 
+void ServingView::confirmConfig(TimePoint confirmedAt, TimePoint overdueAt)
+{
+    m_configConfirmedAt = confirmedAt;
+    m_configOverdueAt = overdueAt;
+}
+
 Milliseconds ServingView::markServerRestarted(const Endpoint& endpoint, TimePoint now)
 {
     const KnownServer* known = m_servers.findByAddress(endpoint);
--- a/src/libserving/servingview.h
+++ b/src/libserving/servingview.h
@@ -29,8 +29,10 @@
     // The current configuration, or null before the first one was applied.
     std::shared_ptr<const ServingConfig> config() const { return m_config; }
     std::uint64_t configRevision() const { return m_configRevision; }
-    // Records that the configuration was the newest one of the store at a time.
-    void confirmConfig(TimePoint confirmedAt) { m_configConfirmedAt = confirmedAt; }
+    // Records that the configuration was the newest one of the store at a time, and until when this is to be confirmed again.
+    void confirmConfig(TimePoint confirmedAt, TimePoint overdueAt);
+    // Whether a newer configuration may have been in force for so long that this host should have it.
+    bool isConfigOverdue(TimePoint now) const { return now >= m_configOverdueAt; }
     // Latest time at which the configuration is known to have been the newest one; not set before the first confirmation.
     std::optional<TimePoint> configConfirmedAt() const { return m_configConfirmedAt; }
     // When a configuration last sent requests to other pools than the one before, or the first one was applied.
@@ -55,6 +57,7 @@
     std::shared_ptr<const ServingConfig> m_config;
     std::uint64_t m_configRevision = 0;
     std::optional<TimePoint> m_configConfirmedAt;
+    TimePoint m_configOverdueAt {};
     TimePoint m_routingChangedAt {};
     ServerDirectory m_servers;
     std::map<HostId, PeerHost> m_hosts;
--- a/tests/platform/gatewaytest.cpp
+++ b/tests/platform/gatewaytest.cpp
@@ -227,3 +227,20 @@
         LONGS_EQUAL(400, call("/stream/x", { { std::string(Names::pieceCountsField), counts } }).status);
     LONGS_EQUAL(0, stageCalls);
 }
+
+// Guards against 401 for a key that was added to a configuration which this host does not have yet.
+TEST(Gateway, aKeyIsRefusedForGoodOnlyByAConfigurationThatIsNotOverdue)
+{
+    ServingConfig config = *view.config();
+    config.version = 2;
+    config.owners = { { .id = OwnerId("owner"), .keys = { "known" } } };
+    view.applyConfig(std::move(config), 2);
+    const TimePoint now = RuntimeClock::now();
+    view.confirmConfig(now, now + Milliseconds(5000));
+    const std::vector<HttpField> fields { { "Authorization", "Bearer other" } };
+    LONGS_EQUAL(401, call("/again/x", fields).status);
+    view.confirmConfig(now, now);
+    const HttpResponse response = call("/again/x", fields);
+    LONGS_EQUAL(503, response.status);
+    CHECK_FALSE(response.field(Names::retryAfterField).empty());
+}
--- a/tests/serving/servingconfigtest.cpp
+++ b/tests/serving/servingconfigtest.cpp
@@ -59,6 +59,19 @@
     LONGS_EQUAL(7, view.config()->version);
 }
 
+// Guards against a view that counts as the newest one before the store or a peer has said so.
+TEST(ServingConfig, isOverdueUntilItIsConfirmed)
+{
+    constexpr Milliseconds time { 100 };
+    ServingView view;
+    const TimePoint now = RuntimeClock::now();
+    view.applyConfig({ .version = 7 }, 70);
+    CHECK(view.isConfigOverdue(now));
+    view.confirmConfig(now, now + time);
+    CHECK(!view.isConfigOverdue(now));
+    CHECK(view.isConfigOverdue(now + time));
+}
+
 TEST(ServingConfig, tellsWhenRoutesLastLedToOtherPools)
 {
     const Route route { .host = "h", .pathPrefix = "/a/", .pools = { { .pool = PoolId("p") } } };
