Be ready only once configuration and servers are confirmed or cannot be read

A host that started counted as ready as soon as any kind of objects could not be read, the findings about crashes for example, with a configuration from a copy of the store that may be seconds old. Now each of the two kinds that requests need has to be confirmed, or be unreadable itself.

ConfigAge aHostThatStartsIsNotReadyBeforeItsConfigurationIsConfirmed failed before (a route added 2 s before the start was refused with 503 outdated_config by a host that said it was ready) and passes. The platform emulator can refuse calls of single kinds of objects for it.

--- a/src/emulator/platform/platformfaults.cpp
+++ b/src/emulator/platform/platformfaults.cpp
@@ -20,6 +20,7 @@
     const boost::json::object& object = value.as_object();
     PlatformFaults faults;
     faults.outage = memberOr(object, "outage", false);
+    faults.unavailableKinds = memberOr(object, "unavailable_kinds", std::set<std::string>());
     faults.unresponsive = memberOr(object, "silent", false);
     faults.delay = Milliseconds(memberOr<std::int64_t>(object, "delay_ms", 0));
     faults.responseLossRate = memberOr(object, "lose_answers", 0.0);
--- a/src/emulator/platform/platformfaults.h
+++ b/src/emulator/platform/platformfaults.h
@@ -14,6 +14,8 @@
 struct PlatformFaults {
     // Every call of the object API gets status 503.
     bool outage = false;
+    // Kinds of objects whose calls get status 503.
+    std::set<std::string> unavailableKinds;
     // Calls and waiting watches get no response, even after this fault has ended.
     bool unresponsive = false;
     // Delay before each response.
--- a/src/emulator/platform/platformserver.cpp
+++ b/src/emulator/platform/platformserver.cpp
@@ -201,6 +201,8 @@
     if (!request.path.starts_with(objectsPath) || request.path.size() == objectsPath.size())
         co_return co_await respondError(exchange, 404, "no such path");
     const std::string key = decodePercent(request.path.substr(objectsPath.size()));
+    if (m_faults.unavailableKinds.contains(key.substr(0, key.find('/'))))
+        co_return co_await respondError(exchange, 503, "objects of this kind are unavailable");
     if (isWrite)
         co_return co_await handleWrite(exchange, key);
     if (key.find('/') != std::string::npos)
--- a/src/gateway/servingviewupdater.cpp
+++ b/src/gateway/servingviewupdater.cpp
@@ -255,7 +255,9 @@
 
 bool ServingViewUpdater::isConfirmed() const
 {
-    return isStoreLost() || (m_configFollower.isConfirmed() && m_serversFollower.isConfirmed());
+    const StoreFollower* const needed[] = { &m_configFollower, &m_serversFollower };
+    return std::all_of(std::begin(needed), std::end(needed),
+        [](const StoreFollower* follower) { return follower->isConfirmed() || follower->isLost(); });
 }
 
 bool ServingViewUpdater::isStoreAway() const
--- a/src/gateway/servingviewupdater.h
+++ b/src/gateway/servingviewupdater.h
@@ -41,7 +41,7 @@
     void setChangeHandler(std::function<void()> handler) { m_changeHandler = std::move(handler); }
     // Called when a kind of objects is known to have been current.
     void setConfirmedHandler(std::function<void()> handler) { m_confirmedHandler = std::move(handler); }
-    // Whether configuration and servers are known to have been current since the start, or the store is lost.
+    // Whether configuration and servers, each of them, are known to have been current since the start or cannot be read.
     bool isConfirmed() const;
 
 private:
--- a/tests/clusters/configagetest.cpp
+++ b/tests/clusters/configagetest.cpp
@@ -91,3 +91,17 @@
     cluster.runFor(contactTime);
     LONGS_EQUAL(404, statusOf(0, "/added/x"));
 }
+
+// Guards against a host that starts and is ready with an old configuration, because one kind of objects cannot be read.
+TEST(ConfigAge, aHostThatStartsIsNotReadyBeforeItsConfigurationIsConfirmed)
+{
+    cluster.writeObject("config/main", configWithAddedRoute());
+    cluster.runFor(applyTime);
+    cluster.setStoreFaults(R"({"stale_list_lag":1,"delay_ms":300,"unavailable_kinds":["apricot-poison"]})");
+    cluster.restartHost(0);
+    const TimePoint end = RuntimeClock::now() + contactTime;
+    while (!cluster.isReady(0) && RuntimeClock::now() < end)
+        cluster.runFor(pollInterval);
+    CHECK_TRUE(cluster.isReady(0));
+    LONGS_EQUAL(200, statusOf(0, "/added/x"));
+}
--- a/tests/platform/gatewaycluster.cpp
+++ b/tests/platform/gatewaycluster.cpp
@@ -232,22 +232,31 @@
     return json::parse(textAt(m_platform.port(), "/-/objects/" + key)).at("status");
 }
 
-std::string GatewayCluster::textAt(std::uint16_t port, const std::string& target)
+HttpResponse GatewayCluster::responseAt(std::uint16_t port, const std::string& target)
 {
-    std::string text;
+    HttpResponse response;
     bool isDone = false;
     Asio::co_spawn(
         m_context,
         [&]() -> Asio::awaitable<void> {
             HttpClient client(m_context, { .port = port });
             HttpCall call { .target = target };
-            const HttpResponse response = co_await client.send(std::move(call));
-            text = response.body;
+            response = co_await client.send(std::move(call));
             isDone = true;
         },
         Asio::detached);
     runUntil([&] { return isDone; }, Milliseconds(2000));
-    return text;
+    return response;
+}
+
+std::string GatewayCluster::textAt(std::uint16_t port, const std::string& target)
+{
+    return responseAt(port, target).body;
+}
+
+bool GatewayCluster::isReady(std::size_t host)
+{
+    return responseAt(m_hosts.at(host)->readiness, std::string(Names::readinessPath)).status == 200;
 }
 
 std::optional<double> GatewayCluster::metricOf(std::size_t host, const std::string& name)
--- a/tests/platform/gatewaycluster.h
+++ b/tests/platform/gatewaycluster.h
@@ -102,6 +102,8 @@
     void removeScriptedServers(const std::string& version);
     // Runs until the hosts are ready to serve callers. Fails the test after ten seconds.
     void waitUntilReady();
+    // Whether a host tells the balancer that it is ready.
+    bool isReady(std::size_t host);
     void runFor(Apricot::Milliseconds time);
     // Runs until a condition holds, or for a time at most.
     void runUntil(const std::function<bool()>& isDone, Apricot::Milliseconds timeout);
@@ -191,6 +193,7 @@
     struct BackendServer;
     struct Host;
 
+    Apricot::HttpResponse responseAt(std::uint16_t port, const std::string& target);
     // Body of the response to GET.
     std::string textAt(std::uint16_t port, const std::string& target);
     void startServer(BackendServer& server);
