--- a/tests/platform/scriptedserver.cpp
+++ b/tests/platform/scriptedserver.cpp
@@ -27,7 +27,7 @@
 
 std::string headerOf(const ScriptedResponse& response, const HttpRequest& request)
 {
-    std::string header = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n";
+    std::string header = "HTTP/1.1 " + response.status + "\r\nContent-Type: " + response.contentType + "\r\n";
     for (const HttpField& field : signedFields(request))
         header += field.name + ": " + field.value + "\r\n";
     std::size_t length = response.isComplete ? 0 : missingBytes;
--- a/tests/platform/scriptedserver.h
+++ b/tests/platform/scriptedserver.h
@@ -16,7 +16,7 @@
     Reset,
 };
 
-// A signed response with status 200, written byte by byte as given here.
+// A signed response, written byte by byte as given here.
 struct ScriptedResponse {
     // Written one after another, with a pause between them.
     std::vector<std::string> parts;
@@ -26,6 +26,9 @@
     ConnectionEnd end = ConnectionEnd::KeepOpen;
     // Stops listening before the connection ends, as a process does that ends.
     bool endsServer = false;
+    // Status line after the version of HTTP, with further lines of the header if there are any.
+    std::string status = "200 OK";
+    std::string contentType = "text/event-stream";
     // If not empty, this text is written instead of the response.
     std::string rawBytes {};
     // Time from the request to the response.
