Repeat a watch once its changes come by another way

Backend servers that leave are known late to a host for up to ten seconds after a silence of the store: their watch is lost and waits 10 s, and until then each change waits for the next response about other objects, up to 2 s, the whole of the time that a leaving server may still get work. Changes that a catch-up brings beside a waiting watch show that it is lost, so it is ended and repeated.

StoreFollower changesComeAtOnceAgainAfterOthersHaveShownThatAWatchWasLost failed before (a change not known 30 ms later) and passes. A follower's pause is ended by its own read of what is overdue only.

--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -271,24 +271,29 @@
     if (m_handlers.onCall)
         m_handlers.onCall(StoreCallReason::CatchUp);
     try {
+        const TimePoint sentAt = RuntimeClock::now();
         PlatformReadOptions options;
-        co_await readChanges(std::move(options));
+        // A waiting watch that the store had not lost would have brought these changes.
+        if (co_await readChanges(std::move(options)))
+            abandonCallsBefore(sentAt);
     } catch (const std::exception&) {
         // The follower that reported the revision finds out whether the store still responds.
     }
     m_isCatchingUp = false;
 }
 
-Asio::awaitable<void> StoreFollower::readChanges(PlatformReadOptions options)
+Asio::awaitable<bool> StoreFollower::readChanges(PlatformReadOptions options)
 {
+    bool hasChanges = m_mustList;
     if (!m_mustList) {
         constexpr Milliseconds wait { 1 };
         const TimePoint sentAt = RuntimeClock::now();
         const PlatformWatch watched = co_await m_store.watch(m_options.prefix, m_revision, wait, options);
-        applyWatch(watched, sentAt, wait);
+        hasChanges = applyWatch(watched, sentAt, wait);
     }
     if (m_mustList)
         co_await readList(std::move(options));
+    co_return hasChanges;
 }
 
 void StoreFollower::notifyConfirmed()
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -167,8 +167,8 @@
     boost::asio::awaitable<void> readList(PlatformReadOptions options);
     // Reads what has changed beside a waiting watch, which the store may have lost.
     boost::asio::awaitable<void> catchUp();
-    // Reads what has changed, whatever else waits. Throws PlatformUnavailable.
-    boost::asio::awaitable<void> readChanges(PlatformReadOptions options);
+    // Reads what has changed, whatever else waits. Returns whether anything has. Throws PlatformUnavailable.
+    boost::asio::awaitable<bool> readChanges(PlatformReadOptions options);
     // Reads the objects again whenever what is known is overdue.
     boost::asio::awaitable<void> boundAge();
     boost::asio::awaitable<void> readOverdue();
--- a/src/gateway/storefollowerage.cpp
+++ b/src/gateway/storefollowerage.cpp
@@ -72,6 +72,8 @@
         co_await readChanges(std::move(options));
         onStoreResponse();
         abandonCallsBefore(sentAt);
+        // A pause after a failure is over too.
+        m_pauseTimer.cancel();
         if (m_handlers.onCallsLost)
             m_handlers.onCallsLost(sentAt);
     } catch (const PlatformUnavailable&) {
@@ -84,8 +86,6 @@
 {
     if (m_call && m_calledAt < time)
         m_call->cancel();
-    else if (!m_call)
-        m_pauseTimer.cancel();
 }
 
 }
--- a/tests/platform/storefollowertest.cpp
+++ b/tests/platform/storefollowertest.cpp
@@ -194,6 +194,29 @@
     });
 }
 
+// Guards against changes that each wait for responses about other objects, until the end of a watch that the store has lost.
+TEST(StoreFollower, changesComeAtOnceAgainAfterOthersHaveShownThatAWatchWasLost)
+{
+    ConfirmingPair pair(context, client);
+    runToEnd([&]() -> asio::awaitable<void> {
+        co_await client.put("servers/s0", 1, 0);
+        pair.start();
+        co_await sleepFor(context.get_executor(), Milliseconds(300));
+        co_await setFaults(R"({"silent":true})");
+        co_await setFaults("{}");
+        co_await client.put("servers/s1", 1, 0);
+        co_await sleepFor(context.get_executor(), Milliseconds(2000));
+        CHECK(pair.seen.contains("servers/s1"));
+        for (int index = 2; index < 12; ++index) {
+            const std::string key = "servers/s" + std::to_string(index);
+            co_await client.put(key, 1, 0);
+            co_await sleepFor(context.get_executor(), Milliseconds(30));
+            CHECK(pair.seen.contains(key));
+            co_await sleepFor(context.get_executor(), Milliseconds(90));
+        }
+    });
+}
+
 // Guards against changes that wait for the end of a long watch although the store is known to have lost it.
 TEST(StoreFollower, aWatchThatTheStoreLostIsRepeatedOnceItIsAbandoned)
 {
