--- a/tests/unit/platformclienttest.cpp
+++ b/tests/unit/platformclienttest.cpp
@@ -1,5 +1,11 @@
 #include "platformfixture.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace Apricot;
@@ -69,3 +75,37 @@
         CHECK(!(co_await client.get("a/x")));
     });
 }
+
+namespace {
+
+// Answers one call with the beginning of a response, and holds the connection.
+asio::awaitable<void> respondWithoutEnd(asio::ip::tcp::acceptor& acceptor, asio::ip::tcp::socket& socket)
+{
+    socket = co_await acceptor.async_accept(asio::use_awaitable);
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 100\r\n\r\n{";
+    co_await asio::async_write(socket, asio::buffer(head), asio::use_awaitable);
+}
+
+}
+
+// Guards against a watch that lasts several times its wait, because the wait counts again for the body of the response.
+TEST(PlatformClient, aWatchWhoseResponseDoesNotEndLastsNoMultipleOfItsWait)
+{
+    constexpr Milliseconds wait { 2000 };
+    constexpr Milliseconds callTimeout { 100 };
+    asio::ip::tcp::acceptor acceptor(context, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    asio::ip::tcp::socket socket(context);
+    PlatformClient stalled { context, { .port = acceptor.local_endpoint().port(), .timeout = callTimeout } };
+    asio::co_spawn(context, respondWithoutEnd(acceptor, socket), asio::detached);
+    Duration time { 0 };
+    runToEnd([&]() -> asio::awaitable<void> {
+        const TimePoint startedAt = RuntimeClock::now();
+        try {
+            co_await stalled.watch("config/", 1, wait);
+        } catch (const PlatformUnavailable&) {
+            time = RuntimeClock::now() - startedAt;
+        }
+    });
+    CHECK(time > Duration(0));
+    CHECK(time < wait + callTimeout);
+}
