Pace the reads of what is overdue by the calls that failed, not by when they gave up

A call of the follower that hung and then gave up put off the next read of the overdue configuration by a whole interval of probes, 1 to 3 s. It counts from its sending now, and a read that succeeds ends the wait for the next check. StoreFollower, ViewAge, ConfigAge and ViewRelay pass.

--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -55,6 +55,7 @@
     , m_options(std::move(options))
     , m_handlers(std::move(handlers))
     , m_pauseTimer(context)
+    , m_ageTimer(context)
     , m_retryDelay(m_options.retryDelay)
     , m_watchTimeout(m_options.watchTimeout)
     , m_batchDelay(m_options.batchDelay)
@@ -354,7 +355,7 @@
 {
     // The other kinds of objects may still be read if the store responds.
     m_isStoreAway = isStoreAway;
-    m_failedAt = RuntimeClock::now();
+    m_failedCallAt = m_calledAt;
     if (isStoreAway && (!m_probeState.prober || m_options.hasBoundedAge))
         m_probeState.prober = this;
     if (!isStoreAway && m_probeState.prober == this)
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -13,8 +13,7 @@
 struct StoreFollowerOptions {
     // Prefix of the followed objects: their kind followed by a slash.
     std::string prefix;
-    // Wait of one watch. A store that was unresponsive for a while may never respond to a watch sent
-    // before, so this bounds the delay with which a change is seen afterwards.
+    // Wait of one watch, and age from which what is known should be confirmed again.
     Milliseconds watchTimeout { 2000 };
     // Time between a response with changes and the next watch, so that changes in quick succession cost
     // one call.
@@ -172,6 +171,8 @@
     // Reads the objects again whenever what is known is overdue.
     boost::asio::awaitable<void> boundAge();
     boost::asio::awaitable<void> readOverdue();
+    // Waits until a time, or until a read of what is overdue succeeds.
+    boost::asio::awaitable<void> waitForAge(TimePoint until);
     // Applies the response to a watch that was sent at a time. Returns whether it contained changes.
     bool applyWatch(const PlatformWatch& watched, TimePoint sentAt, Milliseconds wait);
     boost::asio::awaitable<void> pause(Duration time);
@@ -210,6 +211,7 @@
     StoreFollowerOptions m_options;
     Handlers m_handlers;
     RuntimeTimer m_pauseTimer;
+    RuntimeTimer m_ageTimer;
     ObjectVersion m_revision = 0;
     std::map<std::string, PlatformObject> m_objects;
     // Removals since a revision; peers with an older revision get a snapshot.
@@ -230,8 +232,8 @@
     // The call in progress and when it was sent; null between calls.
     std::shared_ptr<HttpCancel> m_call;
     TimePoint m_calledAt {};
-    // When a call last failed.
-    TimePoint m_failedAt {};
+    // When the last call that failed was sent.
+    TimePoint m_failedCallAt {};
     // Number of reads in progress because what is known is overdue.
     int m_overdueReads = 0;
     Milliseconds m_watchTimeout;
--- a/src/gateway/storefollowerage.cpp
+++ b/src/gateway/storefollowerage.cpp
@@ -1,9 +1,9 @@
 #include "gateway/storefollower.h"
 
-#include "libnet/asyncevent.h"
-
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 
@@ -36,31 +36,34 @@
 
 Asio::awaitable<void> StoreFollower::boundAge()
 {
-    const auto executor = m_context.get_executor();
     while (true) {
         const TimePoint since = overdueAt();
-        if (const TimePoint now = RuntimeClock::now(); now < since) {
-            co_await sleepFor(executor, since - now);
+        if (!isOverdue()) {
+            co_await waitForAge(since);
             continue;
         }
         if (m_handlers.onOverdue)
             m_handlers.onOverdue();
         while (isOverdue()) {
-            // The store has just refused to respond, or could not be reached.
-            const TimePoint readsAt = m_failedAt + probeInterval();
-            if (const TimePoint now = RuntimeClock::now(); now < readsAt) {
-                co_await sleepFor(executor, readsAt - now);
-                continue;
-            }
-            if (m_overdueReads < maxOverdueReads)
+            // The store may just have refused to respond.
+            const TimePoint now = RuntimeClock::now();
+            const TimePoint readsAt = m_failedCallAt + probeInterval();
+            if (now >= readsAt && m_overdueReads < maxOverdueReads)
                 Asio::co_spawn(m_context, readOverdue(), Asio::detached);
-            co_await sleepFor(executor, probeInterval());
+            co_await waitForAge(now < readsAt ? readsAt : now + probeInterval());
         }
         if (m_handlers.onOverdueEnded)
             m_handlers.onOverdueEnded(RuntimeClock::now() - since);
     }
 }
 
+Asio::awaitable<void> StoreFollower::waitForAge(TimePoint until)
+{
+    m_ageTimer.expires_at(until);
+    boost::system::error_code ignored;
+    co_await m_ageTimer.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
+}
+
 Asio::awaitable<void> StoreFollower::readOverdue()
 {
     if (m_handlers.onCall)
@@ -74,10 +77,11 @@
         abandonCallsBefore(sentAt);
         // A pause after a failure is over too.
         m_pauseTimer.cancel();
+        m_ageTimer.cancel();
         if (m_handlers.onCallsLost)
             m_handlers.onCallsLost(sentAt);
-    } catch (const PlatformUnavailable&) {
-        // The next read follows; the call that this one replaces reports the loss of the store.
+    } catch (const std::exception&) {
+        // The next read follows; the call beside which this one was made reports what is wrong.
     }
     --m_overdueReads;
 }
--- a/tests/platform/gatewaycluster.cpp
+++ b/tests/platform/gatewaycluster.cpp
@@ -185,6 +185,20 @@
     runFor(storeCallTime);
 }
 
+bool GatewayCluster::tryWriteObject(const std::string& key, json::value value)
+{
+    const auto isWritten = std::make_shared<bool>(false);
+    Asio::co_spawn(
+        m_context,
+        [this, isWritten, key, value = std::move(value)]() mutable -> Asio::awaitable<void> {
+            const WriteResult result = co_await m_store.put(std::move(key), std::move(value), std::nullopt);
+            *isWritten = std::holds_alternative<WriteStored>(result);
+        },
+        Asio::detached);
+    runFor(storeCallTime);
+    return *isWritten;
+}
+
 void GatewayCluster::removeObject(const std::string& key)
 {
     Asio::co_spawn(m_context, removeEntry(key, Milliseconds(0)), Asio::detached);
--- a/tests/platform/gatewaycluster.h
+++ b/tests/platform/gatewaycluster.h
@@ -138,6 +138,8 @@
     std::string removeServer(const std::string& pool, std::size_t position);
     // Writes or removes an object of the store.
     void writeObject(const std::string& key, boost::json::value value);
+    // The same; returns whether the store has acknowledged the write in time.
+    bool tryWriteObject(const std::string& key, boost::json::value value);
     void removeObject(const std::string& key);
     // What the system has written about an object; null if nothing.
     boost::json::value statusOf(const std::string& key);
