Soak the configuration with versions too large to be relayed

Three in ten plays of ConfigSoak add 300 idle routes, so that each host reads the configuration from the store.

--- a/src/gateway/requestservice.cpp
+++ b/src/gateway/requestservice.cpp
@@ -196,7 +196,7 @@
 
 Asio::awaitable<ServedOutcome> RequestService::refuseByConfig(HttpExchange& exchange, GatewayRefusal reason)
 {
-    // A caller does not come back after the refusal for good.
+    // Callers do not retry after a refusal for good.
     if (m_view.isConfigOverdue(RuntimeClock::now())) {
         co_await refuse(exchange, GatewayRefusal::OutdatedConfig, notReadyRetryAfter);
         co_return refusalOutcome(GatewayRefusal::OutdatedConfig);
--- a/tests/clusters/configsoaktest.cpp
+++ b/tests/clusters/configsoaktest.cpp
@@ -31,6 +31,7 @@
 constexpr Milliseconds observedTime { 2500 };
 constexpr Milliseconds step { 50 };
 constexpr Milliseconds shortestFault { 50 };
+constexpr int manyRoutes = 300;
 constexpr std::uint64_t defaultSeeds = 1;
 constexpr std::uint64_t firstSeed = 20261206;
 
@@ -54,6 +55,7 @@
         , m_random(seed)
         , m_cluster(bounds.hosts)
         , m_suspendedUntil(bounds.hosts)
+        , m_idleRoutes(chance() < 0.3 ? manyRoutes : 0)
     {
         m_cluster.addServers("plain", 2);
         m_cluster.waitUntilReady();
@@ -168,6 +170,12 @@
         json::value config = json::parse(clusterConfig);
         const std::uint64_t version = m_written.empty() ? 2 : m_written.back().version + 1;
         config.as_object()["version"] = version;
+        json::array& routes = config.at("routes").as_array();
+        for (int route = 0; route < m_idleRoutes; ++route) {
+            json::value idle = routes.front();
+            idle.as_object()["pathPrefix"] = "/idle-" + std::to_string(route) + "/";
+            routes.push_back(std::move(idle));
+        }
         // A write that the store does not acknowledge is not recorded as written.
         if (m_cluster.tryWriteObject("config/main", std::move(config)))
             m_written.push_back({ .version = version, .writtenAt = RuntimeClock::now() });
@@ -188,6 +196,8 @@
     std::mt19937_64 m_random;
     GatewayCluster m_cluster;
     std::vector<TimePoint> m_suspendedUntil;
+    // Routes that no caller uses, and that make the configuration too large to be relayed.
+    int m_idleRoutes = 0;
     std::map<std::size_t, TimePoint> m_faultsUntil;
     std::vector<WrittenVersion> m_written;
     TimePoint m_endedAt {};
