--- a/tests/platform/gatewaycluster.cpp
+++ b/tests/platform/gatewaycluster.cpp
@@ -191,7 +191,7 @@
     Asio::co_spawn(
         m_context,
         [this, isWritten, key, value = std::move(value)]() mutable -> Asio::awaitable<void> {
-            const WriteResult result = co_await m_store.put(std::move(key), std::move(value), std::nullopt);
+            const WriteResult result = co_await m_store.put(key, std::move(value), std::nullopt);
             *isWritten = std::holds_alternative<WriteStored>(result);
         },
         Asio::detached);
