--- a/tests/clusters/configagetest.cpp
+++ b/tests/clusters/configagetest.cpp
@@ -2,9 +2,6 @@
 
 #include "clustersupport.h"
 
-#include <boost/json/object.hpp>
-#include <boost/json/parse.hpp>
-
 #include <CppUTest/TestHarness.h>
 
 using namespace Apricot;
@@ -19,18 +16,6 @@
 constexpr Milliseconds applyTime { 2000 };
 constexpr Milliseconds pollInterval { 2 };
 
-// The configuration of the cluster with one more route.
-boost::json::value configWithAddedRoute()
-{
-    boost::json::value config = boost::json::parse(clusterConfig);
-    config.as_object()["version"] = 2;
-    boost::json::value route = config.at("routes").at(1);
-    route.as_object()["name"] = "added";
-    route.as_object()["pathPrefix"] = "/added/";
-    config.as_object()["routes"].as_array().push_back(std::move(route));
-    return config;
-}
-
 }
 
 // How old the configuration of a host becomes while calls to the store have no response.
@@ -70,7 +55,7 @@
     cluster.setStoreFaults("{}");
     const TimePoint returnedAt = RuntimeClock::now();
     cluster.runFor(Milliseconds(100));
-    cluster.writeObject("config/main", configWithAddedRoute());
+    cluster.writeObject("config/main", clusterConfigWithAddedRoute());
     runUntilTime(returnedAt + contactTime);
     for (std::size_t host = 0; host < hostCount; ++host)
         LONGS_EQUAL(200, statusOf(host, "/added/x"));
@@ -95,7 +80,7 @@
 // Guards against a host that starts and is ready with an old configuration, because one kind of objects cannot be read.
 TEST(ConfigAge, aHostThatStartsIsNotReadyBeforeItsConfigurationIsConfirmed)
 {
-    cluster.writeObject("config/main", configWithAddedRoute());
+    cluster.writeObject("config/main", clusterConfigWithAddedRoute());
     cluster.runFor(applyTime);
     cluster.setStoreFaults(R"({"stale_list_lag":1,"delay_ms":300,"unavailable_kinds":["apricot-poison"]})");
     cluster.restartHost(0);
--- a/tests/platform/clustersupport.cpp
+++ b/tests/platform/clustersupport.cpp
@@ -4,6 +4,9 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
 
 #include <sstream>
 
@@ -12,6 +15,7 @@
 using namespace Apricot;
 namespace Asio = boost::asio;
 namespace Names = PlatformNames;
+namespace json = boost::json;
 
 const char* const clusterConfig = R"({"version":1,"routes":[
   {"name":"once","host":"h","pathPrefix":"/once/","routeKind":"non_idempotent","timeoutMs":3000,
@@ -31,6 +35,17 @@
  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
  "tenants":[]})";
 
+json::value clusterConfigWithAddedRoute()
+{
+    json::value config = json::parse(clusterConfig);
+    config.as_object()["version"] = 2;
+    json::object route = config.at("routes").at(1).as_object();
+    route["name"] = "added";
+    route["pathPrefix"] = "/added/";
+    config.at("routes").as_array().push_back(std::move(route));
+    return config;
+}
+
 std::uint16_t findFreePort()
 {
     constexpr std::uint16_t firstPort = 12'000;
--- a/tests/platform/clustersupport.h
+++ b/tests/platform/clustersupport.h
@@ -2,6 +2,8 @@
 
 #include "libnet/httpserver.h"
 
+#include <boost/json/value.hpp>
+
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -10,6 +12,8 @@
 
 // Configuration of the cluster as the operator writes it to the store.
 extern const char* const clusterConfig;
+// Its version 2, with the idempotent route "/added/".
+boost::json::value clusterConfigWithAddedRoute();
 
 // Returns a free port below the range from which the kernel assigns ports to clients.
 std::uint16_t findFreePort();
--- a/tests/platform/unreadableentrytest.cpp
+++ b/tests/platform/unreadableentrytest.cpp
@@ -44,17 +44,6 @@
         json::parse(R"({"service":[],"addr":7,"state":"asleep"})"), nullptr };
 }
 
-json::value nextConfig()
-{
-    json::value config = json::parse(clusterConfig);
-    config.as_object()["version"] = 2;
-    json::object route = config.at("routes").at(1).as_object();
-    route["name"] = "added";
-    route["pathPrefix"] = "/added/";
-    config.at("routes").as_array().push_back(std::move(route));
-    return config;
-}
-
 }
 
 TEST_GROUP(UnreadableEntry)
@@ -112,7 +101,7 @@
     for (const char* kind : { "servers", "evacuations", "apricot-hosts", "apricot-poison", "config" })
         writeUnreadable(kind);
     cluster.runFor(Milliseconds(500));
-    cluster.writeObject("config/main", nextConfig());
+    cluster.writeObject("config/main", clusterConfigWithAddedRoute());
     cluster.runFor(configTime);
     play("/added/x", "added", Milliseconds(500));
     LONGS_EQUAL(20, cluster.countResponses("added", 200));
@@ -128,7 +117,7 @@
     cluster.runFor(configTime);
     play("/again/x", "ordinary", Milliseconds(500));
     LONGS_EQUAL(20, cluster.countResponses("ordinary", 200));
-    cluster.writeObject("config/main", nextConfig());
+    cluster.writeObject("config/main", clusterConfigWithAddedRoute());
     cluster.runFor(configTime);
     play("/added/x", "added", Milliseconds(500));
     LONGS_EQUAL(20, cluster.countResponses("added", 200));
