--- a/review/9/case.py
+++ b/review/9/case.py
@@ -70,4 +70,4 @@
     return BROKEN if dropped or unknown else HELD
 
 
-fleet2.run(case, __file__)
+fleet2.run(case, pathlib.Path(__file__).resolve().with_name("record.txt"))
--- a/review/lib-2/fleet2.py
+++ b/review/lib-2/fleet2.py
@@ -72,8 +72,10 @@
 
 
 class Record:
-    def __init__(self, case_file):
-        self.file = open(pathlib.Path(case_file).resolve().parent / "record.txt", "w")
+    """What was sent, answered and run, a line of JSON each."""
+
+    def __init__(self, path):
+        self.file = open(path, "w")
         self.begin = time.monotonic()
 
     def write(self, what, **fields):
@@ -226,9 +228,9 @@
 
 
 class Fleet:
-    def __init__(self, case_file, zones=None):
+    def __init__(self, record_file, zones=None):
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review2-"))
-        self.record = Record(case_file)
+        self.record = Record(record_file)
         # The deploy file has one role; each of its fields is on a line of its own.
         deploy = (ROOT / "deploy/system.toml").read_text()
         self.role = {name: re.search(rf'^{name} = "(.*)"$', deploy, re.M)[1] for name in ("run", "template")}
@@ -269,6 +271,10 @@
         self.status, self.fields, self.body, self.whole, self.error = 0, {}, b"", False, ""
 
 
+# The record of the case that runs; run() sets it.
+record = None
+
+
 async def request(port, method, path, request_id, deadline_ms, fields=(), body=b"", host="h.example"):
     """Sends one request on a new connection and reads its answer to the end."""
     answer = Answer()
@@ -279,6 +285,8 @@
                 f"Apricotpier-Deadline-Ms: {deadline_ms}", *fields]
         if body:
             head.append(f"Content-Length: {len(body)}")
+        if record:
+            record.write("sent", id=request_id, port=port, request=f"{method} {path}", body_bytes=len(body))
         writer.write(("\r\n".join(head) + "\r\n\r\n").encode() + body)
         await asyncio.wait_for(_read_answer(reader, answer), deadline_ms / 1000 + 1.5)
     except asyncio.TimeoutError:
@@ -305,9 +313,11 @@
     answer.whole = True
 
 
-def run(case, case_file, zones=None):
-    """Runs a case; ends with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run."""
-    fleet = Fleet(case_file, zones)
+def run(case, record_file, zones=None):
+    """Runs a case and writes its record to a file; ends with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run."""
+    global record
+    fleet = Fleet(record_file, zones)
+    record = fleet.record
 
     async def main():
         return await asyncio.wait_for(case(fleet), 115)
