Test broken responses that are rejected already

These tests send broken responses to a client and, through real gateways, to callers of plain, streaming and staged routes: header names with a blank or a control character, control characters in values, a status that is not three digits, ambiguous lengths, and responses that stop at any byte of their header or of a framed body. All pass on the code as it is: callers get 502, and the next responses of the same servers are forwarded.

ScriptedServer can respond as soon as it has a request's header, while the client still writes the body, and can end its direction alone. The small segments of such a server bound the client's send buffer: with the default ones the kernel accepts 3.9 MB at once, and no write is pending.

--- /dev/null
+++ b/tests/clusters/brokenresponsetest.cpp
@@ -0,0 +1,149 @@
+#include "clustersupport.h"
+#include "gatewaycluster.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace Apricot;
+
+namespace {
+
+constexpr std::size_t hostCount = 3;
+constexpr int serversPerPool = 2;
+constexpr int soundRequests = 6;
+constexpr const char* event = "id: 1\ndata: a\n\n";
+constexpr const char* brokenEvent = "id: 1\ndata: broken\n\n";
+// More than the kernel buffers for a server that does not read, and less than the largest body of a request.
+constexpr std::size_t uploadBytes = 3'900'000;
+
+constexpr const char* allPaths[] = { "/once/x", "/again/x", "/live/x", "/stream/x", "/staged/x" };
+
+// A broken response: its status line after the version of HTTP, the lines that follow the request's ID and signature,
+// and what follows the header.
+struct BrokenForm {
+    std::string status = "200 OK";
+    std::string lines {};
+    std::string body = brokenEvent;
+    // Number of bytes at the end that are not sent.
+    std::size_t missingBytes = 0;
+    ConnectionEnd end = ConnectionEnd::Close;
+};
+
+std::string textOf(const BrokenForm& form, const HttpRequest& request)
+{
+    std::string text = "HTTP/1.1 " + form.status + "\r\nContent-Type: text/event-stream\r\n";
+    for (const HttpField& field : signedFields(request))
+        text += field.name + ": " + field.value + "\r\n";
+    text += form.lines + "\r\n" + form.body;
+    return text.substr(0, text.size() - form.missingBytes);
+}
+
+std::string lengthLine(const std::string& body)
+{
+    return "Content-Length: " + std::to_string(body.size()) + "\r\n";
+}
+
+}
+
+// Callers of hosts whose servers all send a broken response.
+TEST_GROUP(BrokenResponse)
+{
+    GatewayCluster cluster { hostCount, ClusterRetries::Allowed };
+    std::optional<BrokenForm> broken;
+    std::size_t brokenResponses = 0;
+
+    void start(ResponseStart start = ResponseStart::AfterRequest)
+    {
+        const auto script = [this](const HttpRequest& request) -> ScriptedResponse {
+            if (!broken)
+                return { .parts = { event } };
+            ++brokenResponses;
+            return { .end = broken->end, .rawBytes = textOf(*broken, request) };
+        };
+        for (int index = 0; index < serversPerPool; ++index) {
+            cluster.addScriptedServer("plain", "v1", script, start);
+            cluster.addScriptedServer("engines", "v1", script, start);
+        }
+        cluster.addServers("stages", 2);
+        cluster.waitUntilReady();
+    }
+
+    // Sends a request whose servers respond in this form. Its caller must learn that it failed.
+    void checkIsNotForwarded(const std::string& path, const BrokenForm& form, const std::string& content = "x")
+    {
+        broken = form;
+        const std::size_t before = brokenResponses;
+        const ClusterResponse response = cluster.call(0, { .path = path, .content = content });
+        const std::string text = path + ": " + form.status + ", " + form.lines;
+        LONGS_EQUAL_TEXT(502, response.status, text.c_str());
+        CHECK_TRUE_TEXT(response.isComplete, text.c_str());
+        CHECK_TRUE_TEXT(response.body.find("broken") == std::string::npos, text.c_str());
+        CHECK_COMPARE_TEXT(brokenResponses, >, before, text.c_str());
+    }
+
+    // The next responses of the same servers are forwarded.
+    void checkSoundResponsesAreForwarded()
+    {
+        broken.reset();
+        for (int number = 0; number < soundRequests; ++number) {
+            const ClusterResponse response
+                = cluster.call(0, { .path = allPaths[number % std::size(allPaths)], .content = "sound" });
+            LONGS_EQUAL(200, response.status);
+            CHECK_EQUAL(std::string(event), response.body);
+            CHECK_TRUE(response.isComplete);
+        }
+    }
+
+    void play(const std::vector<BrokenForm>& forms)
+    {
+        for (const BrokenForm& form : forms) {
+            for (const char* path : allPaths)
+                checkIsNotForwarded(path, form);
+            checkSoundResponsesAreForwarded();
+        }
+    }
+};
+
+// Guards against a field whose name holds a blank or a control character, which is forwarded or hides the framing.
+TEST(BrokenResponse, withAMalformedFieldNameIsNotForwarded)
+{
+    start();
+    std::vector<BrokenForm> forms;
+    for (const std::string& byte : { std::string(" "), std::string("\t"), std::string("\x01"), std::string("\x7f"), std::string(1, '\0'), std::string("\r"), std::string("\xe9") }) {
+        forms.push_back({ .lines = "X" + byte + "a: v\r\n" + lengthLine(brokenEvent) });
+        forms.push_back({ .lines = "Content" + byte + "Length: 3\r\n" });
+        forms.push_back({ .lines = "Content-Length" + byte + ": 3\r\n" });
+    }
+    play(forms);
+}
+
+// Guards against a response that stops in its header and is forwarded with an empty or short body.
+TEST(BrokenResponse, thatStopsInItsHeaderIsNotForwarded)
+{
+    start();
+    std::vector<BrokenForm> forms;
+    for (const char* lines : { "", "Content-Length: 2\r\n", "Transfer-Encoding: chunked\r\n" }) {
+        for (const std::size_t missingBytes : { 1, 2, 3, 4, 9, 40 }) {
+            for (const ConnectionEnd end : { ConnectionEnd::Close, ConnectionEnd::Reset })
+                forms.push_back({ .lines = lines, .body = "", .missingBytes = missingBytes, .end = end });
+        }
+    }
+    play(forms);
+}
+
+// Guards against engines that get stage results from a response whose status is of no defined class.
+TEST(BrokenResponse, ofAStageServerYieldsNoResults)
+{
+    int runs = 0;
+    cluster.addScriptedServer("engines", "v1", [&runs](const HttpRequest&) -> ScriptedResponse {
+        ++runs;
+        return { .parts = { event } };
+    });
+    cluster.addScriptedServer("stages", "v1", [](const HttpRequest&) -> ScriptedResponse {
+        const std::string body = R"({"entries":[{"handle":"127.0.0.1:1/broken"}]})";
+        return { .rawBytes = "HTTP/1.1 000 Failed\r\n" + lengthLine(body) + "\r\n" + body };
+    });
+    cluster.waitUntilReady();
+    const ClusterResponse response = cluster.call(0, { .path = "/staged/x", .content = "x" });
+    CHECK_FALSE(response.status == 200);
+    LONGS_EQUAL(0, runs);
+}
--- a/tests/platform/clusterservers.cpp
+++ b/tests/platform/clusterservers.cpp
@@ -123,7 +123,7 @@
 }
 
 void GatewayCluster::addScriptedServer(
-    const std::string& pool, const std::string& version, ResponseScript script)
+    const std::string& pool, const std::string& version, ResponseScript script, ResponseStart start)
 {
     const int number = m_nextServer++;
     const BackendServer server { .pool = pool,
@@ -131,7 +131,7 @@
         .port = findFreePort(),
         .startedAt = firstStart + number };
     m_scriptedServers.push_back(
-        std::make_unique<ScriptedServer>(m_context, server.port, std::move(script)));
+        std::make_unique<ScriptedServer>(m_context, server.port, std::move(script), start));
     m_scriptedEntries.emplace(version, "servers/" + server.id);
     registerServer(server, version);
 }
--- a/tests/platform/gatewaycluster.h
+++ b/tests/platform/gatewaycluster.h
@@ -97,7 +97,8 @@
     void addServers(const std::string& pool, int count);
     // Adds a backend server of a software version whose responses follow a script.
     void addScriptedServer(
-        const std::string& pool, const std::string& version, ResponseScript script);
+        const std::string& pool, const std::string& version, ResponseScript script,
+        ResponseStart start = ResponseStart::AfterRequest);
     // Removes the scripted servers of a version from the store.
     void removeScriptedServers(const std::string& version);
     // Runs until the hosts are ready to serve callers. Fails the test after ten seconds.
--- a/tests/platform/scriptedserver.cpp
+++ b/tests/platform/scriptedserver.cpp
@@ -12,6 +12,11 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
+#include <array>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
 using namespace Apricot;
 namespace Asio = boost::asio;
 namespace Http = boost::beast::http;
@@ -24,6 +29,9 @@
 constexpr Milliseconds extraLead { 400 };
 // Bytes by which an incomplete body falls short of its declared length.
 constexpr std::size_t missingBytes = 10;
+constexpr std::size_t discardedReadBytes = 65'536;
+constexpr int smallSegmentBytes = 1000;
+constexpr int smallReceiveBytes = 65'536;
 
 std::string headerOf(const ScriptedResponse& response, const HttpRequest& request)
 {
@@ -44,10 +52,16 @@
 
 class ScriptedServer::Impl : public std::enable_shared_from_this<ScriptedServer::Impl> {
 public:
-    Impl(Asio::io_context& context, std::uint16_t port, ResponseScript script)
+    Impl(Asio::io_context& context, std::uint16_t port, ResponseScript script, ResponseStart start)
         : m_acceptor(context, Tcp::endpoint(Asio::ip::make_address("127.0.0.1"), port))
         , m_script(std::move(script))
+        , m_start(start)
     {
+        // Bounds what the kernel accepts of a body that is not read: send buffers grow with the segment size.
+        if (start == ResponseStart::AfterRequestHeader) {
+            m_acceptor.set_option(Asio::detail::socket_option::integer<IPPROTO_TCP, TCP_MAXSEG>(smallSegmentBytes));
+            m_acceptor.set_option(Asio::socket_base::receive_buffer_size(smallReceiveBytes));
+        }
     }
 
     void start() { Asio::co_spawn(m_acceptor.get_executor(), accept(shared_from_this()), Asio::detached); }
@@ -59,6 +73,8 @@
     }
 
 private:
+    using Parser = Http::request_parser<Http::string_body>;
+
     static Asio::awaitable<void> accept(std::shared_ptr<Impl> self)
     {
         while (self->m_acceptor.is_open()) {
@@ -75,13 +91,11 @@
         boost::beast::flat_buffer buffer;
         std::string extraBytes;
         while (true) {
-            Http::request<Http::string_body> message;
-            boost::system::error_code error;
-            co_await Http::async_read(
-                socket, buffer, message, Asio::redirect_error(Asio::use_awaitable, error));
-            if (error)
+            Parser parser;
+            parser.body_limit(boost::none);
+            if (!co_await readRequest(socket, buffer, parser, self->m_start))
                 co_return;
-            const HttpRequest request = toRequest(message);
+            const HttpRequest request = toRequest(parser.get());
             const ScriptedResponse response = self->m_script(request);
             if (!extraBytes.empty())
                 co_await writeExtra(socket, extraBytes);
@@ -93,16 +107,43 @@
             co_await write(socket, response, request);
             if (response.endsServer)
                 self->stop();
-            if (response.end == ConnectionEnd::Reset) {
-                // The destructor of a socket ignores the option.
-                socket.set_option(Asio::socket_base::linger(true, 0));
-                socket.close();
-            }
             if (response.end != ConnectionEnd::KeepOpen)
+                co_return co_await endConnection(socket, response.end);
+            // The rest of a request whose header alone was read.
+            if (!co_await readRequest(socket, buffer, parser, ResponseStart::AfterRequest))
                 co_return;
         }
     }
 
+    // Returns whether the request, or its header, arrived.
+    static Asio::awaitable<bool> readRequest(
+        Tcp::socket& socket, boost::beast::flat_buffer& buffer, Parser& parser, ResponseStart start)
+    {
+        boost::system::error_code error;
+        if (start == ResponseStart::AfterRequestHeader)
+            co_await Http::async_read_header(
+                socket, buffer, parser, Asio::redirect_error(Asio::use_awaitable, error));
+        else if (!parser.is_done())
+            co_await Http::async_read(socket, buffer, parser, Asio::redirect_error(Asio::use_awaitable, error));
+        co_return !error;
+    }
+
+    static Asio::awaitable<void> endConnection(Tcp::socket& socket, ConnectionEnd end)
+    {
+        if (end == ConnectionEnd::HalfClose || end == ConnectionEnd::HalfCloseAndReset)
+            socket.shutdown(Tcp::socket::shutdown_send);
+        if (end == ConnectionEnd::Reset || end == ConnectionEnd::HalfCloseAndReset) {
+            // The destructor of a socket ignores the option.
+            socket.set_option(Asio::socket_base::linger(true, 0));
+            socket.close();
+        }
+        std::array<char, discardedReadBytes> discarded {};
+        boost::system::error_code error;
+        while (end == ConnectionEnd::HalfClose && !error)
+            co_await socket.async_read_some(
+                Asio::buffer(discarded), Asio::redirect_error(Asio::use_awaitable, error));
+    }
+
     static Asio::awaitable<void> writeExtra(Tcp::socket& socket, const std::string& bytes)
     {
         boost::system::error_code ignored;
@@ -128,8 +169,13 @@
     {
         boost::system::error_code ignored;
         if (!response.rawBytes.empty()) {
-            co_await Asio::async_write(
-                socket, Asio::buffer(response.rawBytes), Asio::redirect_error(Asio::use_awaitable, ignored));
+            if (response.rawPauseAt > 0) {
+                co_await Asio::async_write(socket, Asio::buffer(response.rawBytes, response.rawPauseAt),
+                    Asio::redirect_error(Asio::use_awaitable, ignored));
+                co_await sleepFor(socket.get_executor(), partInterval);
+            }
+            co_await Asio::async_write(socket, Asio::buffer(response.rawBytes) + response.rawPauseAt,
+                Asio::redirect_error(Asio::use_awaitable, ignored));
             co_return;
         }
         std::string bytes = headerOf(response, request);
@@ -149,10 +195,12 @@
 
     Tcp::acceptor m_acceptor;
     ResponseScript m_script;
+    ResponseStart m_start;
 };
 
-ScriptedServer::ScriptedServer(Asio::io_context& context, std::uint16_t port, ResponseScript script)
-    : m_impl(std::make_shared<Impl>(context, port, std::move(script)))
+ScriptedServer::ScriptedServer(
+    Asio::io_context& context, std::uint16_t port, ResponseScript script, ResponseStart start)
+    : m_impl(std::make_shared<Impl>(context, port, std::move(script), start))
 {
     m_impl->start();
 }
--- a/tests/platform/scriptedserver.h
+++ b/tests/platform/scriptedserver.h
@@ -13,7 +13,18 @@
     KeepOpen,
     // Closes it in order, as a process does that ends.
     Close,
+    // Closes its own direction, and reads the rest of the request until the client closes the connection.
+    HalfClose,
     Reset,
+    // Closes its own direction, and resets the connection at once.
+    HalfCloseAndReset,
+};
+
+// When a scripted server responds.
+enum class ResponseStart {
+    AfterRequest,
+    // Before it reads any of the request's body, so that a client is still writing a large one.
+    AfterRequestHeader,
 };
 
 // A signed response, written byte by byte as given here.
@@ -31,6 +42,8 @@
     std::string contentType = "text/event-stream";
     // If not empty, this text is written instead of the response.
     std::string rawBytes {};
+    // If not zero, the position in this text before which the server pauses.
+    std::size_t rawPauseAt = 0;
     // Time from the request to the response.
     Apricot::Milliseconds delay { 0 };
     // If not empty, this text precedes the next response on the same connection, which then takes longer.
@@ -44,7 +57,8 @@
 // A backend server whose framing, and whose end of the connection, are scripted.
 class ScriptedServer {
 public:
-    ScriptedServer(boost::asio::io_context& context, std::uint16_t port, ResponseScript script);
+    ScriptedServer(boost::asio::io_context& context, std::uint16_t port, ResponseScript script,
+        ResponseStart start = ResponseStart::AfterRequest);
     ~ScriptedServer();
 
     ScriptedServer(const ScriptedServer&) = delete;
--- /dev/null
+++ b/tests/unit/responsereadingtest.cpp
@@ -0,0 +1,180 @@
+#include "libnet/httpclient.h"
+
+#include "clustersupport.h"
+#include "scriptedserver.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+using namespace Apricot;
+namespace Asio = boost::asio;
+
+namespace {
+
+constexpr Milliseconds callTimeout { 1000 };
+// More than the kernel buffers for a server that does not read.
+constexpr std::size_t uploadBytes = 16 << 20;
+constexpr int resetRounds = 20;
+
+std::string responseText(const std::string& status, const std::string& fields)
+{
+    return "HTTP/1.1 " + status + "\r\nServer: s\r\n" + fields + "\r\n";
+}
+
+// A sound response with a field of this name and value before its length.
+std::string responseWithField(const std::string& line)
+{
+    return responseText("200 OK", line + "\r\nContent-Length: 2\r\n") + "ok";
+}
+
+}
+
+// What a client reads from servers that send broken responses.
+TEST_GROUP(ResponseReading)
+{
+    Asio::io_context context;
+    ScriptedResponse scripted;
+    std::uint16_t port = findFreePort();
+    std::unique_ptr<ScriptedServer> server;
+
+    void startServer(ResponseStart start = ResponseStart::AfterRequest)
+    {
+        server = std::make_unique<ScriptedServer>(
+            context, port, [this](const HttpRequest&) { return scripted; }, start);
+    }
+
+    // Sends a call over a new connection. Returns nothing if the client does not accept the response as complete.
+    std::optional<HttpResponse> receive(const ScriptedResponse& response, const std::string& upload = "")
+    {
+        if (!server)
+            startServer();
+        scripted = response;
+        std::optional<HttpResponse> received;
+        Asio::co_spawn(
+            context,
+            [&]() -> Asio::awaitable<void> {
+                HttpClient client(context, { .port = port });
+                HttpCall call { .method = "POST", .body = upload, .timeout = callTimeout };
+                try {
+                    received = co_await client.send(std::move(call));
+                } catch (const boost::system::system_error&) {
+                    // The response is broken.
+                }
+                context.stop();
+            },
+            Asio::detached);
+        context.restart();
+        context.run();
+        return received;
+    }
+
+    std::optional<HttpResponse> receiveText(const std::string& bytes, ConnectionEnd end = ConnectionEnd::Close)
+    {
+        return receive({ .end = end, .rawBytes = bytes });
+    }
+
+    void checkIsRejected(const std::string& bytes, ConnectionEnd end = ConnectionEnd::Close)
+    {
+        CHECK_FALSE_TEXT(receiveText(bytes, end).has_value(), bytes.c_str());
+    }
+
+    void checkIsAccepted(const std::string& bytes, const std::string& body)
+    {
+        const std::optional<HttpResponse> received = receiveText(bytes);
+        CHECK_TRUE_TEXT(received.has_value(), bytes.c_str());
+        CHECK_EQUAL(body, received->body);
+    }
+};
+
+TEST(ResponseReading, aStatusThatIsNotThreeDigitsIsRejected)
+{
+    for (const char* status : { "", " ", "2", "20", "2000", "2x0", "-20", "+20", "0x0", " 200", "2 00" })
+        checkIsRejected(responseText(status, "Content-Length: 2\r\n") + "ok");
+}
+
+// Guards against discarding, or delaying, the response of a server that does not need the rest of the request.
+TEST(ResponseReading, anOrderlyEndBeforeTheEndOfTheRequestEndsAResponseWithoutLength)
+{
+    startServer(ResponseStart::AfterRequestHeader);
+    const std::string upload(uploadBytes, 'x');
+    for (const ConnectionEnd end : { ConnectionEnd::HalfClose, ConnectionEnd::HalfCloseAndReset }) {
+        for (int round = 0; round < resetRounds; ++round) {
+            const TimePoint sentAt = RuntimeClock::now();
+            const auto received = receive({ .end = end, .rawBytes = responseText("200 OK", "") + "whole" }, upload);
+            CHECK_TRUE(received.has_value());
+            CHECK_EQUAL(std::string("whole"), received->body);
+            CHECK_TRUE(RuntimeClock::now() - sentAt < callTimeout);
+        }
+    }
+}
+
+TEST(ResponseReading, aControlCharacterInAFieldValueIsRejected)
+{
+    for (int code = 0; code < 256; ++code) {
+        const std::string byte(1, static_cast<char>(code));
+        const bool isControl = code < 0x20 || code == 0x7f;
+        if (isControl && byte != "\t")
+            checkIsRejected(responseWithField("X: a" + byte + "b"));
+        else
+            checkIsAccepted(responseWithField("X: a" + byte + "b"), "ok");
+    }
+}
+
+TEST(ResponseReading, anAmbiguousLengthIsRejected)
+{
+    for (const char* fields : { "Content-Length: 2\r\nContent-Length: 3\r\n", "Content-Length: 2, 3\r\n", "Content-Length: -2\r\n",
+             "Content-Length: 2x\r\n", "Content-Length: \r\n", "Content-Length: 99999999999999999999\r\n",
+             "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n", "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n" })
+        checkIsRejected(responseText("200 OK", fields) + "ok");
+}
+
+// Guards against a response that stops in its header, or in a body whose framing shows its end, and looks whole.
+TEST(ResponseReading, aResponseThatStopsBeforeItsEndIsRejected)
+{
+    const std::string header = responseText("200 OK", "Content-Type: text/plain\r\n");
+    const std::string responses[] = { header, responseText("200 OK", "Content-Length: 2\r\n") + "ok",
+        responseText("200 OK", "Transfer-Encoding: chunked\r\n") + "2\r\nok\r\n0\r\nX: y\r\n\r\n" };
+    for (const std::string& response : responses) {
+        for (std::size_t size = 1; size < response.size(); ++size) {
+            checkIsRejected(response.substr(0, size), ConnectionEnd::Close);
+            checkIsRejected(response.substr(0, size), ConnectionEnd::Reset);
+        }
+    }
+    checkIsAccepted(header, "");
+    checkIsAccepted(responses[1], "ok");
+    checkIsAccepted(responses[2], "ok");
+}
+
+TEST(ResponseReading, bytesThatAreNoResponseAreRejectedAtOnce)
+{
+    const TimePoint startedAt = RuntimeClock::now();
+    for (const char* bytes : { "HTTP/2 200 OK\r\n\r\n", "HTTP/1.2 200 OK\r\n\r\n", "HTTP/1.1 200 OK\nServer: s\n\nok", "no response",
+             "HTTP/1.1 200 OK\r\nServer: s\nContent-Length: 2\r\n\r\nok", "\x16\x03\x01\x02\x03\x04\x05\x06", "\r\n\r\n\r\n\r\n", "HTTP/1.1 200 O\x01K\r\n\r\n",
+             "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\nno response" })
+        checkIsRejected(bytes, ConnectionEnd::KeepOpen);
+    CHECK_TRUE(RuntimeClock::now() - startedAt < callTimeout);
+}
+
+// Guards against a header that is rejected, or read twice, because it does not arrive as a whole or not alone.
+TEST(ResponseReading, aResponseIsReadHoweverItsBytesArrive)
+{
+    std::string response = "HTTP/1.1 100 Continue\r\n\r\n" + responseText("200 OK", "Transfer-Encoding: chunked\r\n") + "2\r\nok\r\n0\r\n\r\n";
+    checkIsAccepted(response, "ok");
+    for (std::size_t size = 1; size < response.size(); ++size) {
+        const auto received = receive({ .end = ConnectionEnd::Close, .rawBytes = response, .rawPauseAt = size });
+        CHECK_TRUE(received.has_value());
+        LONGS_EQUAL(200, received->status);
+        CHECK_EQUAL(std::string("ok"), received->body);
+    }
+}
+
+// Guards against a header that grows without bound.
+TEST(ResponseReading, aHeaderBeyondTheLimitIsRejected)
+{
+    checkIsAccepted(responseWithField("X: " + std::string(7000, 'x')), "ok");
+    checkIsRejected(responseWithField("X: " + std::string(70'000, 'x')), ConnectionEnd::KeepOpen);
+    checkIsRejected("HTTP/1.1 200 " + std::string(70'000, 'x'), ConnectionEnd::KeepOpen);
+}
