Reject responses whose status is of no defined class

Callers saw: a response "HTTP/1.1 000", with the body and the signature of a replica in trouble, as the response to their request. The same happened with 001, 099, 600 and 999.

Cause: the parser accepts any three digits as a status, and what follows it only separates successes and server errors from the rest. A status of no class was forwarded like a 404.

Change: HttpStreamImpl::readHeader rejects a status below 200, other than an informational one, or above 599. It is the only reader of HTTP/1.1 responses, so this holds for requests, calls of stages, releases, the store and the older daemons. The status of a relayed response comes in a message; a peer of an earlier version may relay any, so RelayClient checks it too.

--- a/src/gateway/relayclient.cpp
+++ b/src/gateway/relayclient.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/relayedstream.h"
 #include "libnet/log.h"
+#include "libnet/responsehead.h"
 #include "libnet/watchdog.h"
 
 #include <boost/beast/core/error.hpp>
@@ -127,7 +128,8 @@
     } catch (const PeerError&) {
         response.reset();
     }
-    if (auto* head = response ? std::get_if<RelayHeadMessage>(&*response) : nullptr) {
+    auto* head = response ? std::get_if<RelayHeadMessage>(&*response) : nullptr;
+    if (head && isFinalStatus(head->status)) {
         stream = std::make_unique<RelayedStream>(
             m_context, peerStream, std::move(*head), call->cancel, target.timeLeft, inFlight);
         co_return RelayEnd::Complete;
@@ -135,6 +137,11 @@
     if (call->cancel)
         call->cancel->setAction(nullptr);
     peerStream->cancel();
+    // Peers of earlier versions relay any status of a server.
+    if (head) {
+        count(relayEndName(RelayEnd::Broken));
+        throwRelayError(RelayEnd::Broken);
+    }
     const auto* end = response ? std::get_if<RelayEndMessage>(&*response) : nullptr;
     if (!end) {
         if (!isCancelled())
--- a/src/libnet/httpstreamimpl.cpp
+++ b/src/libnet/httpstreamimpl.cpp
@@ -1,5 +1,7 @@
 #include "libnet/httpstreamimpl.h"
 
+#include "libnet/responsehead.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -108,16 +110,19 @@
 
 Asio::awaitable<void> HttpStreamImpl::readHeader()
 {
-    constexpr unsigned statusClass = 100;
+    constexpr int statusesPerClass = 100;
     while (true) {
         m_parser.emplace();
         m_parser->body_limit(boost::none);
         co_await Http::async_read_header(*m_connection, m_buffer, *m_parser, Asio::use_awaitable);
-        if (m_parser->get().result_int() / statusClass != 1)
+        m_head.status = static_cast<int>(m_parser->get().result_int());
+        if (m_head.status / statusesPerClass != 1)
             break;
         recordSkippedResponse();
     }
-    m_head.status = static_cast<int>(m_parser->get().result_int());
+    // The parser accepts any three digits.
+    if (!isFinalStatus(m_head.status))
+        throw boost::system::system_error(Http::make_error_code(Http::error::bad_status));
     m_framing = m_parser->chunked() ? BodyFraming::Chunks
         : m_parser->need_eof()      ? BodyFraming::ConnectionEnd
                                     : BodyFraming::Length;
--- a/tests/clusters/brokenresponsetest.cpp
+++ b/tests/clusters/brokenresponsetest.cpp
@@ -103,6 +103,25 @@
     }
 };
 
+// Guards against a status of no defined class that a caller gets as the response to its request.
+TEST(BrokenResponse, withAStatusOfNoDefinedClassIsNotForwarded)
+{
+    start();
+    std::vector<BrokenForm> forms;
+    for (const char* status : { "000 Failed", "001 Failed", "099 Failed", "600 Failed", "999 Failed", "000" })
+        forms.push_back({ .status = status, .lines = lengthLine(brokenEvent) });
+    play(forms);
+}
+
+// The same for responses that come through another host.
+TEST(BrokenResponse, withAStatusOfNoDefinedClassIsNotForwardedThroughAPeer)
+{
+    start();
+    cluster.cutLinks(0, LinkFault::RefusesNew);
+    play({ { .status = "000 Failed", .lines = lengthLine(brokenEvent) } });
+    CHECK_COMPARE(cluster.metricOf(0, "apricot_relayed_calls_total").value_or(0), >, 0);
+}
+
 // Guards against a field whose name holds a blank or a control character, which is forwarded or hides the framing.
 TEST(BrokenResponse, withAMalformedFieldNameIsNotForwarded)
 {
--- a/tests/unit/responsereadingtest.cpp
+++ b/tests/unit/responsereadingtest.cpp
@@ -89,6 +89,15 @@
     }
 };
 
+// Guards against a status of no defined class, such as that of a server in trouble, which a caller gets as a response.
+TEST(ResponseReading, aStatusOutsideTheDefinedClassesIsRejected)
+{
+    for (const char* status : { "000 OK", "001 OK", "099 OK", "600 OK", "700 OK", "999 OK", "000 ", "000" })
+        checkIsRejected(responseText(status, "Content-Length: 2\r\n") + "ok");
+    for (const char* status : { "200 OK", "299 Fine", "404 Not Found", "599 Failed" })
+        checkIsAccepted(responseText(status, "Content-Length: 2\r\n") + "ok", "ok");
+}
+
 TEST(ResponseReading, aStatusThatIsNotThreeDigitsIsRejected)
 {
     for (const char* status : { "", " ", "2", "20", "2000", "2x0", "-20", "+20", "0x0", " 200", "2 00" })
