Reject responses without length that are reset during the request

Callers saw: a replica responds to a long upload at once, without a length, sends part of the body and resets the connection while the host still writes the upload. The caller got the part as a complete 200; streams whose part ended after an event ended as complete.

Cause: the request is written beside the read of its response, and the kernel reports an error of a connection once. If the pending write receives the reset, the read sees an ordinary end of the connection, which ends a response without length. The probe whether the server has ended does not help, as it runs.

Change: at such an end HttpStreamImpl asks how the write of the request ended, and throws its error. While the write is in progress it looks at the state of the connection: if the server has only closed its own direction, the response is whole and not delayed; otherwise the connection is dead and the write ends at once. Responses with a length or in chunks show their end themselves. The same holds for a connection that is given up because nothing is acknowledged (TCP_USER_TIMEOUT): its error is also reported once. No test covers that case.

--- a/src/libnet/httpstreamimpl.cpp
+++ b/src/libnet/httpstreamimpl.cpp
@@ -9,6 +9,9 @@
 
 #include <charconv>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
 namespace Apricot {
 
 namespace Asio = boost::asio;
@@ -37,6 +40,15 @@
             Milliseconds(0));
     }
 
+    // Whether the server has closed its direction of the connection, and the other one is open.
+    bool isClosedByServer(Asio::ip::tcp::socket& socket)
+    {
+        tcp_info info {};
+        socklen_t size = sizeof(info);
+        const int result = getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size);
+        return result == 0 && info.tcpi_state == TCP_CLOSE_WAIT;
+    }
+
 }
 
 HttpStreamImpl::HttpStreamImpl(std::shared_ptr<HttpConnection> connection, bool isReused, Milliseconds timeout,
@@ -60,8 +72,7 @@
 {
     // The request is written concurrently with the read: a server may respond before it has read a
     // long body.
-    m_pendingWrite = std::make_shared<PendingWrite>();
-    m_pendingWrite->message = std::move(message);
+    m_pendingWrite = std::make_shared<PendingWrite>(std::move(message), AsyncEvent(m_connection->get_executor()));
     Asio::co_spawn(m_connection->get_executor(), writeRequest(m_connection, m_pendingWrite),
         Asio::detached);
     setTotalTimeout(m_timeout);
@@ -104,8 +115,9 @@
     boost::system::error_code error;
     co_await Http::async_write(connection->socket(), pendingWrite->message,
         Asio::redirect_error(Asio::use_awaitable, error));
-    pendingWrite->isComplete = !error;
-    // The concurrent read reports the connection's error.
+    pendingWrite->result = error;
+    pendingWrite->ended.notifyAll();
+    // The concurrent read reports the connection's error, or verifyConnectionEnd() does.
 }
 
 Asio::awaitable<void> HttpStreamImpl::readHeader()
@@ -161,13 +173,31 @@
         Asio::redirect_error(Asio::use_awaitable, error));
     if (error && error != Http::error::need_buffer)
         throw boost::system::system_error(error);
+    if (m_parser->is_done() && m_parser->need_eof())
+        co_await verifyConnectionEnd();
     co_return std::string(m_bodyBuffer.data(), m_bodyBuffer.size() - m_parser->get().body().size);
 }
 
+Asio::awaitable<void> HttpStreamImpl::verifyConnectionEnd()
+{
+    // The kernel reports an error of a connection once. If the write of the request receives it, the read sees an
+    // ordinary end.
+    if (!m_pendingWrite->result && isClosedByServer(m_connection->socket()))
+        co_return;
+    while (!m_pendingWrite->result)
+        co_await m_pendingWrite->ended.wait();
+    const boost::system::error_code error = *m_pendingWrite->result;
+    // A broken pipe shows that the server closed the connection in order before it reset it: it does not read the rest
+    // of the request.
+    if (error && error != Asio::error::broken_pipe)
+        throw boost::system::system_error(error);
+}
+
 void HttpStreamImpl::finish()
 {
+    const bool isRequestWritten = m_pendingWrite->result && !*m_pendingWrite->result;
     // Data that belongs to no call, before or after the response, may be followed by more.
-    const bool isReusable = m_parser->keep_alive() && m_buffer.size() == 0 && m_pendingWrite->isComplete
+    const bool isReusable = m_parser->keep_alive() && m_buffer.size() == 0 && isRequestWritten
         && !m_hasSkippedForeign;
     if (!isReusable)
         m_connection.reset();
--- a/src/libnet/httpstreamimpl.h
+++ b/src/libnet/httpstreamimpl.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "libnet/asyncevent.h"
 #include "libnet/httpclient.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -48,13 +49,17 @@
     // Request that is being written; outlives this object if the stream is destroyed early.
     struct PendingWrite {
         boost::beast::http::request<boost::beast::http::string_body> message;
-        bool isComplete = false;
+        AsyncEvent ended;
+        // Not set while the write is in progress.
+        std::optional<boost::system::error_code> result {};
     };
 
     static boost::asio::awaitable<void> writeRequest(
         std::shared_ptr<HttpConnection> connection, std::shared_ptr<PendingWrite> pendingWrite);
     boost::asio::awaitable<void> readHeader();
     boost::asio::awaitable<std::string> readSome();
+    // Throws if the end of the connection, which ends the response, is that of a reset or lost connection.
+    boost::asio::awaitable<void> verifyConnectionEnd();
     // Whether the response belongs to another call. Throws if the connection does not show which call it belongs to.
     bool isForeign(const std::function<ResponseOwner(const HttpResponseHead&)>& ownerOf) const;
     // Counts an informational response or one to another call. Throws if there are too many.
--- a/tests/clusters/brokenresponsetest.cpp
+++ b/tests/clusters/brokenresponsetest.cpp
@@ -122,6 +122,25 @@
     CHECK_COMPARE(cluster.metricOf(0, "apricot_relayed_calls_total").value_or(0), >, 0);
 }
 
+// Guards against part of a response without length that looks whole, because its connection is reset while the host
+// still sends a large request: the error goes to the write, and the read sees an ordinary end.
+TEST(BrokenResponse, thatIsResetDuringAnUploadIsNotForwarded)
+{
+    constexpr int rounds = 4;
+    start(ResponseStart::AfterRequestHeader);
+    const std::string upload(uploadBytes, 'x');
+    for (int round = 0; round < rounds; ++round) {
+        for (const char* path : { "/once/x", "/again/x" })
+            checkIsNotForwarded(path, { .end = ConnectionEnd::Reset }, upload);
+        for (const char* path : { "/live/x", "/stream/x", "/staged/x" }) {
+            broken = BrokenForm { .end = ConnectionEnd::Reset };
+            const ClusterResponse response = cluster.call(0, { .path = path, .content = upload });
+            CHECK_FALSE_TEXT(response.status == 200 && response.isComplete, path);
+        }
+    }
+    checkSoundResponsesAreForwarded();
+}
+
 // Guards against a field whose name holds a blank or a control character, which is forwarded or hides the framing.
 TEST(BrokenResponse, withAMalformedFieldNameIsNotForwarded)
 {
--- a/tests/unit/responsereadingtest.cpp
+++ b/tests/unit/responsereadingtest.cpp
@@ -104,6 +104,20 @@
         checkIsRejected(responseText(status, "Content-Length: 2\r\n") + "ok");
 }
 
+// Guards against part of a response without length that looks whole: the kernel reports the reset to the write of the
+// request alone, and the read sees an ordinary end of the connection.
+TEST(ResponseReading, aResetThatInterruptsTheRequestDoesNotEndAResponseWithoutLength)
+{
+    startServer(ResponseStart::AfterRequestHeader);
+    const std::string upload(uploadBytes, 'x');
+    for (int round = 0; round < resetRounds; ++round) {
+        CHECK_FALSE(receive({ .end = ConnectionEnd::Reset, .rawBytes = responseText("200 OK", "") + "part" }, upload).has_value());
+        CHECK_FALSE(receive({ .end = ConnectionEnd::Reset, .rawBytes = responseText("200 OK", "") }, upload).has_value());
+        CHECK_FALSE(receive({ .parts = { "part" }, .framing = BodyFraming::ConnectionEnd, .end = ConnectionEnd::Reset }, upload)
+                        .has_value());
+    }
+}
+
 // Guards against discarding, or delaying, the response of a server that does not need the rest of the request.
 TEST(ResponseReading, anOrderlyEndBeforeTheEndOfTheRequestEndsAResponseWithoutLength)
 {
