Leave requests unread in the test of orderly ends

A server that closes its own direction read the rest of the request at once, so the test passed also without the look at the connection's state. It now leaves the request unread, which delays a response whose reader waits for the write.

--- a/tests/platform/scriptedserver.cpp
+++ b/tests/platform/scriptedserver.cpp
@@ -12,8 +12,6 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
-#include <array>
-
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
@@ -29,7 +27,8 @@
 constexpr Milliseconds extraLead { 400 };
 // Bytes by which an incomplete body falls short of its declared length.
 constexpr std::size_t missingBytes = 10;
-constexpr std::size_t discardedReadBytes = 65'536;
+// Time for which a server leaves a request unread whose response it has ended.
+constexpr Milliseconds unreadTime { 3000 };
 constexpr int smallSegmentBytes = 1000;
 constexpr int smallReceiveBytes = 65'536;
 
@@ -137,11 +136,8 @@
             socket.set_option(Asio::socket_base::linger(true, 0));
             socket.close();
         }
-        std::array<char, discardedReadBytes> discarded {};
-        boost::system::error_code error;
-        while (end == ConnectionEnd::HalfClose && !error)
-            co_await socket.async_read_some(
-                Asio::buffer(discarded), Asio::redirect_error(Asio::use_awaitable, error));
+        if (end == ConnectionEnd::HalfClose)
+            co_await sleepFor(socket.get_executor(), unreadTime);
     }
 
     static Asio::awaitable<void> writeExtra(Tcp::socket& socket, const std::string& bytes)
--- a/tests/platform/scriptedserver.h
+++ b/tests/platform/scriptedserver.h
@@ -13,7 +13,7 @@
     KeepOpen,
     // Closes it in order, as a process does that ends.
     Close,
-    // Closes its own direction, and reads the rest of the request until the client closes the connection.
+    // Closes its own direction, and leaves the rest of the request unread.
     HalfClose,
     Reset,
     // Closes its own direction, and resets the connection at once.
