--- a/src/gateway/relayclient.cpp
+++ b/src/gateway/relayclient.cpp
@@ -2,7 +2,7 @@
 
 #include "gateway/relayedstream.h"
 #include "libnet/log.h"
-#include "libnet/responsehead.h"
+#include "libnet/messagehead.h"
 #include "libnet/watchdog.h"
 
 #include <boost/beast/core/error.hpp>
--- a/src/libnet/httprequestreader.cpp
+++ b/src/libnet/httprequestreader.cpp
@@ -1,7 +1,7 @@
 #include "libnet/httprequestreader.h"
 
 #include "libnet/httpexchangeimpl.h"
-#include "libnet/requesthead.h"
+#include "libnet/messagehead.h"
 #include "libnet/watchdog.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -116,8 +116,8 @@
         const std::string_view received(static_cast<const char*>(m_buffer.data().data()), m_buffer.size());
         const std::size_t end = received.find(headerEnd);
         if (end != std::string_view::npos && end <= limits.headerBytes)
-            co_return findHeaderError(received.substr(0, end + headerEnd.size())) ? RequestReadEnd::Malformed
-                                                                                  : RequestReadEnd::Complete;
+            co_return findRequestHeadError(received.substr(0, end + headerEnd.size())) ? RequestReadEnd::Malformed
+                                                                                       : RequestReadEnd::Complete;
         if (received.size() > limits.headerBytes)
             co_return RequestReadEnd::HeaderTooLarge;
         const auto left = std::chrono::ceil<Milliseconds>(
--- a/src/libnet/httpstreamimpl.cpp
+++ b/src/libnet/httpstreamimpl.cpp
@@ -1,6 +1,6 @@
 #include "libnet/httpstreamimpl.h"
 
-#include "libnet/responsehead.h"
+#include "libnet/messagehead.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/src/libnet/requesthead.h
+++ b/src/libnet/messagehead.h
@@ -9,6 +9,9 @@
 // Rejects whatever two HTTP parsers may parse differently, so that no request can be smuggled in the
 // body of another one: folded lines, stray line breaks, whitespace before a colon, several or
 // conflicting lengths, transfer codings other than chunked, and hosts that are missing or repeated.
-std::optional<std::string_view> findHeaderError(std::string_view head);
+std::optional<std::string_view> findRequestHeadError(std::string_view head);
+
+// Whether a status is final and of a class that HTTP defines: 200 to 599 (RFC 9110, section 15).
+bool isFinalStatus(int status);
 
 }
--- a/tests/unit/requestheadtest.cpp
+++ b/tests/unit/messageheadtest.cpp
@@ -1,4 +1,4 @@
-#include "libnet/requesthead.h"
+#include "libnet/messagehead.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -8,7 +8,7 @@
 
 TEST_GROUP(RequestHead) {
     static bool isAccepted(const std::string& fields) {
-        return !findHeaderError("POST /p HTTP/1.1\r\n" + fields + "\r\n");
+        return !findRequestHeadError("POST /p HTTP/1.1\r\n" + fields + "\r\n");
 }
 }
 ;
@@ -35,5 +35,5 @@
     CHECK(!isAccepted("Host: a\r\nHost: b\r\n"));
     CHECK(!isAccepted("X: 1\r\n"));
     CHECK(!isAccepted("Host: a\r\nnocolon\r\n"));
-    CHECK(findHeaderError("GET / HTTP/1.1\r\nHost: a\r\n").has_value());
+    CHECK(findRequestHeadError("GET / HTTP/1.1\r\nHost: a\r\n").has_value());
 }
