Reject responses with folded header lines

Callers saw: a response in whose header a line begins with a blank, with that line in the value of the field before it. " Content-Length: 3" after the signature gave a 200 with a signature that is not the replica's, and a body whose length the replica had stated otherwise.

Cause: the parser joins a folded line with the one before and does not report it. RFC 9112, section 5.2, lets a gateway that gets such a response discard it with 502. Request headers are checked before they are parsed; response headers were not.

Change: HttpStreamImpl keeps the bytes of a header until the whole of it is parsed, and then applies the checks of header lines that requests have (findResponseHeadError). Malformed bytes are still rejected as soon as the parser sees them, without waiting for the end of the header.

Evidence, on: ResponseReading.aFoldedHeaderLineIsRejected fails with its first line, aFieldNameIsAToken with a name that begins with a tab, BrokenResponse.withAFoldedLineIsNotForwarded gets 200 instead of 502. The other names, with a blank, a control character or a byte above 126 at any place, were rejected before; their tests stay: BrokenResponse.withAMalformedFieldNameIsNotForwarded.

--- a/src/libnet/httpstreamimpl.cpp
+++ b/src/libnet/httpstreamimpl.cpp
@@ -124,9 +124,8 @@
 {
     constexpr int statusesPerClass = 100;
     while (true) {
-        m_parser.emplace();
-        m_parser->body_limit(boost::none);
-        co_await Http::async_read_header(*m_connection, m_buffer, *m_parser, Asio::use_awaitable);
+        while (!tryParseHeader())
+            co_await receiveHeaderBytes();
         m_head.status = static_cast<int>(m_parser->get().result_int());
         if (m_head.status / statusesPerClass != 1)
             break;
@@ -143,6 +142,41 @@
         m_head.fields.push_back({ std::string(field.name_string()), std::string(field.value()) });
 }
 
+bool HttpStreamImpl::tryParseHeader()
+{
+    // Parses from the first byte of the header, so that its lines can be checked once it is complete: the parser joins
+    // folded lines.
+    m_parser.emplace();
+    m_parser->body_limit(boost::none);
+    const Asio::const_buffer received = m_buffer.data();
+    std::size_t size = 0;
+    boost::system::error_code error;
+    while (!error && !m_parser->is_header_done())
+        size += m_parser->put(received + size, error);
+    if (error == Http::error::need_more)
+        return false;
+    if (!error && findResponseHeadError({ static_cast<const char*>(received.data()), size }))
+        error = Http::error::bad_field;
+    if (error)
+        throw boost::system::system_error(error);
+    m_buffer.consume(size);
+    return true;
+}
+
+Asio::awaitable<void> HttpStreamImpl::receiveHeaderBytes()
+{
+    // The parser limits headers to a few of these, so that the buffer has room.
+    constexpr std::size_t headerReadBytes = 4096;
+    boost::system::error_code error;
+    const std::size_t count = co_await m_connection->async_read_some(
+        m_buffer.prepare(headerReadBytes), Asio::redirect_error(Asio::use_awaitable, error));
+    m_buffer.commit(count);
+    if (error == Asio::error::eof)
+        error = m_buffer.size() == 0 ? Http::error::end_of_stream : Http::error::partial_message;
+    if (error)
+        throw boost::system::system_error(error);
+}
+
 void HttpStreamImpl::releaseUnused()
 {
     m_releaseHandler(std::move(m_connection), Milliseconds::max());
--- a/src/libnet/httpstreamimpl.h
+++ b/src/libnet/httpstreamimpl.h
@@ -57,6 +57,9 @@
     static boost::asio::awaitable<void> writeRequest(
         std::shared_ptr<HttpConnection> connection, std::shared_ptr<PendingWrite> pendingWrite);
     boost::asio::awaitable<void> readHeader();
+    // Parses a header if the whole of it was received. Throws if it is malformed.
+    bool tryParseHeader();
+    boost::asio::awaitable<void> receiveHeaderBytes();
     boost::asio::awaitable<std::string> readSome();
     // Throws if the end of the connection, which ends the response, is that of a reset or lost connection.
     boost::asio::awaitable<void> verifyConnectionEnd();
--- a/src/libnet/messagehead.cpp
+++ b/src/libnet/messagehead.cpp
@@ -115,6 +115,12 @@
     return std::nullopt;
 }
 
+std::optional<std::string_view> findResponseHeadError(std::string_view head)
+{
+    // The parser checks the lengths of the body.
+    return findLineError(head, [](std::string_view /*name*/, std::string_view /*value*/) { return HeadError(); });
+}
+
 bool isFinalStatus(int status)
 {
     constexpr int firstFinalStatus = 200;
--- a/tests/clusters/brokenresponsetest.cpp
+++ b/tests/clusters/brokenresponsetest.cpp
@@ -141,6 +141,14 @@
     checkSoundResponsesAreForwarded();
 }
 
+// Guards against a folded line, which hides a field in the value of the one before, such as the signature.
+TEST(BrokenResponse, withAFoldedLineIsNotForwarded)
+{
+    start();
+    play({ { .lines = " Content-Length: 3\r\n" }, { .lines = "\tContent-Length: 3\r\n" },
+        { .lines = lengthLine(brokenEvent) + "X: a\r\n b\r\n" } });
+}
+
 // Guards against a field whose name holds a blank or a control character, which is forwarded or hides the framing.
 TEST(BrokenResponse, withAMalformedFieldNameIsNotForwarded)
 {
--- a/tests/unit/responsereadingtest.cpp
+++ b/tests/unit/responsereadingtest.cpp
@@ -30,6 +30,11 @@
     return responseText("200 OK", line + "\r\nContent-Length: 2\r\n") + "ok";
 }
 
+bool isNameCharacter(unsigned char byte)
+{
+    return std::isalnum(byte) != 0 || std::string_view("!#$%&'*+-.^_`|~").find(static_cast<char>(byte)) != std::string_view::npos;
+}
+
 }
 
 // What a client reads from servers that send broken responses.
@@ -134,6 +139,40 @@
     }
 }
 
+// Guards against a folded line, which hides a field, such as the length of the body, in the value of the one before.
+TEST(ResponseReading, aFoldedHeaderLineIsRejected)
+{
+    for (const char* fold : { " ", "\t", "  ", " \t" }) {
+        checkIsRejected(responseText("200 OK", "X-Signature: s\r\n" + std::string(fold) + "Content-Length: 2\r\n") + "ok and more");
+        checkIsRejected(responseWithField("X-Signature: s\r\n" + std::string(fold) + "more"));
+        checkIsRejected(responseWithField("X-Signature: s\r\n" + std::string(fold)));
+        checkIsRejected("HTTP/1.1 200 OK\r\n" + std::string(fold) + "X: y\r\nContent-Length: 2\r\n\r\nok");
+    }
+}
+
+// Guards against a field whose name other readers read differently, and against a framing field that goes unnoticed.
+TEST(ResponseReading, aFieldNameIsAToken)
+{
+    for (int code = 0; code < 256; ++code) {
+        const std::string byte(1, static_cast<char>(code));
+        if (isNameCharacter(static_cast<unsigned char>(code))) {
+            checkIsAccepted(responseWithField("X" + byte + "a: v"), "ok");
+            continue;
+        }
+        checkIsRejected(responseWithField(byte + "Xa: v"));
+        if (byte == ":")
+            continue;
+        checkIsRejected(responseWithField("X" + byte + "a: v"));
+        checkIsRejected(responseWithField("Xa" + byte + ": v"));
+        checkIsRejected(responseText("200 OK", "Content" + byte + "Length: 2\r\n") + "ok");
+        checkIsRejected(responseText("200 OK", "Content-Length" + byte + ": 2\r\n") + "ok");
+        checkIsRejected(responseText("200 OK", "Transfer-Encoding" + byte + ": chunked\r\n") + "2\r\nok\r\n0\r\n\r\n");
+    }
+    checkIsRejected(responseWithField(": v"));
+    checkIsRejected(responseWithField("Xa"));
+    checkIsRejected(responseWithField("X a"));
+}
+
 TEST(ResponseReading, aControlCharacterInAFieldValueIsRejected)
 {
     for (int code = 0; code < 256; ++code) {
