Reject responses in transfer codings other than chunked

Callers saw: the body of a response with "Transfer-Encoding: gzip", or "chunked, identity", coded as it came and without the field that names the coding, as a complete 200. With "gzip, chunked" the chunks were decoded, and the coded content was forwarded.

Cause: the parser knows chunked as the last coding only. It reads other responses to the end of their connection, and the field is not forwarded because it applies to one connection. No request of this system asks for a coding (RFC 9112, section 7.4), so only chunked may be used.

Change: findResponseHeadError rejects a response whose transfer codings are not chunked alone, like that of a request. Identity was removed from HTTP with RFC 7230 and is rejected as well.

--- a/src/libnet/messagehead.cpp
+++ b/src/libnet/messagehead.cpp
@@ -118,7 +118,12 @@
 std::optional<std::string_view> findResponseHeadError(std::string_view head)
 {
     // The parser checks the lengths of the body.
-    return findLineError(head, [](std::string_view /*name*/, std::string_view /*value*/) { return HeadError(); });
+    int codings = 0;
+    return findLineError(head, [&codings](std::string_view name, std::string_view value) -> HeadError {
+        if (!boost::beast::iequals(name, "transfer-encoding"))
+            return std::nullopt;
+        return ++codings > 1 ? "several transfer codings" : findTransferCodingError(value);
+    });
 }
 
 bool isFinalStatus(int status)
--- a/tests/clusters/brokenresponsetest.cpp
+++ b/tests/clusters/brokenresponsetest.cpp
@@ -162,6 +162,15 @@
     play(forms);
 }
 
+// Guards against a body in a coding that its caller does not learn of.
+TEST(BrokenResponse, inAnUnsupportedTransferCodingIsNotForwarded)
+{
+    start();
+    std::vector<BrokenForm> forms { { .lines = "Transfer-Encoding: gzip\r\n" }, { .lines = "Transfer-Encoding: chunked, identity\r\n" } };
+    forms.push_back({ .lines = "Transfer-Encoding: gzip, chunked\r\n", .body = chunkOf(brokenEvent) + "0\r\n\r\n" });
+    play(forms);
+}
+
 // Guards against a response that stops in its header and is forwarded with an empty or short body.
 TEST(BrokenResponse, thatStopsInItsHeaderIsNotForwarded)
 {
--- a/tests/unit/responsereadingtest.cpp
+++ b/tests/unit/responsereadingtest.cpp
@@ -185,6 +185,21 @@
     }
 }
 
+// Guards against a body in a coding that the caller does not learn of, because the field that names it is not forwarded.
+TEST(ResponseReading, aTransferCodingOtherThanChunkedIsRejected)
+{
+    const std::string chunks = "2\r\nok\r\n0\r\n\r\n";
+    for (const char* coding : { "gzip", "chunked, identity", "identity", "gzip, chunked", "chunked, chunked", "chunkedx",
+             "x-chunked", "chunked;q=1", "", "," }) {
+        checkIsRejected(responseText("200 OK", "Transfer-Encoding: " + std::string(coding) + "\r\n") + chunks);
+        checkIsRejected(responseText("200 OK", "Transfer-Encoding: " + std::string(coding) + "\r\n") + "ok");
+        checkIsRejected(responseText("200 OK", "Transfer-Encoding: " + std::string(coding) + "\r\nTransfer-Encoding: chunked\r\n") + chunks);
+        checkIsRejected(responseText("200 OK", "Transfer-Encoding: chunked\r\nTransfer-Encoding: " + std::string(coding) + "\r\n") + chunks);
+    }
+    for (const char* coding : { "chunked", "Chunked", "CHUNKED" })
+        checkIsAccepted(responseText("200 OK", "Transfer-Encoding: " + std::string(coding) + "\r\n") + chunks, "ok");
+}
+
 TEST(ResponseReading, anAmbiguousLengthIsRejected)
 {
     for (const char* fields : { "Content-Length: 2\r\nContent-Length: 3\r\n", "Content-Length: 2, 3\r\n", "Content-Length: -2\r\n",
