--- a/src/libnet/httpstreamimpl.cpp
+++ b/src/libnet/httpstreamimpl.cpp
@@ -1,11 +1,13 @@
 #include "libnet/httpstreamimpl.h"
 
+#include "libnet/log.h"
 #include "libnet/messagehead.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/json/object.hpp>
 
 #include <charconv>
 
@@ -133,7 +135,7 @@
     }
     // The parser accepts any three digits.
     if (!isFinalStatus(m_head.status))
-        throw boost::system::system_error(Http::make_error_code(Http::error::bad_status));
+        rejectHeader(Http::error::bad_status, "status " + std::to_string(m_head.status));
     m_framing = m_parser->chunked() ? BodyFraming::Chunks
         : m_parser->need_eof()      ? BodyFraming::ConnectionEnd
                                     : BodyFraming::Length;
@@ -155,10 +157,10 @@
         size += m_parser->put(received + size, error);
     if (error == Http::error::need_more)
         return false;
-    if (!error && findResponseHeadError({ static_cast<const char*>(received.data()), size }))
-        error = Http::error::bad_field;
     if (error)
         throw boost::system::system_error(error);
+    if (const auto reason = findResponseHeadError({ static_cast<const char*>(received.data()), size }))
+        rejectHeader(Http::error::bad_field, *reason);
     m_buffer.consume(size);
     return true;
 }
@@ -177,6 +179,15 @@
         throw boost::system::system_error(error);
 }
 
+void HttpStreamImpl::rejectHeader(Http::error error, std::string_view reason) const
+{
+    boost::system::error_code ignored;
+    const auto server = m_connection->socket().remote_endpoint(ignored);
+    writeLog(LogLevel::Info, "response_header_rejected",
+        { { "address", toText(Endpoint { server.address().to_string(), server.port() }) }, { "reason", reason } });
+    throw boost::system::system_error(Http::make_error_code(error));
+}
+
 void HttpStreamImpl::releaseUnused()
 {
     m_releaseHandler(std::move(m_connection), Milliseconds::max());
--- a/src/libnet/httpstreamimpl.h
+++ b/src/libnet/httpstreamimpl.h
@@ -60,6 +60,8 @@
     // Parses a header if the whole of it was received. Throws if it is malformed.
     bool tryParseHeader();
     boost::asio::awaitable<void> receiveHeaderBytes();
+    // Logs why a header that the parser accepts is not acceptable, and throws the error.
+    [[noreturn]] void rejectHeader(boost::beast::http::error error, std::string_view reason) const;
     boost::asio::awaitable<std::string> readSome();
     // Throws if the end of the connection, which ends the response, is that of a reset or lost connection.
     boost::asio::awaitable<void> verifyConnectionEnd();
--- a/tests/platform/relayedresponsetest.cpp
+++ b/tests/platform/relayedresponsetest.cpp
@@ -46,8 +46,9 @@
             [&]() -> Asio::awaitable<void> {
                 CallTarget target { .timeLeft = Milliseconds(1000) };
                 auto call = std::make_shared<HttpCall>();
+                HttpSendGate gate;
                 try {
-                    const auto stream = co_await relays.open(std::move(target), std::move(call), {});
+                    const auto stream = co_await relays.open(std::move(target), std::move(call), std::move(gate));
                     ResponseBody received = co_await readBody(*stream);
                     body = std::move(received.bytes);
                 } catch (const CallNotSentError&) {
