--- a/src/libnet/httpstreamimpl.cpp
+++ b/src/libnet/httpstreamimpl.cpp
@@ -74,7 +74,8 @@
 {
     // The request is written concurrently with the read: a server may respond before it has read a
     // long body.
-    m_pendingWrite = std::make_shared<PendingWrite>(std::move(message), AsyncEvent(m_connection->get_executor()));
+    m_pendingWrite = std::make_shared<PendingWrite>(
+        PendingWrite { .message = std::move(message), .ended = AsyncEvent(m_connection->get_executor()) });
     Asio::co_spawn(m_connection->get_executor(), writeRequest(m_connection, m_pendingWrite),
         Asio::detached);
     setTotalTimeout(m_timeout);
