--- a/src/libnet/messagehead.cpp
+++ b/src/libnet/messagehead.cpp
@@ -53,6 +53,7 @@
         return findFieldError(name, trim(line.substr(colon + 1)));
     }
 
+    // Checks the lines of a header up to its empty line.
     template <typename FieldCheck>
     HeadError findLineError(std::string_view head, FieldCheck findFieldError)
     {
