--- a/src/libnet/httpstreamimpl.cpp
+++ b/src/libnet/httpstreamimpl.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/json/object.hpp>
 
 #include <charconv>
@@ -168,11 +169,11 @@
 
 Asio::awaitable<void> HttpStreamImpl::receiveHeaderBytes()
 {
-    // The parser limits headers to a few of these, so that the buffer has room.
-    constexpr std::size_t headerReadBytes = 4096;
+    // The parser limits headers to a part of the buffer, so that it has room.
+    const std::size_t readBytes = boost::beast::read_size(m_buffer, maxBufferedBytes);
     boost::system::error_code error;
     const std::size_t count = co_await m_connection->async_read_some(
-        m_buffer.prepare(headerReadBytes), Asio::redirect_error(Asio::use_awaitable, error));
+        m_buffer.prepare(readBytes), Asio::redirect_error(Asio::use_awaitable, error));
     m_buffer.commit(count);
     if (error == Asio::error::eof)
         error = m_buffer.size() == 0 ? Http::error::end_of_stream : Http::error::partial_message;
