Start where the platform states no limits of the machine

Cause: since the template needs `limits`, which may be absent, and a section with a dotted name, which the platform's page on templates does not show. A placeholder without a value is replaced by nothing, and "memory_mb =" kept the gateway from starting; a filler of plain names leaves "{{#bounds.canaryShare}}" in the file.

What `limits` states is in a section of its own, which the platform repeats for each entry of the table, so a setting may be repeated with the same value; with another value it is refused as before. An optional number without a value keeps its default; other types and required settings are refused as before. `started` logs the memory and the descriptors that the machine allows.

--- a/src/gateway/gatewaydaemon.cpp
+++ b/src/gateway/gatewaydaemon.cpp
@@ -156,7 +156,8 @@
 {
     writeLog(LogLevel::Info, "started",
         { { "callers", m_settings.callers }, { "peers", m_settings.peers },
-            { "store", m_settings.store }, { "version", APRICOT_VERSION } });
+            { "store", m_settings.store }, { "version", APRICOT_VERSION },
+            { "memory_bytes", m_machine.memoryBytes }, { "descriptors", m_machine.descriptors } });
     m_viewUpdater.start();
     m_peerViewSync.start();
     m_poisonSync.start();
--- a/src/libapricot/settingsreader.cpp
+++ b/src/libapricot/settingsreader.cpp
@@ -4,8 +4,10 @@
 
 #include <cstring>
 #include <fstream>
+#include <map>
 #include <set>
 #include <sstream>
+#include <type_traits>
 
 namespace Apricot {
 
@@ -27,6 +29,16 @@
         return lines;
     }
 
+    bool isNumber(const SettingTarget& target)
+    {
+        return std::visit(
+            [](auto* variable) {
+                using Value = std::remove_pointer_t<decltype(variable)>;
+                return std::is_same_v<Value, Milliseconds> || (std::is_arithmetic_v<Value> && !std::is_same_v<Value, bool>);
+            },
+            target);
+    }
+
     // Feeds lines to the INI library and tracks the line number, which the library does not pass to
     // its handler.
     struct LineSource {
@@ -126,10 +138,16 @@
                 report(line, name, describeUnknown(section));
                 return;
             }
-            if (!m_assigned.insert(name).second) {
-                report(line, name, "is given more than once");
+            const auto [assigned, isNew] = m_assigned.try_emplace(name, value);
+            if (!isNew) {
+                // A template's section for a table is repeated for each entry of the table.
+                if (assigned->second != value)
+                    report(line, name, "is given more than once, with different values");
                 return;
             }
+            // A template's placeholder is replaced by nothing if its value does not exist.
+            if (value.empty() && !setting->spec.required && isNumber(setting->target))
+                return;
             if (!assignSetting(setting->spec, setting->target, value)) {
                 report(line, name,
                     "is \"" + std::string(value) + "\" but must be "
@@ -177,7 +195,8 @@
         std::string m_file;
         const SettingsTable& m_table;
         LineSource m_source { m_lines };
-        std::set<std::string> m_assigned;
+        // Values by name of the setting.
+        std::map<std::string, std::string> m_assigned;
         std::vector<SettingsProblem> m_problems;
     };
 
--- a/tests/unit/settingstest.cpp
+++ b/tests/unit/settingstest.cpp
@@ -82,6 +82,31 @@
     LONGS_EQUAL(13, problems.size());
 }
 
+// Guards against programs that do not start because a template's placeholder stands for a value that does not exist.
+TEST(Settings, anEmptyNumberStandsForItsDefault)
+{
+    DispatchSettings settings;
+    CHECK_TRUE(loadProblems(minimalDispatchSettings + "[membership]\nevidence_ms =\n", settings).empty());
+    LONGS_EQUAL(DispatchSettings().membership.evidence.count(), settings.membership.evidence.count());
+    // Required numbers have no default, and other values are not omitted by leaving them empty.
+    const auto problems = loadProblems("[process]\nhost =\nlog_level =\n[platform]\nport =\n", settings);
+    for (const auto& [line, key] : { std::pair(2, "process.host"), std::pair(3, "process.log_level"), std::pair(5, "platform.port") })
+        CHECK_TRUE_TEXT(hasProblem(problems, line, key), key);
+}
+
+// Guards against programs that do not start because a template's section is repeated for each entry of a table.
+TEST(Settings, aSettingMayBeRepeatedWithTheSameValueOnly)
+{
+    DispatchSettings settings;
+    const std::string section = "[membership]\nevidence_ms = 2500\n";
+    CHECK_TRUE(loadProblems(minimalDispatchSettings + section + section, settings).empty());
+    LONGS_EQUAL(2500, settings.membership.evidence.count());
+    const auto problems
+        = loadProblems(minimalDispatchSettings + section + "[membership]\nevidence_ms = 2600\n", settings);
+    CHECK_TRUE(hasProblem(problems, 11, "membership.evidence_ms"));
+    LONGS_EQUAL(1, problems.size());
+}
+
 TEST(Settings, constraintsBetweenSettingsAreChecked)
 {
     DispatchSettings settings;
