--- a/src/gateway/servingviewupdater.cpp
+++ b/src/gateway/servingviewupdater.cpp
@@ -239,6 +239,7 @@
     try {
         ServingConfig config = Platform::readServingConfig(value);
         const auto version = config.version;
+        const bool requiresKeys = config.requiresKeys();
         m_configSize = json::serialize(value).size();
         if (!m_view.applyConfig(std::move(config), revision)) {
             writeLog(LogLevel::Info, "config_outdated",
@@ -247,7 +248,7 @@
             return;
         }
         writeLog(LogLevel::Info, "config_in_force",
-            { { "version", version }, { "revision", revision } });
+            { { "version", version }, { "revision", revision }, { "requires_keys", requiresKeys } });
     } catch (const std::exception& error) {
         writeLog(LogLevel::Error, "config_rejected",
             { { "revision", revision }, { "reason", error.what() } });
