Require a key wherever the configuration lists owners, also if it lists none

Change: ServingConfig::owners is optional; an absent list means that no key is needed, an empty one that no key is valid. null stands for an empty list, because absence alone grants anything.

--- a/src/libserving/servingconfig.cpp
+++ b/src/libserving/servingconfig.cpp
@@ -43,10 +43,12 @@
 
 const Owner* ServingConfig::findOwner(std::string_view key) const
 {
-    const auto found = std::find_if(owners.begin(), owners.end(), [key](const Owner& owner) {
+    if (!owners)
+        return nullptr;
+    const auto found = std::find_if(owners->begin(), owners->end(), [key](const Owner& owner) {
         return std::find(owner.keys.begin(), owner.keys.end(), key) != owner.keys.end();
     });
-    return found == owners.end() ? nullptr : &*found;
+    return found == owners->end() ? nullptr : &*found;
 }
 
 const Pool* ServingConfig::findPool(const PoolId& id) const
--- a/src/libserving/servingconfig.h
+++ b/src/libserving/servingconfig.h
@@ -128,7 +128,8 @@
     std::uint64_t version = 0;
     std::vector<Route> routes;
     std::map<PoolId, Pool> pools;
-    std::vector<Owner> owners;
+    // Absent if the configuration does not name owners; then requests need no API key. An empty list admits no key.
+    std::optional<std::vector<Owner>> owners;
     HttpLimits limits;
 
     // The route of the host with the longest prefix of the path, or null. The port and the case of the host
@@ -141,7 +142,7 @@
     // with a time limit of its own.
     Milliseconds resumptionTime(const PoolId& pool) const;
     // Whether requests need an API key, except on public routes.
-    bool requiresKeys() const { return !owners.empty(); }
+    bool requiresKeys() const { return owners.has_value(); }
 };
 
 }
--- a/tests/platform/gatewaytest.cpp
+++ b/tests/platform/gatewaytest.cpp
@@ -233,7 +233,7 @@
 {
     ServingConfig config = *view.config();
     config.version = 2;
-    config.owners = { { .id = OwnerId("owner"), .keys = { "known" } } };
+    config.owners = std::vector<Owner> { { .id = OwnerId("owner"), .keys = { "known" } } };
     view.applyConfig(std::move(config), 2);
     const TimePoint now = RuntimeClock::now();
     view.confirmConfig(now, now + Milliseconds(5000));
--- a/tests/platform/objecttranslationtest.cpp
+++ b/tests/platform/objecttranslationtest.cpp
@@ -38,8 +38,42 @@
     LONGS_EQUAL(4000, stagePool->stage->resultLifetime.count());
     DOUBLES_EQUAL(308065, config.findPool(PoolId("m1"))->engine->memoryTokens, 0);
     LONGS_EQUAL(16384, config.limits.headerBytes);
-    CHECK(config.owners.at(0).rank == 1);
-    CHECK(!config.owners.at(1).rank);
+    CHECK(config.owners->at(0).rank == 1);
+    CHECK(!config.owners->at(1).rank);
+}
+
+// Guards against a configuration that takes keys away and opens the routes to all callers by it.
+TEST(ObjectTranslation, everyListOfOwnersRequiresAKeyThatItHolds)
+{
+    const auto read = [](const std::string& fields) {
+        return Platform::readServingConfig(boost::json::parse(R"({"version":1)" + fields + "}"));
+    };
+    CHECK_FALSE(read("").requiresKeys());
+    for (const char* owners : { "null", "[]", R"([{"name":"a"}])", R"([{"name":"a","apiKeys":null}])",
+             R"([{"name":"a","apiKeys":[]}])" }) {
+        const ServingConfig config = read(R"(,"tenants":)" + std::string(owners));
+        CHECK_TRUE_TEXT(config.requiresKeys(), owners);
+        CHECK_TRUE_TEXT(config.findOwner("") == nullptr, owners);
+        CHECK_TRUE_TEXT(config.findOwner("k") == nullptr, owners);
+    }
+    for (const char* owners : { "{}", "false", "0", R"("")", R"([null])", R"([{}])", R"([{"name":"a","apiKeys":{}}])",
+             R"([{"name":"a","apiKeys":[0]}])" })
+        CHECK_THROWS(std::exception, read(R"(,"tenants":)" + std::string(owners)));
+}
+
+// Guards against rights that an absent or empty field grants.
+TEST(ObjectTranslation, fieldsThatAreAbsentOrEmptyOpenNoRoute)
+{
+    const auto read = [](const std::string& fields) {
+        return Platform::readServingConfig(boost::json::parse(R"({"version":1)" + fields + "}"));
+    };
+    for (const char* routes : { "", R"(,"routes":null)", R"(,"routes":[])" })
+        CHECK_TRUE_TEXT(read(routes).findRoute("h", "/a/x") == nullptr, routes);
+    for (const char* isPublic : { "", R"(,"public":null)", R"(,"public":false)" }) {
+        const ServingConfig config
+            = read(R"(,"routes":[{"host":"h","pathPrefix":"/a/","service":"s")" + std::string(isPublic) + "}]");
+        CHECK_FALSE_TEXT(config.findRoute("h", "/a/x")->isPublic, isPublic);
+    }
 }
 
 TEST(ObjectTranslation, rejectsAnInvalidConfiguration)
--- a/tests/serving/servingconfigtest.cpp
+++ b/tests/serving/servingconfigtest.cpp
@@ -11,7 +11,7 @@
         .routes = { { .name = "all", .host = "a.example", .pathPrefix = "/p/" },
             { .name = "part", .host = "a.example", .pathPrefix = "/p/q/" },
             { .name = "other", .host = "b.example", .pathPrefix = "/p/" } },
-        .owners = { { .id = OwnerId("kitchen"), .keys = { "k1", "k2" } } },
+        .owners = std::vector<Owner> { { .id = OwnerId("kitchen"), .keys = { "k1", "k2" } } },
     };
 
     std::string routeOf(const char* host, const char* path) const
