Let the empty API key belong to no owner

What callers saw: with an owner whose list of keys contains an empty text, requests without a key ran on routes that are not public, as that owner's.

Cause: a request without a key is looked up by the empty text, which findOwner() compares with the keys like any other.

Change: findOwner() finds no owner for the empty key.

Evidence: ApiKey.removingTheLastKeyOfAnOwnerLeavesNoKeyValid failed before (200 instead of 401 for a request without a key), and so did the added row of ObjectTranslation; both pass now.

--- a/src/libserving/servingconfig.cpp
+++ b/src/libserving/servingconfig.cpp
@@ -43,7 +43,7 @@
 
 const Owner* ServingConfig::findOwner(std::string_view key) const
 {
-    if (!owners)
+    if (!owners || key.empty())
         return nullptr;
     const auto found = std::find_if(owners->begin(), owners->end(), [key](const Owner& owner) {
         return std::find(owner.keys.begin(), owner.keys.end(), key) != owner.keys.end();
--- a/src/libserving/servingconfig.h
+++ b/src/libserving/servingconfig.h
@@ -135,7 +135,7 @@
     // The route of the host with the longest prefix of the path, or null. The port and the case of the host
     // are ignored.
     const Route* findRoute(std::string_view host, std::string_view path) const;
-    // The owner of an API key, or null.
+    // The owner of an API key, or null. The empty key, which stands for a request without one, has no owner.
     const Owner* findOwner(std::string_view key) const;
     const Pool* findPool(const PoolId& id) const;
     // Longest time after its first event at which a caller may resume a stream of a pool, in a later attempt
--- a/tests/clusters/apikeytest.cpp
+++ b/tests/clusters/apikeytest.cpp
@@ -78,3 +78,14 @@
     applyConfig(3, "[]");
     checkKeysAreRefused();
 }
+
+// Guards against an empty key in the list of an owner, which requests without a key would match.
+TEST(ApiKey, removingTheLastKeyOfAnOwnerLeavesNoKeyValid)
+{
+    applyConfig(2, R"([{"name":"owner","apiKeys":["held"]}])");
+    LONGS_EQUAL(200, statusOf(0, "/added/x", "allowed", heldKey));
+    applyConfig(3, R"([{"name":"owner","apiKeys":[]}])");
+    checkKeysAreRefused();
+    applyConfig(4, R"([{"name":"owner","apiKeys":[""]}])");
+    checkKeysAreRefused();
+}
--- a/tests/platform/objecttranslationtest.cpp
+++ b/tests/platform/objecttranslationtest.cpp
@@ -50,7 +50,7 @@
     };
     CHECK_FALSE(read("").requiresKeys());
     for (const char* owners : { "null", "[]", R"([{"name":"a"}])", R"([{"name":"a","apiKeys":null}])",
-             R"([{"name":"a","apiKeys":[]}])" }) {
+             R"([{"name":"a","apiKeys":[]}])", R"([{"name":"a","apiKeys":[""]}])" }) {
         const ServingConfig config = read(R"(,"tenants":)" + std::string(owners));
         CHECK_TRUE_TEXT(config.requiresKeys(), owners);
         CHECK_TRUE_TEXT(config.findOwner("") == nullptr, owners);
