--- a/review/lib-3/replica.py
+++ b/review/lib-3/replica.py
@@ -4,8 +4,11 @@
 
   body=BYTES       size of a response body (800)
   pace_s=SECONDS   time over which the body is sent, in 20 parts (0)
-  framing=NAME     length, or end: the answer has no length and ends with its connection
-  status=CODE      status of each answer (200)
+  framing=NAME     length, or end: the answer has no length and ends with its connection; a path that ends in /framed
+                   gets an answer with a length at once
+  address_port=N   port that its entry in the store names (its own)
+  grey=SHARE       share of the requests that fail after they have run, with a status of the replica (0)
+  status=CODE      status of these failures (500)
   work_s=SECONDS   work before an answer (0.01)
   cold_s=SECONDS   time for which it is cold after SIGUSR1 (0)
   cold_limit=N     ends if it gets more requests than this within a second while it is cold (none)
@@ -15,6 +18,7 @@
 import collections
 import json
 import os
+import random
 import signal
 import sys
 import time
@@ -30,7 +34,9 @@
         self.body = int(options.get("body", 800))
         self.pace_s = float(options.get("pace_s", 0))
         self.framing = options.get("framing", "length")
-        self.status = int(options.get("status", 200))
+        self.status = int(options.get("status", 500))
+        self.address_port = int(options.get("address_port", self.port))
+        self.grey = float(options.get("grey", 0))
         self.work_s = float(options.get("work_s", 0.01))
         self.cold_s = float(options.get("cold_s", 0))
         self.cold_limit = float(options.get("cold_limit", "inf"))
@@ -74,7 +80,7 @@
     async def put(self):
         left = max(self.cold_until - time.monotonic(), 0)
         self.seq += 1
-        spec = {"service": self.service, "addr": f"127.0.0.1:{self.port}", "zone": self.zone, "version": "v1",
+        spec = {"service": self.service, "addr": f"127.0.0.1:{self.address_port}", "zone": self.zone, "version": "v1",
                 "slots": 64, "state": "ready", "coldLeftMs": int(left * 1000), "seq": self.seq, "born": self.born}
         for method, path in (("PUT", f"/-/objects/servers/{self.name}"), ("POST", "/-/objects/servers")):
             reader, writer = await asyncio.open_connection("127.0.0.1", self.store_port)
@@ -114,17 +120,20 @@
             os._exit(1)
         await asyncio.sleep(self.work_s)
         body = (f"{request}:".encode() * (self.body // (len(request) + 1) + 1))[:self.body]
-        text = f"HTTP/1.1 {self.status} S\r\nApricotpier-Request-Id: {request}\r\nApricotpier-Server-Stamp: {self.born}.{request}\r\n"
-        text += "Connection: close\r\n\r\n" if self.framing == "end" else f"Content-Length: {len(body)}\r\n\r\n"
+        is_framed = self.framing == "length" or path.endswith("/framed")
+        status = self.status if random.random() < self.grey else 200
+        text = f"HTTP/1.1 {status} S\r\nApricotpier-Request-Id: {request}\r\nApricotpier-Server-Stamp: {self.born}.{request}\r\n"
+        text += f"Content-Length: {len(body)}\r\n\r\n" if is_framed else "Connection: close\r\n\r\n"
         writer.write(text.encode())
-        size = -(-len(body) // PARTS) if self.pace_s else len(body)
+        pace_s = 0 if path.endswith("/framed") else self.pace_s
+        size = -(-len(body) // PARTS) if pace_s else len(body)
         for begin in range(0, len(body), max(size, 1)):
             writer.write(body[begin:begin + size])
             await writer.drain()
-            if self.pace_s:
-                await asyncio.sleep(self.pace_s / PARTS)
-        self.write(event="sent", request=request, bytes=len(body), status=self.status)
-        return self.framing != "end"
+            if pace_s:
+                await asyncio.sleep(pace_s / PARTS)
+        self.write(event="sent", request=request, bytes=len(body), status=status)
+        return is_framed
 
 
 if __name__ == "__main__":
