--- a/review/lib-3/deployment.py
+++ b/review/lib-3/deployment.py
@@ -181,7 +181,9 @@
         line.split(":", 1)[0].lower(): line.split(":", 1)[1].strip() for line in lines[1:] if ":" in line}}
     answer["body"] = b""
     try:
-        if answer["fields"].get("transfer-encoding", "").lower() == "chunked":
+        if answer["status"] in (204, 304):
+            pass
+        elif answer["fields"].get("transfer-encoding", "").lower() == "chunked":
             while size := int(await reader.readuntil(b"\r\n"), 16):
                 answer["body"] += await reader.readexactly(size)
                 await reader.readexactly(2)
--- a/review/lib-3/replica.py
+++ b/review/lib-3/replica.py
@@ -10,16 +10,11 @@
   grey=SHARE       share of the requests that fail after they have run, with a status of the replica (0)
   status=CODE      status of these failures (500)
   work_s=SECONDS   work before an answer (0.01)
-  cold_s=SECONDS   time for which it is cold after SIGUSR1 (0)
-  cold_limit=N     ends if it gets more requests than this within a second while it is cold (none)
 """
 
 import asyncio
-import collections
 import json
-import os
 import random
-import signal
 import sys
 import time
 
@@ -38,10 +33,6 @@
         self.address_port = int(options.get("address_port", self.port))
         self.grey = float(options.get("grey", 0))
         self.work_s = float(options.get("work_s", 0.01))
-        self.cold_s = float(options.get("cold_s", 0))
-        self.cold_limit = float(options.get("cold_limit", "inf"))
-        self.cold_until = 0
-        self.arrivals = collections.deque()
         self.born = int(time.time() * 1000)
         self.seq = 0
 
@@ -51,7 +42,6 @@
     async def run(self):
         server = await asyncio.start_server(self.serve, "127.0.0.1", self.port, backlog=512)
         self.write(event="started")
-        asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, lambda: asyncio.ensure_future(self.become_cold()))
         asyncio.ensure_future(self.report())
         async with server:
             await server.serve_forever()
@@ -64,24 +54,10 @@
                 pass
             await asyncio.sleep(1.2)
 
-    async def become_cold(self):
-        self.cold_until = time.monotonic() + self.cold_s
-        await self.put()
-        self.arrivals.clear()
-        self.write(event="cold", seconds=self.cold_s)
-
-    def is_overloaded(self):
-        now = time.monotonic()
-        self.arrivals.append(now)
-        while self.arrivals[0] < now - 1:
-            self.arrivals.popleft()
-        return now < self.cold_until and len(self.arrivals) > self.cold_limit
-
     async def put(self):
-        left = max(self.cold_until - time.monotonic(), 0)
         self.seq += 1
         spec = {"service": self.service, "addr": f"127.0.0.1:{self.address_port}", "zone": self.zone, "version": "v1",
-                "slots": 64, "state": "ready", "coldLeftMs": int(left * 1000), "seq": self.seq, "born": self.born}
+                "slots": 64, "state": "ready", "coldLeftMs": 0, "seq": self.seq, "born": self.born}
         for method, path in (("PUT", f"/-/objects/servers/{self.name}"), ("POST", "/-/objects/servers")):
             reader, writer = await asyncio.open_connection("127.0.0.1", self.store_port)
             body = json.dumps({"metadata": {"name": self.name}, "spec": spec}).encode()
@@ -115,9 +91,6 @@
                          "Content-Length: 0\r\n\r\n".encode())
             return True
         self.write(event="run", request=request, method=method, path=path, tenant=fields.get("apricotpier-tenant"))
-        if self.is_overloaded():
-            self.write(event="crashed", requests_in_a_second=len(self.arrivals))
-            os._exit(1)
         await asyncio.sleep(self.work_s)
         body = (f"{request}:".encode() * (self.body // (len(request) + 1) + 1))[:self.body]
         is_framed = self.framing == "length" or path.endswith("/framed")
