--- a/review/13/case.py
+++ b/review/13/case.py
@@ -8,6 +8,7 @@
 import sys
 
 CASE = pathlib.Path(__file__).resolve().parent
+RECORD = CASE / "record.txt"
 sys.path.insert(0, str(CASE.parent / "lib-3"))
 
 from deployment import TROUBLE, Deployment, play, request  # noqa: E402
@@ -23,9 +24,10 @@
     for attempt in range(2):
         request_id = f"c{number:04x}-{attempt}"
         fields = {"Apricotpier-Request-Id": request_id, "Apricotpier-Deadline-Ms": "1000"}
+        deployment.note(f"client {number}, attempt {attempt}: sends {request_id} to {gateway.name}")
         answer = await request(gateway.ports["frontend"], "POST", f"/ledger/order-{number}", fields, b"meal")
         answers[request_id] = answer["status"]
-        deployment.note(f"client {number}, attempt {attempt}: {request_id} to {gateway.name}: {answer['status']}, "
+        deployment.note(f"client {number}, attempt {attempt}: {request_id} is answered {answer['status']}, "
                         f"stamp {answer['fields'].get('apricotpier-server-stamp')}, "
                         f"not executed: {answer['fields'].get('apricotpier-not-executed')}")
         if answer["status"] not in PROMISES:
@@ -34,7 +36,7 @@
 
 async def scenario():
     zones = ["fes-a", "fes-a", "rabat-b", "rabat-b", "rabat-b", "tangier-c"]
-    async with Deployment(zones) as deployment:
+    async with Deployment(zones, RECORD) as deployment:
         deployment.put_config(1, [{"name": "commit", "host": "h.example", "pathPrefix": "/ledger/", "service": "rounds-ledger",
                                    "routeKind": "non_idempotent", "timeoutMs": 1000, "sloMs": 100, "maxAttempts": 1}],
                               [{"name": "rounds-ledger", "healthPath": "/healthz", "coldStartS": 0}])
@@ -57,7 +59,6 @@
                 orders[event["path"]] = orders.get(event["path"], 0) + 1
         deployment.note(f"requests that ran and were answered with a promise that they had not: {broken}")
         deployment.note(f"orders that ran more than once: {sorted(path for path, runs in orders.items() if runs > 1)}")
-        deployment.write_record(CASE)
         return bool(broken)
 
 
--- a/review/lib-3/deployment.py
+++ b/review/lib-3/deployment.py
@@ -87,7 +87,9 @@
 class Deployment:
     """Use as `async with Deployment(...)`; ends all processes that it started."""
 
-    def __init__(self, zones):
+    def __init__(self, zones, record):
+        """`record` is the file for what was sent, answered and run; it is written at the end, also of a run that fails."""
+        self.record = record
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.gateways = []
         for index, zone in enumerate(zones):
@@ -109,6 +111,7 @@
             if process.poll() is None:
                 process.kill()
                 process.wait()
+        self.write_record()
         if os.environ.get("KEEP") != "1":
             shutil.rmtree(self.folder, ignore_errors=True)
         else:
@@ -144,13 +147,13 @@
         path = self.folder / "replicas.log"
         return [json.loads(line) for line in path.read_text().splitlines()] if path.exists() else []
 
-    def write_record(self, case):
+    def write_record(self):
         """Writes what was noted, and what the replicas logged, in the order of time."""
         lines = list(self.lines)
         for event in self.replica_events():
             at = event.pop("at") - self.began
             lines.append(f"{at:8.3f}  replica {event.pop('replica')} (start {event.pop('born')}): {json.dumps(event)}")
-        (pathlib.Path(case) / "record.txt").write_text("\n".join(sorted(lines)) + "\n")
+        self.record.write_text("\n".join(sorted(lines)) + "\n")
 
 
 async def status_of(port, path):
