Do not forward a server's 408, 429 or 503 that may follow a run

Callers saw: an order that must not run twice was answered 503 with the signature of the server that had run it.

Cause: BackendCaller::classify asked only whether the server states that it did not run the request. A response without that marker counted as any other, also with a status that says the same to callers.

Change: such a response is an unproven refusal. It may have run and is not forwarded: the request goes to another server if it may run again, else its caller gets 502 at once, without waiting for the body. One place judges plain requests, streams, resumptions and the header that a peer relays. The server is avoided like one that refused, and the time to the refusal no longer counts as a response time.

Why this works: no status that promises reaches a caller unless the server has stated it or the gateway has sent the request to no server. Marked refusals and all other statuses are treated as before.

--- a/src/gateway/backendcaller.cpp
+++ b/src/gateway/backendcaller.cpp
@@ -28,6 +28,8 @@
             return "not_sent";
         case SendOutcome::NotRun:
             return "not_run";
+        case SendOutcome::UnprovenRefusal:
+            return "unproven_refusal";
         case SendOutcome::Broken:
             return "broken";
         case SendOutcome::TimedOut:
@@ -38,7 +40,7 @@
         return "unknown";
     }
 
-    // Logs a send that got no response from the server.
+    // Logs a send that got no response that may be forwarded.
     void logFailedSend(const ServedRequest& request, const ServerEntry& server,
         const SendResult& result, const std::string& reason, Duration duration)
     {
@@ -62,6 +64,8 @@
         case SendOutcome::TimedOut:
             return CallOutcome::Unresponsive;
         case SendOutcome::NotRun:
+        // Counted as a response, it would draw requests to a server that refuses them fast.
+        case SendOutcome::UnprovenRefusal:
             return CallOutcome::Refused;
         case SendOutcome::Broken:
             return CallOutcome::Broken;
@@ -73,6 +77,12 @@
 
 }
 
+bool isServerFailure(SendOutcome outcome)
+{
+    return outcome == SendOutcome::UnprovenRefusal || outcome == SendOutcome::Broken
+        || outcome == SendOutcome::TimedOut;
+}
+
 RunEnd runEndOf(const boost::system::error_code& error)
 {
     const bool isSilent = error == boost::beast::error::timeout || error == Asio::error::timed_out
@@ -160,6 +170,8 @@
         if (stream)
             m_statements.record(server, startedAt, stream->head());
         result = classify(std::move(stream));
+        if (result.outcome == SendOutcome::UnprovenRefusal)
+            reportRun(request, server, RunEnd::Complete, startedAt);
     } catch (const CallNotSentError& error) {
         reason = error.code().message();
         *sent = false;
@@ -275,6 +287,9 @@
     // Destroying the stream closes its connection: a refusal that comes again would look like that of the next attempt.
     if (markers.isNotRun || status == statusMisdirected)
         return { .outcome = SendOutcome::NotRun, .status = status };
+    // Its body is not waited for: the caller gets another response.
+    if (markers.promisesNotRun)
+        return { .outcome = SendOutcome::UnprovenRefusal, .status = status };
     const bool isSuccess = status / statusesPerClass == successClass;
     if (isSuccess && (!markers.isSigned || markers.isEncoded))
         return { .outcome = SendOutcome::Broken };
--- a/src/gateway/backendcaller.h
+++ b/src/gateway/backendcaller.h
@@ -14,12 +14,15 @@
 
 // Outcome of sending a request to one backend server, up to the header of the response.
 enum class SendOutcome {
-    // A signed response, or one with an error status, has started.
+    // A response that may be forwarded has started: a signed one, or one with an error status that promises nothing
+    // about the run.
     Responded,
     // Nothing was sent.
     NotSent,
     // The server did not run the request and never will.
     NotRun,
+    // The request may have run, although the status of the response promises its caller that it has not.
+    UnprovenRefusal,
     // The request may have run: the connection broke, or the response was not the server's own.
     Broken,
     // The request may have run: no response arrived within the timeout.
@@ -28,6 +31,9 @@
     Cancelled,
 };
 
+// Whether the server failed a request that it may have run.
+bool isServerFailure(SendOutcome outcome);
+
 struct SendResult {
     // The request's place at the server; see ServerStatements. Destroyed after the response.
     std::shared_ptr<void> place;
@@ -36,7 +42,7 @@
     SendOutcome outcome = SendOutcome::NotSent;
     // The response, if it has started.
     std::unique_ptr<HttpStream> stream;
-    // Status of a response that has started or states that the request did not run; otherwise zero.
+    // Status of a response that has started, or of a refusal; otherwise zero.
     int status = 0;
 };
 
--- a/src/gateway/plainforwarder.cpp
+++ b/src/gateway/plainforwarder.cpp
@@ -110,8 +110,7 @@
         = request.route.isRetryable() && progress.runs < request.route.attemptLimit;
     const std::string& route = request.route.name;
     RolloutObserver& rollouts = m_backendCaller.rollouts();
-    if (sent.outcome == SendOutcome::Broken || sent.outcome == SendOutcome::TimedOut
-        || sent.status >= statusServerError)
+    if (isServerFailure(sent.outcome) || sent.status >= statusServerError)
         rollouts.recordFailure(route, server);
     if (sent.outcome != SendOutcome::Responded)
         co_return !mayRetry;
--- a/src/gateway/streamforwarder.cpp
+++ b/src/gateway/streamforwarder.cpp
@@ -139,7 +139,7 @@
             progress.outcome.serverVersion = engine.softwareVersion;
         }
         RolloutObserver& rollouts = m_backendCaller.rollouts();
-        if (sent.outcome == SendOutcome::Broken || sent.outcome == SendOutcome::TimedOut)
+        if (isServerFailure(sent.outcome))
             rollouts.recordFailure(request.route.name, engine);
         if (sent.outcome == SendOutcome::Responded) {
             ++progress.runs;
@@ -160,7 +160,9 @@
             continue;
         if (sent.outcome != SendOutcome::Responded)
             ++progress.runs;
-        m_placement.onMemoryLost(engine.id);
+        // An engine that responds has kept its memory.
+        if (sent.outcome != SendOutcome::UnprovenRefusal)
+            m_placement.onMemoryLost(engine.id);
         // Without an ID of the last event, an engine would begin anew.
         const bool isResumable
             = progress.events.eventCount() == 0 || !progress.events.lastEventId().empty();
--- a/tests/platform/requesttranslationtest.cpp
+++ b/tests/platform/requesttranslationtest.cpp
@@ -85,6 +85,17 @@
     const HttpResponseHead notRun { .status = 503, .fields = { { "Apricotpier-Not-Executed", "1" } } };
     CHECK(Platform::readResponseMarkers(notRun).isNotRun);
     CHECK(Platform::readResponseMarkers({ .status = 421 }).isNotRun);
+    CHECK(!Platform::readResponseMarkers({ .status = 503 }).isNotRun);
     CHECK(Platform::readResponseMarkers({ .status = 200, .fields = { { "Content-Encoding", "gzip" } } })
               .isEncoded);
 }
+
+// Guards against a response that a caller takes for the promise that its request has not run, and that counts as any
+// other response.
+TEST(RequestTranslation, recognizesStatusesThatPromiseThatTheRequestHasNotRun)
+{
+    for (const int status : { 408, 421, 429, 503 })
+        CHECK_TRUE(Platform::readResponseMarkers({ .status = status }).promisesNotRun);
+    for (const int status : { 200, 302, 400, 404, 409, 500, 502, 504, 507, 599 })
+        CHECK_FALSE(Platform::readResponseMarkers({ .status = status }).promisesNotRun);
+}
